Take SIGHUP: read the configuration again and move to its discovery

At fault: cmd/gatetack/main.go took SIGTERM and SIGINT only, and discovery.Client had its address for life. Ruled out by the node's log: nothing had failed before the signal; discovery and all boxes were in reach. Now: the signal is taken before anything else; config.Again reads the file on the same path to brain.Settings, with the file's discovery before EDGE_DISCOVERY, which is as old as the first file; discovery.Client.Move cuts calls that are out and makes them again at the new address at once, without a failure told (the module would back off). A file that can not be used changes nothing and is logged. A silent watch fails after 3.2 s, a call after 2.5 s, since what discovery has to tell counts as told 4 s after the signal, or 6 s after the change. Tests: TestReload (built program under load, drain told only by the new list, two bad files, SIGTERM after), TestMove (old address serving, mute, deaf, gone), TestAgain. Each fails without the change.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -73,13 +73,16 @@
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: lv}))
 	switch args[0] {
 	case "serve":
+		// Taken before anything else: until then a reload would end the process.
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
 		c, f, err := load(*path)
 		if err != nil {
 			return err
 		}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		return serve(ctx, c, f, log)
+		return serve(ctx, hup, c, f, log)
 	case "check-config":
 		c, f, err := load(*path)
 		if err != nil {
@@ -131,8 +134,34 @@
 
 func (noPeers) Tell(uint16, []byte) {}
 
+// reload reads the platform's configuration each time its file was replaced and moves to the discovery it names. It
+// goes on while the node leaves; a file that can not be used changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, move func(string), log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		next, err := c.Again(os.Getenv)
+		if err == nil {
+			err = next.Check(f)
+		}
+		if err != nil {
+			log.Error("reload: the configuration can not be used, the old one stays", "err", err)
+			continue
+		}
+		if stays := c.Stays(next); len(stays) > 0 {
+			log.Warn("reload: holds from the next start on", "changed", stays)
+		}
+		log.Info("reload", "discovery", next.Discovery, "was", c.Discovery)
+		c.Discovery = next.Discovery
+		move(next.Discovery)
+	}
+}
+
 // serve runs the node. When ctx ends it goes on until all that was taken is answered and nothing new comes.
-func serve(ctx context.Context, c *config.Config, f *config.File, log *slog.Logger) error {
+func serve(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, log *slog.Logger) error {
 	life := time.Now()
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
@@ -154,10 +183,12 @@
 		kept, shared = members, members
 		g.Go(func() error { return members.Run(hard) })
 	}
+	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, log)
+	g.Go(func() error { reload(hard, hup, c, f, source.Move, log); return nil })
 	var lists interface {
 		node.Lists
 		Run(context.Context) error
-	} = discovery.New(c.Discovery, c.Known.Index, c.Limits, core, log)
+	} = source
 	if f.Inventory.File != "" {
 		if lists, err = inventory.Open(f.Inventory.File, c.Names, c.Limits, core, shared, log); err != nil {
 			return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -57,6 +59,44 @@
 	return c, nil
 }
 
+// Again reads the configuration once more after its file was replaced. Discovery is where the new file has it: the
+// EDGE_DISCOVERY of the start is as old as the file that it came with, and an address that the file does not name
+// stays.
+func (c *Config) Again(getenv func(string) string) (*Config, error) {
+	next, err := FromEnv(func(name string) string {
+		if name == "EDGE_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if next.Discovery == "" {
+		next.Discovery = c.Discovery
+	}
+	return next, nil
+}
+
+// Stays names what differs in a configuration that was read again and holds only from the next start on.
+func (c *Config) Stays(next *Config) []string {
+	var out []string
+	for _, x := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"peers", c.PeerListen == next.PeerListen && c.PeersAll == next.PeersAll && slices.Equal(c.Peers, next.Peers)},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && reflect.DeepEqual(c.Names, next.Names)},
+		{"limits", c.Limits == next.Limits},
+	} {
+		if !x.same {
+			out = append(out, x.name)
+		}
+	}
+	return out
+}
+
 // Check says whether the node can be reached, and can reach discovery unless an inventory stands in its place.
 func (c *Config) Check(f *File) error {
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,6 +53,41 @@
 	}
 }
 
+// Read again, the file says where discovery is: EDGE_DISCOVERY is as old as the file that it came with.
+func TestAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"EDGE_CONFIG": path, "EDGE_DISCOVERY": "127.0.0.1:8500", "EDGE_NAME": "n3"}
+	getenv := func(name string) string { return env[name] }
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(sample)
+	c, err := FromEnv(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.Replace(sample, "127.0.0.1:8500", "127.0.0.9:8500", 1)
+	put(moved)
+	next, err := c.Again(getenv)
+	if err != nil || next.Discovery != "127.0.0.9:8500" || len(c.Stays(next)) != 0 {
+		t.Errorf("%v %+v", err, next)
+	}
+	put(strings.Replace(moved, `"aim":400.0`, `"aim":500.0`, 1))
+	if next, err = c.Again(getenv); err != nil || !reflect.DeepEqual(c.Stays(next), []string{"settings"}) {
+		t.Errorf("%v %v", err, c.Stays(next))
+	}
+	put(strings.Replace(sample, `"discovery":"127.0.0.1:8500",`, "", 1))
+	if next, err = c.Again(getenv); err != nil || next.Discovery != c.Discovery {
+		t.Errorf("%v %+v", err, next)
+	}
+	put(moved[:200])
+	if _, err = c.Again(getenv); err == nil {
+		t.Error("half a file was read")
+	}
+}
+
 // Garbage ends in an error or in settings that the module can work with.
 func TestParseOnGarbage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,23 +27,60 @@
 
 // Client speaks to discovery.
 type Client struct {
-	addr  string
 	lim   limits.Limits
 	sink  Sink
 	log   *slog.Logger
 	calls chan call
+	moved chan struct{}
 	index atomic.Uint64 // of the list last held
+
+	mu sync.Mutex
+	at place
+}
+
+// place is where discovery is. Its context ends when discovery moves: a call that this cuts is made again there.
+type place struct {
+	addr  string
+	ctx   context.Context
+	leave context.CancelFunc
+}
+
+func newPlace(addr string) place {
+	ctx, cancel := context.WithCancel(context.Background())
+	return place{addr, ctx, cancel}
 }
 
 type call struct{ watch, on bool }
 
 // New makes a client that knows the list up to a version.
 func New(addr string, index uint64, lim limits.Limits, sink Sink, log *slog.Logger) *Client {
-	c := &Client{addr: addr, lim: lim, sink: sink, log: log, calls: make(chan call, 16)}
+	c := &Client{lim: lim, sink: sink, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
 	c.index.Store(index)
 	return c
 }
 
+// Move goes on at another address, at once: what the old one still has open may tell nothing more, while drains
+// count as told. The list stands, and changes are asked for from its version on.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.at.addr {
+		return
+	}
+	c.at.leave()
+	c.at = newPlace(addr)
+	select {
+	case c.moved <- struct{}{}:
+	default: // the last one is still to be seen to, and goes to this address
+	}
+}
+
+func (c *Client) place() place {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
 // Watch begins to follow changes, or stops it. It does not block.
 func (c *Client) Watch(on bool) { c.put(call{true, on}) }
 
@@ -58,27 +96,46 @@
 
 // Run makes the calls until the context ends. One watch runs at a time.
 func (c *Client) Run(ctx context.Context) error {
-	stop, watch := func() {}, new(errgroup.Group)
-	defer func() { stop(); _ = watch.Wait() }()
+	var watch, fetches errgroup.Group
+	stop, ended := func() {}, make(chan struct{})
+	close(ended)
+	defer func() { stop(); _ = watch.Wait(); _ = fetches.Wait() }()
+	wanted := false
+	begin := func() {
+		stop()
+		_ = watch.Wait() // one watch at a time
+		wctx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		stop, ended = cancel, done
+		watch.Go(func() error { defer close(done); c.watch(wctx); return nil })
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case k := <-c.calls:
-			if k.watch {
-				stop()
-				_ = watch.Wait() // one watch at a time
-				if !k.on {
-					continue
+		case <-c.moved:
+			// A watch that stands moves by itself. One that failed lately is not left to the module's next
+			// call, which waits longer with each failure.
+			select {
+			case <-ended:
+				if wanted {
+					begin()
 				}
-				wctx, cancel := context.WithCancel(ctx)
-				stop = cancel
-				watch.Go(func() error { c.watch(wctx); return nil })
-				continue
+			default:
 			}
-			err := c.list(ctx, "/v1/servers", c.lim.ListCall, true)
-			if err != nil && ctx.Err() == nil {
-				c.failed("list", err)
+		case k := <-c.calls:
+			switch {
+			case k.watch && k.on:
+				wanted = true
+				begin()
+			case k.watch:
+				wanted = false
+				stop()
+			default:
+				fetches.Go(func() error {
+					c.call(ctx, "list", func() string { return "/v1/servers" }, c.lim.ListCall, true)
+					return nil
+				})
 			}
 		}
 	}
@@ -89,14 +146,33 @@
 	c.sink.List(node.List{Form: brain.ListFailed})
 }
 
-// watch follows changes. A watch that was called off ends in silence; any other end is a failure.
+// watch follows changes.
 func (c *Client) watch(ctx context.Context) {
-	err := c.list(ctx, "/v1/servers?stream=1&index="+strconv.FormatUint(c.index.Load(), 10), c.lim.WatchSilent, false)
-	if ctx.Err() == nil {
+	c.call(ctx, "watch", func() string { return "/v1/servers?stream=1&index=" + strconv.FormatUint(c.index.Load(), 10) },
+		c.lim.WatchSilent, false)
+}
+
+// call makes a call, and again wherever discovery moves meanwhile. One that was called off ends in silence; any
+// other end but that of a whole list is a failure.
+func (c *Client) call(ctx context.Context, what string, target func() string, silent time.Duration, once bool) {
+	for {
+		at := c.place()
+		here, cancel := context.WithCancel(ctx)
+		stop := context.AfterFunc(at.ctx, cancel)
+		err := c.list(here, at.addr, target(), silent, once)
+		stop()
+		cancel()
+		if ctx.Err() != nil || err == nil && once {
+			return
+		}
+		if at.ctx.Err() != nil {
+			continue
+		}
 		if err == nil {
-			err = errors.New("the watch ended")
+			err = errors.New("it ended")
 		}
-		c.failed("watch", err)
+		c.failed(what, err)
+		return
 	}
 }
 
@@ -104,9 +180,9 @@
 
 // list makes a call and hands on each line of its answer. Silence between lines is a failure: a machine that
 // was cut off leaves a connection open and tells nothing.
-func (c *Client) list(ctx context.Context, target string, silent time.Duration, once bool) error {
+func (c *Client) list(ctx context.Context, addr, target string, silent time.Duration, once bool) error {
 	d := net.Dialer{Timeout: c.lim.ListCall}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("connecting: %w", err)
 	}
@@ -114,7 +190,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	w := http1.NewWriter(conn, c.lim.Ring)
-	fields := []http1.Field{{Name: "Host", Value: c.addr}}
+	fields := []http1.Field{{Name: "Host", Value: addr}}
 	if once {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -67,6 +67,62 @@
 	standin.Until(t, "the list again", func() bool { l := s.All(); return l[len(l)-1].Form == brain.ListFull })
 }
 
+// Where discovery moves, the watch goes on at the new address, be the old one deaf, mute or gone, and no failure is
+// told: the module would wait before it asks again, while drains count as told.
+func TestMove(t *testing.T) {
+	for _, old := range []string{"serves", "mute", "deaf", "gone"} {
+		c, s, list, box := start(t, standin.Lim)
+		ctx, cancel := context.WithCancel(context.Background())
+		var g errgroup.Group
+		next, err := standin.NewList(ctx, &g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Put(box, "draining")
+		switch old {
+		case "deaf", "gone": // takes connections and says nothing, or takes none
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if old == "deaf" {
+				defer func() { _ = ln.Close() }()
+			} else {
+				_ = ln.Close()
+			}
+			c.Move(ln.Addr().String())
+		default:
+			list.Mute(old == "mute")
+			list.Put(box, "ready")
+		}
+		c.Watch(true)
+		switch old {
+		case "serves":
+			standin.Until(t, "the list", func() bool { return len(s.All()) == 1 })
+		case "mute":
+			standin.Until(t, "the watch", func() bool { return list.Watches() == 1 })
+		case "gone":
+			standin.Until(t, "the failure", func() bool { return len(s.All()) == 1 })
+		}
+		began := time.Now()
+		c.Move(next.Addr)
+		standin.Until(t, old+": the list at the new address", func() bool {
+			l := s.All()
+			return len(l) > 0 && len(l[len(l)-1].Entries) == 1 && l[len(l)-1].Entries[0].Status == "draining"
+		})
+		if d := time.Since(began); d > standin.Lim.WatchSilent {
+			t.Errorf("%s: it took %v", old, d)
+		}
+		for i, l := range s.All() {
+			if l.Form == brain.ListFailed && !(old == "gone" && i == 0) {
+				t.Errorf("%s: a failure was told", old)
+			}
+		}
+		cancel()
+		_ = g.Wait()
+	}
+}
+
 // Each call that fails is told of once.
 func TestFailures(t *testing.T) {
 	for name, answer := range map[string]string{
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -53,7 +53,7 @@
 	WorkerIdle  time.Duration // an idle connection to an executor is not used after it: well before connIdle
 	Probe       time.Duration // of a probe, and of giving up an attempt
 	ListCall    time.Duration // from a call to discovery to its first line
-	WatchSilent time.Duration // between lines of a watch, after which it has failed
+	WatchSilent time.Duration // between lines of a watch, which come every 2 s, after which it has failed
 	DrainSpare  time.Duration // after a drain was told, a send that is under way may still be written
 	AnswerEarly time.Duration // before a client gives up, a request that is still out is answered
 	Quiet       time.Duration // at the end, nothing may come for so long before the node exits
@@ -101,7 +101,7 @@
 		Events: 4096, Tells: 64, MaxOpen: 4096,
 		ClientIdle: 2 * time.Minute, ReadRequest: 10 * time.Second, Write: 5 * time.Second,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
-		ListCall: 5 * time.Second, WatchSilent: 5 * time.Second, DrainSpare: drainGrace / 2,
+		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Quiet: 700 * time.Millisecond,
 		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
--- a/test/fronts_test.go
+++ b/test/fronts_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -299,10 +298,7 @@
 		if i == 0 {
 			s.until("the first job runs", func() bool { return len(s.boxes[0].Starts()) == 1 })
 			g.Go(s.term)
-			s.until("the signal has come", func() bool {
-				text, _ := os.ReadFile(s.log.Name())
-				return strings.Contains(string(text), "msg=leaving")
-			})
+			s.until("the signal has come", func() bool { return s.logged("msg=leaving") })
 			// The second comes on a new connection after the signal.
 		}
 	}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -63,6 +64,8 @@
 	batch   string
 	store   string
 	extra   string // lines of the operator's file
+	sockets int    // granted to the node, with the memory, where a test needs less than usual
+	memory  int    // in MB
 	process *exec.Cmd
 	exited  chan error
 	log     *os.File
@@ -102,15 +105,29 @@
 	return s
 }
 
-// start runs the program until it serves.
-func (s *site) start() {
+// configure writes the platform's configuration in one piece and gives its path.
+func (s *site) configure(discovery, settings string) string {
 	s.t.Helper()
 	config := filepath.Join(s.dir, "config.json")
+	sockets, memory := 1024, 192
+	if s.sockets > 0 {
+		sockets, memory = s.sockets, s.memory
+	}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":%s}`, s.listen, s.list.Addr, settings)
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, s.listen, discovery, memory, sockets, settings)
+	if err := os.WriteFile(config+".new", []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
+	if err := os.Rename(config+".new", config); err != nil {
+		s.t.Fatal(err)
+	}
+	return config
+}
+
+// start runs the program until it serves.
+func (s *site) start() {
+	s.t.Helper()
+	config := s.configure(s.list.Addr, settings)
 	file := filepath.Join(s.dir, "gatetack.yaml")
 	if err := os.WriteFile(file, []byte("batch:\n  listen: "+s.batch+"\n"+s.extra), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -120,7 +137,7 @@
 		s.t.Fatal(err)
 	}
 	s.process = exec.Command(program, "serve", "--config", file, "--log-level", "debug")
-	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+config)
+	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_DISCOVERY="+s.list.Addr)
 	s.process.Stderr = s.log
 	if err := s.process.Start(); err != nil {
 		s.t.Fatal(err)
@@ -134,6 +151,12 @@
 	})
 }
 
+// logged says whether the program's log holds a text.
+func (s *site) logged(text string) bool {
+	all, _ := os.ReadFile(s.log.Name())
+	return strings.Contains(string(all), text)
+}
+
 // kill ends the program at once, as a lost machine does.
 func (s *site) kill() {
 	_ = s.process.Process.Kill()
--- /dev/null
+++ b/test/reload_test.go
@@ -0,0 +1,85 @@
+package test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/internal/standin"
+)
+
+// SIGHUP under load: the node goes on with the discovery that the replaced file names, although EDGE_DISCOVERY still
+// names the old one; it loses no job, honours a drain that only the new one tells, passes over a file that can not
+// be used, and leaves on SIGTERM as ever.
+func TestReload(t *testing.T) {
+	s := newSite(t, 2, 20*time.Millisecond)
+	next, err := standin.NewList(s.ctx, s.g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range s.boxes {
+		next.Put(b, "ready")
+	}
+	s.start()
+	drained := s.boxes[0]
+	hup := func() {
+		if err := s.process.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	done := make(chan struct{})
+	var load, jobs errgroup.Group
+	load.Go(func() error {
+		for n := 1; ; n++ {
+			select {
+			case <-done:
+				return nil
+			case <-time.After(15 * time.Millisecond):
+			}
+			jobs.Go(func() error {
+				m, err := s.post("tile-charge", fmt.Sprintf("%016x", n))
+				if err == nil && m.Status != 200 && m.Status != 503 {
+					err = fmt.Errorf("%d %s", m.Status, m.Body)
+				}
+				return err
+			})
+		}
+	})
+	s.until("the box that will drain has work", func() bool { return len(drained.Starts()) > 3 })
+	s.configure(next.Addr, settings)
+	hup()
+	s.until("the new discovery is watched", func() bool { return next.Watches() == 1 })
+	next.Put(drained, "draining")
+	told := time.Now()
+
+	s.configure("nowhere", settings)
+	hup()
+	s.until("an address that is none is passed over", func() bool { return s.logged("discovery: address nowhere") })
+	if err := os.WriteFile(s.dir+"/config.json", []byte(`{"name":"n0","settings":{`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hup()
+	s.until("a file that is no JSON is passed over", func() bool { return s.logged("not valid JSON") })
+
+	time.Sleep(time.Until(told.Add(700 * time.Millisecond)))
+	close(done)
+	if err := errors.Join(load.Wait(), jobs.Wait()); err != nil {
+		t.Errorf("a job was lost: %v", err)
+	}
+	for _, x := range drained.Starts() {
+		if late := x.At.Sub(told); late > 500*time.Millisecond {
+			t.Errorf("job %s was sent %v after a drain that the new discovery told", x.ID, late)
+		}
+	}
+	if s.list.Watches() != 1 || next.Watches() != 1 {
+		t.Errorf("%d watches at the old discovery and %d at the new one, want one at each", s.list.Watches(), next.Watches())
+	}
+	if err := s.term(); err != nil {
+		t.Errorf("leaving after a reload: %v", err)
+	}
+}
