Serve on the connections clients have until the node may be killed after SIGTERM

A trace of both sockets' ends in a node that leaves (accepts, requests, answers; taken out again) showed: SIGTERM 16.01 s, each answer ended its connection, the last request came at 16.46, the kill at 19.7, the next start at 20.34. Clients have one node each, so all of those 3.9 s were refused at connect. At fault: cmd/gatetack/main.go called http1.Server.Drain at the signal and CloseIdle 0.7 s later. Now: the platform's front serves on for min(longest deadline, 3 s) + 0.7 s - 0.2 s after the signal. Then node.Core.Leave answers at once what came after the signal (unanswered at the kill it would count as lost) and what was never sent; older jobs may still be served, connections close between requests, and what still comes is refused with the longest Retry-After. The batch front leaves as before. Tests: TestLeave in internal/node (each kind of job at that moment), and in test a client that goes on using its connection after the signal; both fail without the change.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -237,11 +237,9 @@
 			return nil
 		}
 		log.Info("leaving", "open", core.Open())
-		for _, s := range fronts {
-			s.Drain()
-		}
 		if jobs != nil {
 			jobs.Drain()
+			fronts[1].Drain()
 		}
 		quiet(hard, core, fronts, jobs, c)
 		return nil
@@ -259,11 +257,12 @@
 	return store.Open(store.Config{Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members}, c.Limits, log)
 }
 
-// quiet returns once nothing is open and nothing new has come for a while. New connections come for some time
-// after the signal, and clients go on using those they have until an answer or the node ends them: so once no new
-// ones come, those that stand between requests are closed, and the node does not end under a request.
+// quiet returns once nothing is open and nothing new has come for a while. Clients go on using the connections they
+// have for as long as those stand, and new ones go elsewhere or nowhere: so the platform's front serves on until the
+// node may be killed, and only then are answers given early and connections closed between requests. (Closing them
+// at once lost all requests of a client that has one node, from the signal to the node's next start.)
 func quiet(ctx context.Context, core *node.Core, fronts []*http1.Server, jobs *batch.Front, c *config.Config) {
-	told := time.Now()
+	told, left := time.Now(), false
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -273,8 +272,8 @@
 			return
 		}
 		last, busy := told, 0
-		for _, s := range fronts {
-			if time.Since(told) >= c.Limits.Quiet {
+		for i, s := range fronts {
+			if left || i > 0 && time.Since(told) >= c.Limits.Quiet {
 				s.CloseIdle()
 			}
 			busy += s.Conns()
@@ -282,6 +281,11 @@
 				last = at
 			}
 		}
+		if !left && time.Since(told) >= c.Limits.Stay {
+			left = true
+			fronts[0].Drain()
+			core.Leave(told)
+		}
 		// A store without a leader must not keep the node for good: ends that it does not take stay unrecorded.
 		pending := jobs != nil && jobs.Pending() && time.Since(last) < 2*c.Limits.StoreCall
 		if core.Open() == 0 && busy == 0 && !pending && time.Since(last) >= c.Limits.Quiet {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -151,6 +151,11 @@
 	}
 	c.Limits = limits.New(int(root.Get("limits.sockets").Int()), int(root.Get("limits.memory_mb").Int()),
 		ms(c.Settings.ConnectTimeout), ms(c.Settings.ConnIdle), ms(c.Settings.DrainGrace))
+	longest := 0.0
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	c.Limits.Longest(ms(longest))
 	if n, err := strconv.ParseFloat(pairs["limits.maxOpen"], 64); err == nil && n >= 1 {
 		c.Limits.MaxOpen = min(c.Limits.MaxOpen, int(n))
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -56,6 +56,7 @@
 	WatchSilent time.Duration // between lines of a watch, which come every 2 s, after which it has failed
 	DrainSpare  time.Duration // after a drain was told, a send that is under way may still be written
 	AnswerEarly time.Duration // before a client gives up, a request that is still out is answered
+	Stay        time.Duration // after SIGTERM, clients are served on the connections they have
 	Quiet       time.Duration // at the end, nothing may come for so long before the node exits
 
 	// The process.
@@ -67,8 +68,19 @@
 const (
 	reservedFDs = 64 // standard streams, the poller, listeners, discovery, the store, and files being read
 	leastFDs    = 256
+
+	// A node that was told to leave may be killed as soon as the longest deadline, or killAfter, and killSpare are
+	// over; it has seen to all that came late by killEarly before.
+	killAfter = 3 * time.Second
+	killSpare = 700 * time.Millisecond
+	killEarly = 200 * time.Millisecond
 )
 
+// Longest takes in the longest deadline of a client.
+func (l *Limits) Longest(deadline time.Duration) {
+	l.Stay = min(max(deadline, 0), killAfter) + killSpare - killEarly
+}
+
 // New fills the limits from what the platform grants: a number of descriptors and megabytes of memory. Zero
 // stands for the platform's usual figures.
 func New(sockets, memoryMB int, connectTimeout, connIdle, drainGrace time.Duration) Limits {
@@ -102,7 +114,7 @@
 		ClientIdle: 2 * time.Minute, ReadRequest: 10 * time.Second, Write: 5 * time.Second,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, DrainSpare: drainGrace / 2,
-		AnswerEarly: 30 * time.Millisecond, Quiet: 700 * time.Millisecond,
+		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
 		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -47,12 +47,14 @@
 	stepAt   time.Time // no step before
 	workers  map[uint32]Entry
 	counts   Counts
+	leaving  bool // nothing more is taken
 }
 
 type job struct {
 	id       uint32
 	in       Job
 	client   Client
+	taken    time.Time
 	deadline time.Time
 	answered bool // or gone: nothing is owed
 	live     int  // attempts out
@@ -107,11 +109,12 @@
 	data []byte
 }
 type countsTo chan Counts
+type leave time.Time
 
 // Submit hands in a job. Unless it fails, the client gets one answer, or Gone is called. It never blocks.
 func (c *Core) Submit(in Job, client Client) (uint32, error) {
 	now := c.now()
-	j := &job{id: c.lastID.Add(1), in: in, client: client, deadline: now.Add(in.Left)}
+	j := &job{id: c.lastID.Add(1), in: in, client: client, taken: now, deadline: now.Add(in.Left)}
 	if int(c.open.Add(1)) > c.lim.MaxOpen {
 		c.open.Add(-1)
 		return 0, ErrFull
@@ -136,6 +139,10 @@
 // Gone says that a job's client has left. Its answer may cross with it.
 func (c *Core) Gone(id uint32) { c.post(gone(id)) }
 
+// Leave says that the node may end any moment. What it took after a time, and whatever nothing was sent of, is
+// answered now, and so is all that still comes; what is older may yet be served.
+func (c *Core) Leave(after time.Time) { c.post(leave(after)) }
+
 // Result takes what came of an attempt.
 func (c *Core) Result(r Result) { c.post(r) }
 
@@ -266,6 +273,13 @@
 		c.event(ev)
 	case terminate:
 		ev.to <- c.terminate(ev.id)
+	case leave:
+		c.leaving = true
+		for _, j := range c.jobs {
+			if !j.answered && (j.taken.After(time.Time(ev)) || j.live == 0 && !j.ran) {
+				c.cut(j, leaves)
+			}
+		}
 	case countsTo:
 		n := c.counts
 		n.Open = c.Open()
@@ -288,6 +302,10 @@
 		c.answer(j, Answer{End: Failed, Why: "a job of this id is still open"})
 		return
 	}
+	if c.leaving {
+		c.answer(j, Answer{End: Refused, RetryAfter: c.longest(), Why: leaves})
+		return
+	}
 	c.jobs[j.id], c.traces[j.in.Trace] = j, j
 	flags := uint8(0)
 	if j.in.Work > 0 {
@@ -569,12 +587,25 @@
 		return
 	}
 	c.log.Warn("the module left a job unanswered", "job", j.in.Trace, "live", j.live, "sends", len(j.tries))
-	end := Failed
+	c.cut(j, "its time is over")
+}
+
+// leaves tells why a node that is about to end answers.
+const leaves = "the node leaves"
+
+// longest is the longest time that a refused client may be told to stay away.
+func (c *Core) longest() time.Duration {
+	return time.Duration(c.s.MaxRetryAfter * float64(time.Millisecond))
+}
+
+// cut ends a job without the module, which hears that the client left.
+func (c *Core) cut(j *job, why string) {
+	a := Answer{End: Failed, Why: why}
 	if j.live == 0 && !j.ran {
-		end = Refused
+		a.End, a.RetryAfter = Refused, c.longest()
 	}
 	c.event(brain.Event{Kind: brain.EvGone, Job: j.id})
-	c.answer(j, Answer{End: end, Why: "its time is over"})
+	c.answer(j, a)
 }
 
 // Round rounds a time to stay away up to whole milliseconds within a bound, for the fronts.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -351,3 +351,51 @@
 		t.Errorf("15 ms before the client gives up: %v, given up %v", cl.answers, h.gaveUp)
 	}
 }
+
+// A node that may be killed any moment answers what came after its signal: unanswered, that would count as lost.
+// What nothing was sent of is refused, what came before may still be served, and nothing more is taken.
+func TestLeave(t *testing.T) {
+	h := newHost(t, box("s-1"))
+	submit := func(trace string) *client {
+		cl := &client{t: t}
+		if _, err := h.c.Submit(Job{Trace: trace, Left: 7 * time.Second, Slots: 1}, cl); err != nil {
+			t.Fatal(err)
+		}
+		h.run(20 * time.Millisecond)
+		return cl
+	}
+	old := submit("old")
+	told := h.at
+	h.run(4 * time.Millisecond)
+	sent, held := submit("sent"), (*client)(nil)
+	for i := 0; held == nil; i++ {
+		if i > 20 {
+			t.Fatal("the module holds nothing: the test would show nothing")
+		}
+		if cl := submit(string(rune('a' + i))); cl.sent == 0 && len(cl.answers) == 0 {
+			held = cl
+		}
+	}
+	if old.sent != 1 || sent.sent != 1 {
+		t.Fatalf("sent %d and %d, want one each: the test would show nothing", old.sent, sent.sent)
+	}
+	h.c.Leave(told)
+	h.run(20 * time.Millisecond)
+	late := submit("late")
+	for what, cl := range map[string]*client{"held": held, "late": late} {
+		if len(cl.answers) != 1 || cl.answers[0].End != Refused || cl.answers[0].RetryAfter <= 0 || cl.sent != 0 {
+			t.Errorf("%s: %+v, sent %d", what, cl.answers, cl.sent)
+		}
+	}
+	if len(sent.answers) != 1 || sent.answers[0].End != Failed {
+		t.Errorf("a job that may have run: %+v", sent.answers)
+	}
+	if len(old.answers) != 0 {
+		t.Fatalf("a job from before: %+v", old.answers)
+	}
+	h.c.Result(Result{Attempt: h.live[0].ID, Outcome: brain.Served, Body: []byte("tile")})
+	h.run(20 * time.Millisecond)
+	if len(old.answers) != 1 || old.answers[0].End != Served {
+		t.Errorf("a job from before that was served: %+v", old.answers)
+	}
+}
--- a/test/fronts_test.go
+++ b/test/fronts_test.go
@@ -286,6 +286,11 @@
 	if m, err := old.Do("GET", "/healthz", nil); err != nil || m.Status != 200 {
 		t.Fatalf("%v %v", m, err)
 	}
+	used, err := standin.Dial(s.listen) // one whose client goes on using it: it may have no other node to go to
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = used.Close() }()
 	var g errgroup.Group
 	for i := range 2 {
 		g.Go(func() error {
@@ -302,6 +307,16 @@
 			// The second comes on a new connection after the signal.
 		}
 	}
+	g.Go(func() error {
+		for i := range 8 {
+			m, err := used.Do("GET", "/counts", nil)
+			if err != nil || m.Status != 200 || m.Close {
+				return errors.Join(err, fmt.Errorf("request %d after the signal: %+v", i, m))
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		return nil
+	})
 	if err := g.Wait(); err != nil {
 		t.Error(err)
 	}
