Hold a request's last byte back until its connection is seen to stand

A tile-charge whose attempt may have run can not be sent again, so each was lost. At fault: executor.post wrote the whole request at once; every break after it counts as 'may have run'. Ruled out: an idle time-out shorter than connIdle (no age divides good from bad), callbacks that still come (none of 113). What breaks before the last byte never ran (PROTOCOL): so the last byte waits a round trip, 2 to 40 ms. Test: TestBrokenBeforeTheLastByte (two stale kept connections, a new one that breaks, one that speaks too early).

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -161,17 +161,30 @@
 // post writes the job and reads what the executor says at once. An outcome of 0 means that it has taken the
 // job: what becomes of it comes by callback.
 func (c *Client) post(ctx context.Context, t *try) (brain.Outcome, []float32) {
-	addr, ok := c.address(t.Worker)
-	if !ok {
-		return brain.Moot, nil
-	}
-	conn, err := c.pool.get(ctx, addr)
-	if err != nil {
-		if ctx.Err() == nil {
-			c.log.Debug("connect", "to", addr, "err", err)
+	for n := 0; ; n++ {
+		addr, ok := c.address(t.Worker)
+		if !ok {
+			return brain.Moot, nil
+		}
+		conn, err := c.pool.get(ctx, addr)
+		if err != nil {
+			if ctx.Err() == nil {
+				c.log.Debug("connect", "to", addr, "err", err)
+			}
+			return brain.ConnectFailed, nil
+		}
+		o, report := c.postOn(ctx, t, conn)
+		// A kept connection can have ended on the other side without a sign, until the next request comes. Nothing
+		// was sent then - the last byte was not written - and the attempt takes another connection. One that was
+		// made for it and broke says something of the executor: the module hears of that.
+		if o != brain.ConnectFailed || !conn.kept || n >= c.lim.Reconnects || ctx.Err() != nil {
+			return o, report
 		}
-		return brain.ConnectFailed, nil
 	}
+}
+
+// postOn is post over one connection.
+func (c *Client) postOn(ctx context.Context, t *try, conn *conn) (brain.Outcome, []float32) {
 	// From here on, giving the attempt up closes the connection under it.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	keep := false
@@ -199,20 +212,25 @@
 	if j.Idempotency != "" {
 		fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: j.Idempotency})
 	}
-	_ = conn.SetDeadline(time.Now().Add(c.lim.Write))
+	_ = conn.SetWriteDeadline(time.Now().Add(c.lim.Write))
+	err := conn.out.Request(j.Method, j.Target, fields, j.Body)
+	if err == nil {
+		err = conn.out.FlushBut()
+	}
+	// What breaks before the last byte is written never ran there, and what breaks after it may have: so the last
+	// byte waits until a connection that the other side has forgotten, or resets, has had time to show it.
+	if err != nil || !conn.stands(c.lim) {
+		return brain.ConnectFailed, nil
+	}
 	t.mu.Lock()
 	given := t.over
 	t.written = !given
 	t.mu.Unlock()
 	if given {
-		keep = true
 		return brain.Cancelled, nil
 	}
-	if err = conn.out.Request(j.Method, j.Target, fields, j.Body); err == nil {
-		err = conn.out.Flush()
-	}
-	if err != nil {
-		return brain.ConnectFailed, nil // the request's last byte was not written: it never ran there
+	if err = conn.out.Flush(); err != nil {
+		return brain.ConnectFailed, nil
 	}
 	_ = conn.SetDeadline(t.Deadline.Add(c.lim.Write))
 	m, err := conn.read()
@@ -230,7 +248,7 @@
 		return brain.Full, c.header(m)
 	}
 	if m.Status != 500 {
-		c.log.Warn("an executor's answer is none of the protocol's", "status", m.Status, "to", addr, "job", j.Trace)
+		c.log.Warn("an executor's answer is none of the protocol's", "status", m.Status, "to", conn.addr, "job", j.Trace)
 	}
 	return brain.Errored, c.header(m)
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -265,6 +265,71 @@
 	}
 }
 
+// reset ends a connection as a machine does that has forgotten it, once something of a request has come.
+func reset(c net.Conn) {
+	_, _ = c.Read(make([]byte, 1))
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// The last byte of a request is held back for a moment. A connection that breaks meanwhile, or says something, never
+// got the request: on a kept one the attempt goes on over another, on a new one it could not connect. Taken as a
+// reset, each would end a tile-charge for good.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	lim := standin.Lim
+	lim.SettleLeast, lim.SettleMost = 20*time.Second, 20*time.Second // each verdict below comes of what the box does
+	c, s := setup(t, lim)
+	came := make(chan string, 1)
+	n := box(t, c, reset, reset, func(conn net.Conn) {
+		b := make([]byte, 4096)
+		k := 0
+		for !strings.HasSuffix(string(b[:k]), "\r\n\r\nbod") { // and no more
+			m, err := conn.Read(b[k:])
+			if err != nil {
+				break
+			}
+			k += m
+		}
+		came <- string(b[:k])
+		_, _ = conn.Read(b)
+	})
+	addr, _ := c.address(7)
+	var kept []*conn
+	for range 2 {
+		conn, err := c.pool.get(context.Background(), addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept = append(kept, conn)
+	}
+	standin.Until(t, "both are taken", func() bool { return n() == 2 })
+	for _, conn := range kept {
+		c.pool.put(conn)
+	}
+	c.Send(attempt(1))
+	if text := <-came; !strings.HasSuffix(text, "\r\n\r\nbod") || !strings.HasPrefix(text, "POST /tile-charge/x HTTP/1.1\r\n") {
+		t.Errorf("before the last byte: %q", text)
+	}
+	if got := s.outcomes(1); len(got) != 0 || n() != 3 {
+		t.Errorf("after two stale connections: %v on connection %d", got, n())
+	}
+	c.GiveUp(1)
+
+	for name, script := range map[string]func(net.Conn){"new and reset": reset, "new and garbled": func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, accepted) // of what?
+		_, _ = io.Copy(io.Discard, conn)
+	}} {
+		c, s := setup(t, lim)
+		n := box(t, c, script)
+		c.Send(attempt(1))
+		standin.Until(t, "an outcome", func() bool { return len(s.outcomes(1)) > 0 })
+		if got := s.outcomes(1); len(got) != 1 || got[0] != brain.ConnectFailed || n() != 1 {
+			t.Errorf("%s: %v over %d connections, want one that could not connect", name, got, n())
+		}
+	}
+}
+
 // Attempts follow one another on one connection; one that has stood idle for too long is not used again.
 func TestConnectionsAreKept(t *testing.T) {
 	lim := standin.Lim
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -19,7 +20,9 @@
 	in    *http1.Ring
 	out   *http1.Writer
 	parse *http1.Parser
-	idle  time.Time // since when
+	idle  time.Time     // since when
+	kept  bool          // it carried a request before
+	trip  time.Duration // what connecting took: a round trip, about
 }
 
 // read gives the next response.
@@ -45,6 +48,15 @@
 	return err == nil && alive
 }
 
+// stands waits a moment, while a request's last byte is held back, for the other side to show that it does not take
+// it: by ending the connection, or by saying something before it has the whole of it.
+func (c *conn) stands(lim limits.Limits) bool {
+	_ = c.SetReadDeadline(time.Now().Add(min(max(c.trip, lim.SettleLeast), lim.SettleMost)))
+	n, err := c.in.Fill(c.Conn)
+	te := net.Error(nil)
+	return n == 0 && errors.As(err, &te) && te.Timeout()
+}
+
 // pool keeps idle connections by address and holds all of them within the budget.
 type pool struct {
 	lim    limits.Limits
@@ -67,6 +79,7 @@
 			break
 		}
 		if time.Since(c.idle) < p.lim.WorkerIdle && c.quiet() {
+			c.kept = true
 			return c, nil
 		}
 		p.close(c)
@@ -74,6 +87,7 @@
 	if !p.reserve() {
 		return nil, fmt.Errorf("%w: %d are open", errConnect, p.lim.WorkerConns)
 	}
+	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
@@ -82,7 +96,7 @@
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
 	return &conn{Conn: nc, addr: addr, in: http1.NewRing(p.lim.Ring), out: http1.NewWriter(nc, p.lim.Ring),
-		parse: http1.NewParser(p.lim, true)}, nil
+		parse: http1.NewParser(p.lim, true), trip: time.Since(began)}, nil
 }
 
 func (p *pool) take(addr string) *conn {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -84,7 +84,7 @@
 		if done == len(p) {
 			return done, nil
 		}
-		if err := w.ring.Flush(w.dst); err != nil {
+		if err := w.ring.Flush(w.dst, 0); err != nil {
 			return done, err
 		}
 	}
@@ -92,7 +92,10 @@
 
 // Flush sends what the ring holds. Until it has returned without an error, the message's last byte is not
 // written.
-func (w *Writer) Flush() error { return w.ring.Flush(w.dst) }
+func (w *Writer) Flush() error { return w.ring.Flush(w.dst, 0) }
+
+// FlushBut sends what the ring holds but for its last byte, which only Flush sends.
+func (w *Writer) FlushBut() error { return w.ring.Flush(w.dst, 1) }
 
 func (w *Writer) fields(fields []Field, body []byte, bare bool) error {
 	for _, f := range fields {
--- a/internal/http1/ring.go
+++ b/internal/http1/ring.go
@@ -61,10 +61,11 @@
 	return done
 }
 
-// Flush writes all that is filled to dst.
-func (r *Ring) Flush(dst io.Writer) error {
-	for r.n > 0 {
-		n, err := dst.Write(r.Next())
+// Flush writes all that is filled to dst, but for the last keep bytes.
+func (r *Ring) Flush(dst io.Writer, keep int) error {
+	for r.n > keep {
+		b := r.Next()
+		n, err := dst.Write(b[:min(len(b), r.n-keep)])
 		r.Drop(n)
 		if err != nil {
 			return err
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,9 @@
 	ReadRequest time.Duration // from a request's first byte to its last
 	Write       time.Duration // of one message to a peer that does not read
 	Connect     time.Duration // to an executor; the settings' connectTimeout
+	SettleLeast time.Duration // the last byte of a request to an executor waits for a round trip,
+	SettleMost  time.Duration // within these, to see whether the connection still stands
+	Reconnects  int           // connections that one attempt may find broken before its last byte is written
 	WorkerIdle  time.Duration // an idle connection to an executor is not used after it: well before connIdle
 	Probe       time.Duration // of a probe, and of giving up an attempt
 	ListCall    time.Duration // from a call to discovery to its first line
@@ -112,6 +115,7 @@
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
 		ClientIdle: 2 * time.Minute, ReadRequest: 10 * time.Second, Write: 5 * time.Second,
+		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
