Learn how long kept connections to boxes stand, and use no older ones

Seen: after the last byte is held back, 48 of 53 resets were still on kept connections, 0.02 to 0.3 ms after their last byte, by the probe's log at idle times of 126 to 654 ms; of those idle for less than 126 ms only 4 of some 300 broke. At fault: executor/pool.go used a connection up to two thirds of connIdle (40 s) if the socket showed no end, and boxes that have forgotten one show none. No box stood out, so one record for all of them is kept. Now: the pool counts uses and breaks by idle time, in doubling spans that fade with a half-life of 15 s, and makes a new connection from the first span on in which more than 5% broke. Test: TestTrustInKeptConnections, on a clock of its own.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -220,6 +220,7 @@
 	// What breaks before the last byte is written never ran there, and what breaks after it may have: so the last
 	// byte waits until a connection that the other side has forgotten, or resets, has had time to show it.
 	if err != nil || !conn.stands(c.lim) {
+		c.saw(ctx, conn, true)
 		return brain.ConnectFailed, nil
 	}
 	t.mu.Lock()
@@ -233,7 +234,10 @@
 		return brain.ConnectFailed, nil
 	}
 	_ = conn.SetDeadline(t.Deadline.Add(c.lim.Write))
+	wrote := time.Now()
 	m, err := conn.read()
+	// A connection that was forgotten breaks as soon as the request gets there; one that breaks later was in use.
+	c.saw(ctx, conn, err != nil && !conn.parse.Begun() && time.Since(wrote) < conn.settle(c.lim))
 	if err != nil {
 		return brain.Reset, nil // its last byte was written: it may have run
 	}
@@ -253,6 +257,13 @@
 	return brain.Errored, c.header(m)
 }
 
+// saw lets the pool learn from a kept connection, unless its attempt was given up.
+func (c *Client) saw(ctx context.Context, conn *conn, broke bool) {
+	if conn.kept && ctx.Err() == nil {
+		c.pool.saw(conn, broke, time.Now())
+	}
+}
+
 // header reads a load report from an answer: TEXT name=value, name=value.
 func (c *Client) header(m *http1.Message) []float32 {
 	text := strings.TrimPrefix(m.Get("Endpoint-Load-Metrics"), "TEXT ")
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -330,6 +330,37 @@
 	}
 }
 
+// Where connections break after some idle time, those that stood as long are no longer used; those that stood for
+// less are, a break now and then among many uses says nothing, and in time the others are tried again.
+func TestTrustInKeptConnections(t *testing.T) {
+	p := newPool(standin.Lim)
+	now := time.Now()
+	saw := func(stood time.Duration, broke bool, n int) {
+		for range n {
+			p.saw(&conn{stood: stood}, broke, now)
+		}
+	}
+	want := func(what string, d time.Duration) {
+		t.Helper()
+		if got := p.trust(now); got != d {
+			t.Errorf("%s: trusted for %v, want %v", what, got, d)
+		}
+	}
+	want("at first", standin.Lim.WorkerIdle)
+	saw(10*time.Millisecond, false, 60)
+	saw(10*time.Millisecond, true, 1)
+	want("one break in many uses", standin.Lim.WorkerIdle)
+	saw(300*time.Millisecond, true, 1)
+	want("one break in few uses", 256*time.Millisecond)
+	saw(200*time.Millisecond, false, 3)
+	saw(200*time.Millisecond, true, 2)
+	want("breaks of younger ones", 128*time.Millisecond)
+	now = now.Add(10 * standin.Lim.KeptMemory)
+	want("long after", standin.Lim.WorkerIdle)
+	saw(time.Hour, true, 3)
+	want("the longest span", min(standin.Lim.KeptFirst<<10, standin.Lim.WorkerIdle))
+}
+
 // Attempts follow one another on one connection; one that has stood idle for too long is not used again.
 func TestConnectionsAreKept(t *testing.T) {
 	lim := standin.Lim
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -21,7 +22,8 @@
 	out   *http1.Writer
 	parse *http1.Parser
 	idle  time.Time     // since when
-	kept  bool          // it carried a request before
+	kept  bool          // it carried a request before,
+	stood time.Duration // and had stood idle for so long when it was taken
 	trip  time.Duration // what connecting took: a round trip, about
 }
 
@@ -48,10 +50,15 @@
 	return err == nil && alive
 }
 
+// settle is a round trip, about.
+func (c *conn) settle(lim limits.Limits) time.Duration {
+	return min(max(c.trip, lim.SettleLeast), lim.SettleMost)
+}
+
 // stands waits a moment, while a request's last byte is held back, for the other side to show that it does not take
 // it: by ending the connection, or by saying something before it has the whole of it.
 func (c *conn) stands(lim limits.Limits) bool {
-	_ = c.SetReadDeadline(time.Now().Add(min(max(c.trip, lim.SettleLeast), lim.SettleMost)))
+	_ = c.SetReadDeadline(time.Now().Add(c.settle(lim)))
 	n, err := c.in.Fill(c.Conn)
 	te := net.Error(nil)
 	return n == 0 && errors.As(err, &te) && te.Timeout()
@@ -65,6 +72,55 @@
 	mu   sync.Mutex
 	idle map[string][]*conn // the one used last at the end
 	open int
+	ages ages
+}
+
+// ages counts how many kept connections broke at the next request, by the time they had stood idle: doubling spans,
+// the first up to KeptFirst. Boxes, or what stands before them, may forget idle connections long before connIdle, and
+// show nothing of it until the next request; what breaks then may have run, and a tile-charge is lost with it.
+type ages struct {
+	at           time.Time
+	uses, breaks [12]float64
+}
+
+// fade lets what was learned be forgotten with time.
+func (a *ages) fade(now time.Time, memory time.Duration) {
+	f := math.Exp2(-float64(now.Sub(a.at)) / float64(memory))
+	a.at = now
+	for i := range a.uses {
+		a.uses[i] *= f
+		a.breaks[i] *= f
+	}
+}
+
+// saw takes in what came of a kept connection.
+func (p *pool) saw(c *conn, broke bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ages.fade(now, p.lim.KeptMemory)
+	i, edge := 0, p.lim.KeptFirst
+	for ; i < len(p.ages.uses)-1 && c.stood >= edge; i++ {
+		edge *= 2
+	}
+	p.ages.uses[i]++
+	if broke {
+		p.ages.breaks[i]++
+	}
+}
+
+// trust is how long a connection may have stood idle and still be used: up to the first span in which too many broke.
+func (p *pool) trust(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ages.fade(now, p.lim.KeptMemory)
+	from, to := time.Duration(0), p.lim.KeptFirst
+	for i := range p.ages.uses {
+		if p.ages.breaks[i] > p.lim.KeptBroken*(p.ages.uses[i]+p.lim.KeptSure) {
+			return min(from, p.lim.WorkerIdle)
+		}
+		from, to = to, 2*to
+	}
+	return p.lim.WorkerIdle
 }
 
 func newPool(lim limits.Limits) *pool {
@@ -78,8 +134,8 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idle) < p.lim.WorkerIdle && c.quiet() {
-			c.kept = true
+		c.kept, c.stood = true, time.Since(c.idle)
+		if c.stood < p.trust(time.Now()) && c.quiet() {
 			return c, nil
 		}
 		p.close(c)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -53,6 +53,10 @@
 	SettleLeast time.Duration // the last byte of a request to an executor waits for a round trip,
 	SettleMost  time.Duration // within these, to see whether the connection still stands
 	Reconnects  int           // connections that one attempt may find broken before its last byte is written
+	KeptFirst   time.Duration // bounds the shortest idle times told apart to learn how long kept connections stand,
+	KeptMemory  time.Duration // over which half of what was learned is forgotten,
+	KeptSure    float64       // uses that stand for none having broken,
+	KeptBroken  float64       // and the share of broken ones from which on a new connection is made instead
 	WorkerIdle  time.Duration // an idle connection to an executor is not used after it: well before connIdle
 	Probe       time.Duration // of a probe, and of giving up an attempt
 	ListCall    time.Duration // from a call to discovery to its first line
@@ -116,6 +120,7 @@
 		Events: 4096, Tells: 64, MaxOpen: 4096,
 		ClientIdle: 2 * time.Minute, ReadRequest: 10 * time.Second, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
+		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
