At its budget, close the client connection that is worth least; bound first requests

A probe of what comes in: 10318 connections that ask GET /healthz once and stay, 4772 that never send a whole head, and for those that got in: 563 of the node's descriptors, a median of 4 s to be accepted. At fault: http1.Server.Serve waited at its budget until some connection ended, closing only those between requests and those of usual clients with them; a started head could stand for 10 s (limits.ReadRequest), an idle one for 2 minutes. Ruled out: the lists that break off (the log shows each found within 3.2 s and asked for again in about 1 s), CPU (0.15 of a core at most). Now: a connection has a phase, and is known once it carried a job that the core took or a callback. At the budget the oldest unknown one that is idle or sends a head makes place, then the known one that was idle longest; never one under which a request is handled. A first request has 2.5 s from the connection's start, an unknown idle one 5 s. Bodies that are held have a bound together (an eighth of the memory) and the budget scales with memory, too (some 30 KB each, measured), since 32 MB with 1,024 descriptors would not have held all of it. Tests: TestCrowdMakesPlace, TestStrangersAreNotWaitedFor, TestBodiesTogether. TestServerPastItsBudget now makes its first connection busy before the second comes, as its comment says.

--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -276,9 +276,10 @@
 		}
 		return Response{Status: 200}
 	})
-	a, b := dial(t, addr), dial(t, addr)
+	a := dial(t, addr)
 	_, _ = io.WriteString(a, "GET /hold HTTP/1.1\r\n\r\n")
 	<-began
+	b := dial(t, addr)
 	_, _ = io.WriteString(b, "GET / HTTP/1.1\r\n\r\n")
 	if all, err := io.ReadAll(b); err != nil || !strings.Contains(string(all), "200 OK") || !strings.Contains(string(all), "Connection: close") {
 		t.Errorf("the connection past the budget: %v %q", err, all)
@@ -331,3 +332,116 @@
 		t.Errorf("%v %q", err, all)
 	}
 }
+
+// Connections that say nothing, send half a head, or ask something once and stay, make place for others; those that
+// carried what the front took for its clients' stand, and so does one whose request is being handled.
+func TestCrowdMakesPlace(t *testing.T) {
+	small := lim
+	small.ClientConns, small.SpareConns = 8, 4
+	hold := make(chan bool)
+	_, addr := serve(t, small, func(_ context.Context, m *Message) Response {
+		if m.Target == "/hold" {
+			<-hold
+		}
+		return Response{Status: 200, Body: []byte("answer"), Known: m.Method == "POST"}
+	})
+	ask := func(c net.Conn, method string) error {
+		if _, err := io.WriteString(c, method+" / HTTP/1.1\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := NewParser(lim, true).Read(NewRing(512), c)
+		return err
+	}
+	usual := dial(t, addr)
+	if err := ask(usual, "POST"); err != nil {
+		t.Fatal(err)
+	}
+	held := dial(t, addr)
+	_, _ = io.WriteString(held, "POST /hold HTTP/1.1\r\n\r\n")
+	var crowd []net.Conn
+	for i := range 60 {
+		c := dial(t, addr)
+		switch i % 3 {
+		case 0:
+			if err := ask(c, "GET"); err != nil {
+				t.Fatalf("connection %d of the crowd: %v", i, err)
+			}
+		case 1:
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nA: ")
+		}
+		crowd = append(crowd, c)
+	}
+	for _, c := range crowd[:40] { // the last ones may stand still
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("a connection of the crowd was answered again")
+		} else if te := net.Error(nil); errors.As(err, &te) && te.Timeout() {
+			t.Fatal("an old connection of the crowd still stands")
+		}
+	}
+	if err := ask(usual, "POST"); err != nil {
+		t.Errorf("the usual client's connection: %v", err)
+	}
+	close(hold)
+	if _, err := NewParser(lim, true).Read(NewRing(512), held); err != nil {
+		t.Errorf("the request that was being handled: %v", err)
+	}
+}
+
+// A new connection has its first request whole, or none at all, within a time from its start, however it drips; and
+// one that asked something and stays is closed sooner than that of a client.
+func TestStrangersAreNotWaitedFor(t *testing.T) {
+	quick := lim
+	quick.ReadRequest, quick.StrangerIdle, quick.ClientIdle = 100*time.Millisecond, 100*time.Millisecond, time.Hour
+	_, addr := serve(t, quick, func(context.Context, *Message) Response { return Response{Status: 200} })
+	for name, text := range map[string]string{"says nothing": "", "drips": "GET / HTTP/1.1\r\nA: ", "stays": "GET / HTTP/1.1\r\n\r\n"} {
+		c := dial(t, addr)
+		_, _ = io.WriteString(c, text)
+		var g errgroup.Group
+		if name == "drips" {
+			g.Go(func() error {
+				for _, err := io.WriteString(c, "a"); err == nil; _, err = io.WriteString(c, "a") {
+					time.Sleep(10 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+		all, err := io.ReadAll(c)
+		if te := net.Error(nil); errors.As(err, &te) && te.Timeout() {
+			t.Errorf("%s: it still stands", name)
+		}
+		if name == "says nothing" && len(all) > 0 || name == "stays" && !strings.Contains(string(all), "200") {
+			t.Errorf("%s: %q", name, all)
+		}
+		_ = g.Wait()
+	}
+}
+
+// Bodies that are held at a time have a bound together, and give their room back.
+func TestBodiesTogether(t *testing.T) {
+	small := lim
+	small.Bodies = 100
+	s, addr := serve(t, small, func(_ context.Context, m *Message) Response { return Response{Status: 200, Body: m.Body} })
+	first := dial(t, addr)
+	_, _ = io.WriteString(first, "POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n")
+	for end := time.Now().Add(20 * time.Second); s.bodies.Load() != 60; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no room was taken")
+		}
+	}
+	for _, text := range []string{"Content-Length: 60\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n14\r\n" + strings.Repeat("b", 20) + "\r\n28\r\n"} {
+		c := dial(t, addr)
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\n"+text)
+		if all, err := io.ReadAll(c); err != nil || !strings.Contains(string(all), "503") {
+			t.Errorf("%q past the bound: %v %q", text, err, all)
+		}
+	}
+	_, _ = io.WriteString(first, strings.Repeat("b", 60))
+	if m, err := NewParser(lim, true).Read(NewRing(512), first); err != nil || len(m.Body) != 60 {
+		t.Errorf("%v %v", m, err)
+	}
+	for end := time.Now().Add(20 * time.Second); s.bodies.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("room was not given back:", s.bodies.Load())
+		}
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -144,6 +144,7 @@
 	Fields []Field
 	Body   []byte
 	Close  bool
+	Known  bool // not sent: the request was one of the front's own clients', and its connection is worth keeping
 }
 
 // RetryAfter is the header that tells a client how long to stay away.
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -42,7 +42,10 @@
 	response bool
 	// Sink, if set, gets the body's bytes as they come; they are neither kept nor bounded then.
 	Sink func([]byte) error
+	// Room, if set, is asked for the bytes of each body before they come, and the message is refused if it has none.
+	Room func(n int) bool
 
+	held   int // bytes that Room gave
 	st     state
 	line   []byte
 	header int // bytes of header lines so far
@@ -56,6 +59,24 @@
 	return &Parser{lim: lim, response: response}
 }
 
+// Held is how many bytes Room gave for the message that is being read or was read last.
+func (p *Parser) Held() int { return p.held }
+
+// Release says that they were given back.
+func (p *Parser) Release() { p.held = 0 }
+
+func (p *Parser) reserve(n int) bool {
+	if p.Room == nil {
+		return true
+	}
+	if !p.Room(n) {
+		p.fail(503, "no room for a body of %d bytes now", n)
+		return false
+	}
+	p.held += n
+	return true
+}
+
 // Begun says whether a part of a message has come.
 func (p *Parser) Begun() bool { return p.st != startLine || len(p.line) > 0 }
 
@@ -298,6 +319,9 @@
 			p.fail(413, "a body of %d bytes is longer than %d", length, p.lim.Body)
 			return
 		}
+		if !p.reserve(length) {
+			return
+		}
 		p.left, p.st = length, fixedBody
 	case length == 0 || !p.response:
 		p.st = complete
@@ -350,6 +374,9 @@
 		p.fail(413, "a body is longer than %d bytes", p.lim.Body)
 		return
 	}
+	if !p.reserve(int(n)) {
+		return
+	}
 	p.left, p.st = int(n), chunkData
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -22,6 +22,10 @@
 }
 
 // Server serves HTTP/1.1 on one address. It takes one request at a time from each connection.
+//
+// Connections of clients that want nothing, or send what they like, may not take the place of those that work: at its
+// budget the server closes the connection that is worth least. So each has a phase, and whether it is known: that it
+// carried a request which the handler took for one of its own clients'.
 type Server struct {
 	lim      limits.Limits
 	h        Handler
@@ -29,10 +33,12 @@
 	draining atomic.Bool
 	open     atomic.Int64 // connections
 	busy     atomic.Int64 // requests being handled
+	bodies   atomic.Int64 // bytes of bodies that are held
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	last  time.Time // when a connection was last taken or a request last handled
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	standing int       // of them, those that are not closed yet
+	last     time.Time // when a connection was last taken or a request last handled
 }
 
 // NewServer makes a server.
@@ -49,12 +55,68 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.state.CompareAndSwap(idle, closed) {
-			_ = c.Conn.Close()
+		if c.phase == idle {
+			s.shut(c)
 		}
 	}
 }
 
+// shut closes a connection under which no request is handled.
+func (s *Server) shut(c *conn) {
+	c.phase = closed
+	s.standing--
+	_ = c.Conn.Close()
+}
+
+// enter moves a connection to a phase, unless it was closed meanwhile. A connection is closed between requests, or
+// while one comes, and never once it came whole: a request that was taken and then lost with its connection would be
+// sent again by its client, and run twice. So closing and taking a request exclude one another.
+func (s *Server) enter(c *conn, p phase) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.phase == closed {
+		return false
+	}
+	if c.phase != p && c.served {
+		c.since = time.Now() // on a new one, since it was taken: a head that never ends grows no younger
+	}
+	c.phase = p
+	c.served = c.served || p == busy
+	return true
+}
+
+// admit counts a new connection in and says whether it is within the budget. Over it another makes place, if one can.
+func (s *Server) admit(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.standing >= s.lim.ClientConns {
+		var least *conn
+		for x := range s.conns {
+			if x.phase == busy || x.phase == closed || x.known && x.phase == reading {
+				continue
+			}
+			if least == nil || least.known && !x.known || least.known == x.known && x.since.Before(least.since) {
+				least = x
+			}
+		}
+		if least != nil {
+			s.shut(least)
+		}
+	}
+	s.conns[c] = struct{}{}
+	s.standing++
+	c.since = time.Now()
+	s.last = c.since
+	return s.standing <= s.lim.ClientConns
+}
+
+// full says whether there is no descriptor for one more connection, however short.
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.standing >= s.lim.ClientConns+s.lim.SpareConns
+}
+
 // Conns is how many connections are open.
 func (s *Server) Conns() int { return int(s.open.Load()) }
 
@@ -103,18 +165,20 @@
 				}
 				continue
 			}
-			n := int(s.open.Add(1))
-			// Past the budget a connection gets one answer. Past the reserve too there is no descriptor for one
-			// more: it waits until another ends, since to close it would lose what came on it.
-			for wait := n; wait > s.lim.ClientConns+s.lim.SpareConns && ctx.Err() == nil; wait = int(s.open.Load()) {
-				s.CloseIdle()
-				time.Sleep(time.Millisecond)
-			}
+			s.open.Add(1)
+			nc := &conn{Conn: c, in: NewRing(s.lim.Ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1), phase: idle}
+			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too there
+			// is no descriptor for one more: it waits until another ends, since to close it would lose what came.
+			within := s.admit(nc)
 			g.Go(func() error {
 				defer s.open.Add(-1)
-				s.serve(ctx, c, n > s.lim.ClientConns)
+				s.serve(ctx, nc, !within)
 				return nil
 			})
+			for s.full() && ctx.Err() == nil {
+				s.CloseIdle()
+				time.Sleep(time.Millisecond)
+			}
 		}
 	})
 	if err := g.Wait(); err != nil && !errors.Is(err, net.ErrClosed) {
@@ -132,14 +196,20 @@
 	got   chan struct{}
 	err   error // of the read that got told of
 	asked bool  // a read is under way
-	// A connection is closed between requests only: a request that was read and then lost with its connection
-	// would be sent again by its client, and run twice. So closing and taking a request exclude one another.
-	state atomic.Int32
+
+	// Under the server's lock.
+	phase  phase
+	since  time.Time // when it entered the phase; of a new one, when it was taken
+	served bool      // a request came whole
+	known  bool      // and was one of the front's own clients'
 }
 
+type phase uint8
+
 const (
-	active int32 = iota
-	idle
+	idle    phase = iota // nothing of a request has come
+	reading              // a part has
+	busy                 // one that came whole is being handled
 	closed
 )
 
@@ -160,27 +230,28 @@
 	}
 }
 
-func (s *Server) serve(ctx context.Context, nc net.Conn, once bool) {
-	c := &conn{Conn: nc, in: NewRing(s.lim.Ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1)}
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	s.last = time.Now()
-	s.mu.Unlock()
+func (s *Server) serve(ctx context.Context, c *conn, once bool) {
+	nc := c.Conn
 	ctx, gone := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { c.read(gone); return nil })
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	p, w := NewParser(s.lim, false), NewWriter(nc, s.lim.Ring)
+	p.Room = s.room
 	defer func() {
 		stop()
 		gone()
 		_ = nc.Close()
 		close(c.want)
 		_ = g.Wait()
+		s.room(-p.Held())
 		s.mu.Lock()
 		delete(s.conns, c)
+		if c.phase != closed {
+			s.standing--
+		}
 		s.mu.Unlock()
 	}()
-	p, w := NewParser(s.lim, false), NewWriter(nc, s.lim.Ring)
 	for {
 		m, err := s.next(ctx, c, p, w)
 		if m == nil {
@@ -192,6 +263,9 @@
 			}
 			return
 		}
+		if !s.enter(c, busy) {
+			return
+		}
 		s.busy.Add(1)
 		s.touch()
 		_ = nc.SetReadDeadline(time.Time{})
@@ -207,14 +281,31 @@
 		}
 		r.Close = r.Close || m.Close || once || s.draining.Load()
 		ok := s.write(nc, w, &r)
+		s.room(-p.Held())
+		p.Release()
 		s.busy.Add(-1)
 		s.touch()
+		if r.Known {
+			s.mu.Lock()
+			c.known = true
+			s.mu.Unlock()
+		}
 		if !ok || r.Close {
 			return
 		}
 	}
 }
 
+// room takes n bytes for bodies, or gives them back, and says whether they were to be had. Beyond it a body is turned
+// away: hundreds of connections with a large one each would take the memory of all.
+func (s *Server) room(n int) bool {
+	if s.bodies.Add(int64(n)) > int64(s.lim.Bodies) && n > 0 {
+		s.bodies.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
 func (s *Server) write(c net.Conn, w *Writer, r *Response) bool {
 	_ = c.SetWriteDeadline(time.Now().Add(s.lim.Write))
 	return w.Response(r) == nil
@@ -223,7 +314,17 @@
 // next reads the next request. Without one and without an error the client is done.
 func (s *Server) next(ctx context.Context, c *conn, p *Parser, w *Writer) (*Message, error) {
 	continued, begun := false, false
-	_ = c.SetReadDeadline(time.Now().Add(s.lim.ClientIdle))
+	s.mu.Lock()
+	wait, from := s.lim.ClientIdle, time.Now()
+	switch {
+	case !c.served: // from when it was taken, not from its first byte
+		wait, from = s.lim.ReadRequest, c.since
+	case !c.known:
+		wait = s.lim.StrangerIdle
+	}
+	first := !c.served
+	s.mu.Unlock()
+	_ = c.SetReadDeadline(from.Add(wait))
 	for {
 		if !c.asked {
 			m, err := p.Feed(c.in)
@@ -239,20 +340,23 @@
 		}
 		if p.Begun() && !begun {
 			begun = true
-			_ = c.SetReadDeadline(time.Now().Add(s.lim.ReadRequest))
+			if !first {
+				_ = c.SetReadDeadline(time.Now().Add(s.lim.ReadRequest))
+			}
 		}
 		if ctx.Err() != nil && !c.asked {
 			return nil, nil
 		}
-		if !begun {
-			c.state.Store(idle)
+		now := idle
+		if begun {
+			now = reading
+		}
+		if !s.enter(c, now) {
+			return nil, nil
 		}
 		c.ask()
 		<-c.got
 		c.asked = false
-		if !begun && !c.state.CompareAndSwap(idle, active) {
-			return nil, nil
-		}
 		if c.err != nil {
 			m, err := p.Feed(c.in) // what came with the end
 			if m != nil || err != nil || errors.Is(c.err, net.ErrClosed) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,7 +11,8 @@
 	Line        int // bytes of a start line, a header line or a chunk's size line
 	HeaderBytes int // bytes of all header lines of a message together
 	Headers     int // header lines of a message
-	Body        int // bytes of a body
+	Body        int // bytes of a body,
+	Bodies      int // and of all that are held at a time
 	WatchLine   int // bytes of one line of a watch on the list
 
 	// Descriptors, which in all stay under the node's limit.
@@ -46,25 +47,26 @@
 	StoreCall      time.Duration // of one call, a change of the leader included
 
 	// Times.
-	ClientIdle  time.Duration // a client's connection between requests
-	ReadRequest time.Duration // from a request's first byte to its last
-	Write       time.Duration // of one message to a peer that does not read
-	Connect     time.Duration // to an executor; the settings' connectTimeout
-	SettleLeast time.Duration // the last byte of a request to an executor waits for a round trip,
-	SettleMost  time.Duration // within these, to see whether the connection still stands
-	Reconnects  int           // connections that one attempt may find broken before its last byte is written
-	KeptFirst   time.Duration // bounds the shortest idle times told apart to learn how long kept connections stand,
-	KeptMemory  time.Duration // over which half of what was learned is forgotten,
-	KeptSure    float64       // uses that stand for none having broken,
-	KeptBroken  float64       // and the share of broken ones from which on a new connection is made instead
-	WorkerIdle  time.Duration // an idle connection to an executor is not used after it: well before connIdle
-	Probe       time.Duration // of a probe, and of giving up an attempt
-	ListCall    time.Duration // from a call to discovery to its first line
-	WatchSilent time.Duration // between lines of a watch, which come every 2 s, after which it has failed
-	DrainSpare  time.Duration // after a drain was told, a send that is under way may still be written
-	AnswerEarly time.Duration // before a client gives up, a request that is still out is answered
-	Stay        time.Duration // after SIGTERM, clients are served on the connections they have
-	Quiet       time.Duration // at the end, nothing may come for so long before the node exits
+	ClientIdle   time.Duration // a client's connection between requests,
+	StrangerIdle time.Duration // and one that carried nothing that the front took for its clients'
+	ReadRequest  time.Duration // from a request's first byte to its last, on a new connection from its start
+	Write        time.Duration // of one message to a peer that does not read
+	Connect      time.Duration // to an executor; the settings' connectTimeout
+	SettleLeast  time.Duration // the last byte of a request to an executor waits for a round trip,
+	SettleMost   time.Duration // within these, to see whether the connection still stands
+	Reconnects   int           // connections that one attempt may find broken before its last byte is written
+	KeptFirst    time.Duration // bounds the shortest idle times told apart to learn how long kept connections stand,
+	KeptMemory   time.Duration // over which half of what was learned is forgotten,
+	KeptSure     float64       // uses that stand for none having broken,
+	KeptBroken   float64       // and the share of broken ones from which on a new connection is made instead
+	WorkerIdle   time.Duration // an idle connection to an executor is not used after it: well before connIdle
+	Probe        time.Duration // of a probe, and of giving up an attempt
+	ListCall     time.Duration // from a call to discovery to its first line
+	WatchSilent  time.Duration // between lines of a watch, which come every 2 s, after which it has failed
+	DrainSpare   time.Duration // after a drain was told, a send that is under way may still be written
+	AnswerEarly  time.Duration // before a client gives up, a request that is still out is answered
+	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
+	Quiet        time.Duration // at the end, nothing may come for so long before the node exits
 
 	// The process.
 	Cores       int
@@ -75,6 +77,8 @@
 const (
 	reservedFDs = 64 // standard streams, the poller, listeners, discovery, the store, and files being read
 	leastFDs    = 256
+	// A connection takes some 30 KB, measured with 530 of them: so all of a budget take a quarter of the memory.
+	connsPerMB = 8
 
 	// A node that was told to leave may be killed as soon as the longest deadline, or killAfter, and killSpare are
 	// over; it has seen to all that came late by killEarly before.
@@ -110,15 +114,16 @@
 	spare, giveUps, batch := usable/16, usable/32, usable/16
 	workers := usable / 3
 	return Limits{
-		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, Body: 64 << 10, WatchLine: 1 << 20,
-		ClientConns: usable - spare - giveUps - workers - batch*5/4, SpareConns: spare, WorkerConns: workers,
+		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, Body: 64 << 10,
+		Bodies: memoryMB << 20 / 8, WatchLine: 1 << 20,
+		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare, WorkerConns: workers,
 		IdleConns: 32, GiveUps: giveUps,
 		BatchConns: batch, BatchJobs: 4096, BatchBytes: 16 << 20, BatchWait: time.Minute, BatchDeadline: 15 * time.Minute,
 		InventoryBytes: 1 << 20, InventoryRows: 4096, InventoryLook: 200 * time.Millisecond,
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
-		ClientIdle: 2 * time.Minute, ReadRequest: 10 * time.Second, Write: 5 * time.Second,
+		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, ReadRequest: 2500 * time.Millisecond, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -50,10 +50,11 @@
 		if m.Method != "POST" {
 			return http1.Text(405, "callbacks come by POST")
 		}
-		if err := f.calls.Callback(m.Body); err != nil {
+		err := f.calls.Callback(m.Body)
+		if err != nil {
 			f.log.Warn("callback", "err", err)
 		}
-		return http1.Response{Status: 204}
+		return http1.Response{Status: 204, Known: err == nil}
 	case path == "/healthz":
 		if !f.core.Ready() {
 			return http1.Text(503, "no executor is known that takes work")
@@ -85,7 +86,9 @@
 	}
 	select {
 	case a := <-w:
-		return f.response(a)
+		r := f.response(a)
+		r.Known = true
+		return r
 	case <-ctx.Done():
 		f.core.Gone(id)
 		return http1.Response{Status: 503, Close: true} // nobody reads it
