Keep a class away from a box that fails it, apart from the other classes

A probe of how attempts end: all are tile-charges at 4 of 12 boxes, failed within 6 to 168 ms; the same boxes served every area-render. At fault: brain.go judge kept one average of errors for a worker. Renders pulled it down, an ejection lasted 0.5 s at first, and a box that fails at once looks roomy and draws more. Now: an error keeps its class away from that worker for 16 connect time-outs (4 s), twice as long for each that follows without one served; where a class fails at over half of the workers it is not theirs, and nothing is kept away. Errors no longer count for the ejection of the whole worker; resets do.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
 package brain
 
-// The interface (Settings, events, actions) is in types.go, what a Dispatcher remembers in state.go, what it
-// learns from reports and runs in learn.go;
-// every decision is here, in a job's order: intake, admission, placement, outcomes, health, list, timers.
+// The interface is in types.go, what a Dispatcher remembers in state.go, what it learns in learn.go; every
+// decision is here, in a job's order: intake, admission, placement, outcomes, health, list, timers.
 
 import (
 	"cmp"
@@ -65,6 +64,7 @@
 	panicShare   = 0.5   // with more than this part of the workers ejected, ejection is ignored
 	ejectFirst   = 2     // first ejection, in connect time-outs; doubles each time
 	ejectMost    = 5     // doublings at most
+	classAway    = 16    // likewise for a class that fails at a worker: a trial may lose a job for good
 	speedKeep    = 0.98  // memory of the speed averages
 	speedShrink  = 6     // jobs' worth of the kind's speed mixed into a worker's own
 	comeBackRuns = 0.5   // mean runs, by tokens out, until a refused client may find one: fewer storms
@@ -276,10 +276,9 @@
 		total += n
 		most = max(most, n)
 	}
-	// A node that sees no free slot and has nothing out could never begin: one worker's slots are the least.
 	d.fair = pushShare * d.ourPart() * total
-	// All nodes hope for the same slots where they have not heard for a run. While jobs queue there for want
-	// of them, a node counts on what runs and on no more than its part: else all admit while queues grow.
+	// All nodes hope for the same slots unheard of for a run. While jobs queue for want of them, a node
+	// counts on what runs and on no more than its part: else all admit while queues grow.
 	if queued > queuedPart*(running+queued) {
 		part := d.ourPart()
 		if d.quota > 0 {
@@ -288,7 +287,7 @@
 		hoped, queued = min(hoped, max(0, part*unheard-running)), 0
 	}
 	d.capacity += running + queued + hoped
-	d.capacity = max(d.capacity, most)
+	d.capacity = max(d.capacity, most) // else a node that sees no room and has nothing out never begins
 }
 
 // meter tells whether a request is beyond its tenant's share, by a bucket that fills at the part of the quota
@@ -319,8 +318,7 @@
 	return d.now+0.2*j.work/d.meanSpeed() > j.deadline-d.margin()
 }
 
-// evict refuses one waiting job, of the same tenant or one that borrows, that is past its aim, beyond its
-// share or worth less, so that one that can still be in time gets its tokens.
+// evict refuses a waiting job, of the same tenant or a borrower, that is past its aim or worth less.
 func (d *Dispatcher) evict(j *job) bool {
 	speed := d.meanSpeed()
 	if d.now+j.work/speed > j.aimAt {
@@ -349,8 +347,8 @@
 	d.dirty = true
 }
 
-// place sends waiting jobs to workers with room: those within a reservation first, then those that borrow,
-// then those too late for their aim; among equals, the one that must start soonest.
+// place sends waiting jobs to workers with room: those within a reservation, then those that borrow, then
+// those too late for their aim; among equals, the one that must start soonest.
 func (d *Dispatcher) place() {
 	d.dirty = false
 	keep := d.waiting[:0]
@@ -470,7 +468,7 @@
 		if spare < -1e-6 || j.slots*j.work > w.coldRoom {
 			continue
 		}
-		if kind >= 0 && w.kind != kind || !d.usable(w) || !d.maySend(j, w) {
+		if kind >= 0 && w.kind != kind || !d.usable(w) || !d.maySend(j, w) || d.fails(j, w) {
 			continue
 		}
 		if w.silent && d.s.Classes[j.class].Effect == Unsafe {
@@ -504,8 +502,7 @@
 }
 
 // fetchesFull says that the pool for jobs that must fetch their key is used up while a home of it works.
-// Without the pool a short jam lasts: as slots fill, jobs go wherever room shows, fetch, hold their slots for
-// longer, and so keep all slots full for good.
+// Without it a short jam lasts: jobs go wherever room shows, fetch, hold slots longer, and keep all full.
 func (d *Dispatcher) fetchesFull(j *job) bool {
 	if d.fetching == 0 || d.fetching+j.slots <= fetchPool*d.capacity {
 		return false
@@ -519,9 +516,8 @@
 }
 
 // push finds a worker for a job of a starved node: one that has less than its part of all slots out, sees no
-// room, and holds the job for a good part of its slack. Busy nodes refill a slot at the moment their own job
-// ends, so that no report ever shows it to the others. It takes the worker with fewest of our slots out, one
-// where we have less than our part, and queues no more than one job there.
+// room, and held the job for a good part of its slack. Busy nodes refill a slot as their own job ends: no
+// report shows it. It takes the worker with fewest of our slots, and queues no more than one job there.
 func (d *Dispatcher) push(j *job) *worker {
 	out := 0.0
 	for _, w := range d.busy {
@@ -534,7 +530,7 @@
 	var best *worker
 	for _, w := range d.seen {
 		n := max(w.slots, d.kinds[w.kind].slots)
-		if !d.usable(w) || w.silent || w.waits > 0 && d.s.TellsStart || d.now < w.fullUntil {
+		if !d.usable(w) || w.silent || w.waits > 0 && d.s.TellsStart || d.now < w.fullUntil || d.fails(j, w) {
 			continue
 		}
 		kind := d.s.Classes[j.class].Kind
@@ -949,6 +945,7 @@
 // judge draws from an outcome what it says of the worker: its room, speed, errors and connections.
 func (d *Dispatcher) judge(j *job, a *attempt, o Outcome) {
 	w := a.w
+	d.fared(j.class, w, o)
 	switch o {
 	case Served, Errored, Reset:
 		w.free += j.slots
@@ -984,7 +981,9 @@
 		}
 		w.idle = append(w.idle, d.now)
 		d.usedLast.add(w)
-	case Errored, Reset:
+	case Errored:
+		d.alive(w) // and else a matter of the job's class, see fared
+	case Reset:
 		d.alive(w)
 		w.errs = w.errs*errorKeep + 1 - errorKeep
 		if w.errs > errorEject || w.trial {
@@ -1043,6 +1042,7 @@
 // watchHealth finds workers that stand still and jobs to be tried elsewhere meanwhile.
 func (d *Dispatcher) watchHealth() {
 	limit := d.silence()
+	d.sumFails()
 	for i := 0; i < len(d.ejected); {
 		if w := d.ejected[i]; d.now >= w.badUntil || w.cond != Ready {
 			d.ejected = slices.Delete(d.ejected, i, i+1)
@@ -1085,7 +1085,7 @@
 	}
 }
 
-// hedge sets the jobs of a silent worker to be sent elsewhere too, where that is allowed.
+// hedge sends the jobs of a silent worker elsewhere too, where that is allowed.
 func (d *Dispatcher) hedge() {
 	if !d.s.MayDuplicate || d.panicking {
 		return
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -520,6 +520,70 @@
 }
 
 // What other nodes told to have out is not room, with or without a late report (i046e05).
+// A worker can fail one class at once and serve another: the class keeps away from it, at once and for longer each
+// time it fails again, while the other still goes there; where a class fails nearly everywhere, it is not the workers'.
+func TestClassThatFailsAtAWorker(t *testing.T) {
+	s := base()
+	// Worker 1 is in the node's own zone, so that all goes there unless it is kept away.
+	s.Fees.CrossZone = 1
+	rows := []Row{ready(1, 1)}
+	for id := uint32(2); id <= 5; id++ {
+		rows = append(rows, Row{Worker: id, Zone: 1, Cell: 2, Condition: Ready, Scale: 1})
+	}
+	r := newRig(t, s, rows...)
+	job := uint32(0)
+	run := func(class uint8, o func(uint32) Outcome) uint32 {
+		t.Helper()
+		job++
+		for _, a := range r.after(20, Event{Kind: EvRequest, Job: job, Class: class, TimeLeft: 6000, Slots: 1}) {
+			if a.Kind == ActSend && a.Job == job {
+				end := o(a.Worker)
+				r.after(20, Event{Kind: EvOutcome, Job: job, Worker: a.Worker, Outcome: end, Final: end == Served,
+					Report: []float32{4 + float32(job)*1e-4}})
+				return a.Worker
+			}
+		}
+		t.Fatal("not sent")
+		return 0
+	}
+	served := func(uint32) Outcome { return Served }
+	fails := func(w uint32) Outcome {
+		if w == 1 {
+			return Errored
+		}
+		return Served
+	}
+	count := func(class uint8, n int) (at1 int) {
+		for range n {
+			if run(class, fails) == 1 {
+				at1++
+			}
+		}
+		return at1
+	}
+	if n := count(2, 60); n != 1 { // 2.4 s
+		t.Errorf("%d jobs of the class that fails went to the worker, want 1", n)
+	}
+	if w := run(0, served); w != 1 {
+		t.Errorf("the other class went to %d: it keeps away, too", w)
+	}
+	if n := count(2, 400); n < 1 || n > 2 { // 16 s: 4 s and 8 s away, about
+		t.Errorf("%d more jobs went there in 16 s, want one or two trials", n)
+	}
+	r.now += 60000
+	r.step()
+	if run(2, served); r.d.byID[1].fails[2] != (failing{}) {
+		t.Errorf("served again: %+v", r.d.byID[1].fails[2])
+	}
+	everywhere := func(uint32) Outcome { return Errored }
+	for range 5 {
+		run(2, everywhere)
+	}
+	if run(2, everywhere); !r.d.classes[2].failing {
+		t.Error("a class that fails everywhere waits")
+	}
+}
+
 func TestPeersTakeRoom(t *testing.T) {
 	s := base()
 	s.Balancers, s.MayTell = 2, true
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -207,6 +207,42 @@
 	return (w.work + mean*d.kindSpeed(w.kind)) / (w.time + mean) * d.coldShare(w)
 }
 
+// fared takes in how a job of a class ended at a worker. A worker can fail one class at once and serve another well,
+// so that its errors do not add up to an ejection while it looks roomy and draws more: classes are told apart.
+func (d *Dispatcher) fared(class int, w *worker, o Outcome) {
+	f := &w.fails[class]
+	switch o {
+	case Served:
+		*f = failing{}
+	case Errored:
+		if d.now < f.until {
+			return // sent before the last one failed
+		}
+		base := classAway * max(d.s.ConnectTimeout, d.s.Step)
+		f.until = d.now + base*float64(int(1)<<min(f.strikes, ejectMost))*(0.75+0.5*d.random())
+		f.strikes++
+		d.log("class %d fails at worker %d, kept away until %.0f", class, w.id, f.until)
+	}
+}
+
+// fails says whether a job's class failed at a worker lately, and not nearly everywhere.
+func (d *Dispatcher) fails(j *job, w *worker) bool {
+	return d.now < w.fails[j.class].until && !d.classes[j.class].failing
+}
+
+// sumFails finds the classes that fail at so many workers that it does not help to keep them away.
+func (d *Dispatcher) sumFails() {
+	for c := range d.classes {
+		n := 0
+		for _, w := range d.workers {
+			if d.now < w.fails[c].until {
+				n++
+			}
+		}
+		d.classes[c].failing = float64(n) > panicShare*float64(len(d.workers))
+	}
+}
+
 // spread is a mean that forgets, and the scatter around it.
 type spread struct{ mean, scatter float64 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -92,6 +92,7 @@
 	work      float64
 	time      float64
 	errs      float64
+	fails     []failing // by class
 	opening   int       // attempts out on connections opened for them
 	idle      []float64 // idle connections: since when
 	outs      []*job    // one entry for each attempt out
@@ -121,6 +122,12 @@
 	sum, n, at float64
 }
 
+// failing is how a class fares at a worker.
+type failing struct {
+	strikes int     // failures running
+	until   float64 // nothing of the class goes there before
+}
+
 type kindStat struct{ work, time, slots, scale float64 }
 
 type tenant struct {
@@ -145,7 +152,10 @@
 	slots float64
 }
 
-type classStat struct{ work, slots float64 }
+type classStat struct {
+	work, slots float64
+	failing     bool // at so many workers that it is not theirs
+}
 
 // Dispatcher decides for one node. See the package comment for what its host promises.
 type Dispatcher struct {
@@ -546,13 +556,14 @@
 		}
 		w := d.byID[r.Worker]
 		if w == nil {
-			w = &worker{id: r.Worker, soft: softStart, heard: d.now}
+			w = &worker{id: r.Worker, soft: softStart, heard: d.now, fails: make([]failing, len(d.classes))}
 			d.byID[r.Worker] = w
 			changed = true
 		} else if r.Born > w.born {
 			// A new process: what was known of the old one no longer holds.
 			w.free, w.reported, w.soft, w.errs, w.strikes, w.badUntil = 0, 0, softStart, 0, 0, 0
 			w.linkFails, w.linkUntil = 0, 0
+			clear(w.fails)
 			w.trial, w.silent, w.idle, w.keys, w.heard = false, false, w.idle[:0], [12]uint64{}, d.now
 		}
 		w.zone, w.kind, w.cell = int(r.Zone), int(r.Kind), r.Cell
