Keep a class away from a box that turns it away while it tells of free slots

At fault: brain.go judge takes 'full' as the worker's, backs off for a part of a report period, and lets the report that comes along clear that at once. Now: two such contradictions running, with none of the class served between, keep the class away as an error does. 'Full' from a worker that tells of no room, or of a queue, says nothing of the class. Test: TestClassThatIsTurnedAway, for each of the three.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -830,6 +830,7 @@
 		d.fetching -= j.slots
 	}
 	d.judge(j, a, e.Outcome)
+	d.fared(j, w, e)
 	d.report(w, e.Report)
 	if e.Final {
 		d.finish(j)
@@ -945,7 +946,6 @@
 // judge draws from an outcome what it says of the worker: its room, speed, errors and connections.
 func (d *Dispatcher) judge(j *job, a *attempt, o Outcome) {
 	w := a.w
-	d.fared(j.class, w, o)
 	switch o {
 	case Served, Errored, Reset:
 		w.free += j.slots
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -584,6 +584,40 @@
 	}
 }
 
+// A worker that turns one class away while it tells of free slots is left to the other classes from the second time
+// on; 'full' from one that tells of none, or of jobs that queue, says nothing of the class.
+func TestClassThatIsTurnedAway(t *testing.T) {
+	for _, x := range []struct {
+		name          string
+		pending, free float32
+		away          bool
+	}{{"room", 0, 2, true}, {"no room", 0, 0, false}, {"a queue", 3, 2, false}} {
+		s := base()
+		s.Fields = []Field{FieldPending, FieldFree}
+		r := newRig(t, s, ready(1, 1))
+		events := []Event{{Kind: EvRequest, Job: 1, Class: 2, TimeLeft: 6000, Slots: 1}}
+		for n, steps := uint16(0), 0; n < 2; steps++ {
+			if steps > 400 {
+				t.Fatal(x.name, ": not sent twice")
+			}
+			out := r.after(10, events...)
+			events = nil
+			for _, a := range out {
+				if a.Kind == ActSend {
+					events = append(events, Event{Kind: EvOutcome, Job: 1, Attempt: n, Worker: 1, Outcome: Full,
+						Report: []float32{x.pending, x.free + float32(n)*1e-3}})
+					n++
+				}
+			}
+		}
+		r.after(1, events...)
+		w := r.d.byID[1]
+		if got := w.fails[2].until > r.now; got != x.away || w.fails[0].until > 0 {
+			t.Errorf("%s: kept away %v, want %v; another class %+v", x.name, got, x.away, w.fails[0])
+		}
+	}
+}
+
 func TestPeersTakeRoom(t *testing.T) {
 	s := base()
 	s.Balancers, s.MayTell = 2, true
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -208,21 +208,39 @@
 }
 
 // fared takes in how a job of a class ended at a worker. A worker can fail one class at once and serve another well,
-// so that its errors do not add up to an ejection while it looks roomy and draws more: classes are told apart.
-func (d *Dispatcher) fared(class int, w *worker, o Outcome) {
-	f := &w.fails[class]
-	switch o {
-	case Served:
+// so that its errors do not add up to an ejection while it looks roomy and draws more; or turn one class away while it
+// tells of free slots. So classes are told apart. One 'full' beside free slots can come of a late report.
+func (d *Dispatcher) fared(j *job, w *worker, e *Event) {
+	f := &w.fails[j.class]
+	switch {
+	case e.Outcome == Served:
 		*f = failing{}
-	case Errored:
-		if d.now < f.until {
-			return // sent before the last one failed
+		return
+	case e.Outcome != Errored && !(e.Outcome == Full && d.tellsRoom(e.Report, j.slots)) || d.now < f.until:
+		return // or sent before the last one failed
+	}
+	f.strikes++
+	if e.Outcome == Full && f.strikes == 1 {
+		return
+	}
+	base := classAway * max(d.s.ConnectTimeout, d.s.Step)
+	f.until = d.now + base*float64(int(1)<<min(f.strikes-1, ejectMost))*(0.75+0.5*d.random())
+	d.log("class %d fails at worker %d, kept away until %.0f", j.class, w.id, f.until)
+}
+
+// tellsRoom says whether a report tells of free slots for a job, and of nothing that queues for them.
+func (d *Dispatcher) tellsRoom(values []float32, slots float64) bool {
+	room := false
+	for i, v := range values {
+		switch x := float64(v); {
+		case i >= len(d.s.Fields):
+		case d.s.Fields[i] == FieldFree:
+			room = x > slots-0.25
+		case d.s.Fields[i] == FieldPending && x >= 0.5:
+			return false
 		}
-		base := classAway * max(d.s.ConnectTimeout, d.s.Step)
-		f.until = d.now + base*float64(int(1)<<min(f.strikes, ejectMost))*(0.75+0.5*d.random())
-		f.strikes++
-		d.log("class %d fails at worker %d, kept away until %.0f", class, w.id, f.until)
 	}
+	return room
 }
 
 // fails says whether a job's class failed at a worker lately, and not nearly everywhere.
