Begin a watch anew at once when one that stood ends; take a list line before its break

At fault: discovery.Client told each end of a watch as a failure, and brain askBackoff waits 250 to 750 ms and a tick after the first; what the connection brought last can be lost with its reset. The splitter held an object that had come whole back until its line break. Ruled out: sends under way (held 2 to 40 ms), a wrong list (rows logged: each drain that came was taken in at once). Now: a watch that had stood for 1 s is begun anew at once, and only if that fails a failure is told; a whole object is taken as it stands. The module's backoff stays for calls that fail at once. Test: TestWatchIsRenewed (no failure told, three lists of which none has its line break).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -153,10 +153,13 @@
 }
 
 // call makes a call, and again wherever discovery moves meanwhile. One that was called off ends in silence; any
-// other end but that of a whole list is a failure.
+// other end but that of a whole list is a failure. A watch that had stood for a while is begun anew at once, before a
+// failure is told: what it brought last may have been lost with its connection, a drain among it, which counts as
+// told and leaves no time for the module to wait before it asks again.
 func (c *Client) call(ctx context.Context, what string, target func() string, silent time.Duration, once bool) {
 	for {
 		at := c.place()
+		began := time.Now()
 		here, cancel := context.WithCancel(ctx)
 		stop := context.AfterFunc(at.ctx, cancel)
 		err := c.list(here, at.addr, target(), silent, once)
@@ -171,6 +174,10 @@
 		if err == nil {
 			err = errors.New("it ended")
 		}
+		if !once && time.Since(began) >= c.lim.WatchStood {
+			c.log.Info("discovery", "call", what, "err", err, "begun", "anew")
+			continue
+		}
 		c.failed(what, err)
 		return
 	}
@@ -267,17 +274,24 @@
 			return fmt.Errorf("a line is longer than %d bytes", s.max)
 		}
 		s.buf = append(s.buf, b[:i]...)
-		if i == len(b) {
+		if i == len(b) && !s.whole() {
 			return nil
 		}
 		err := s.line(s.buf)
-		s.buf, b = s.buf[:0], b[i+1:]
-		if err != nil {
+		s.buf, b = s.buf[:0], b[min(i+1, len(b)):]
+		if err != nil || len(b) == 0 {
 			return err
 		}
 	}
 }
 
+// whole says that an object stands in the buffer to its end, though its line break has not come: what it tells counts
+// as told, whether the break still comes or not.
+func (s *splitter) whole() bool {
+	n := len(s.buf)
+	return n > 1 && s.buf[0] == '{' && s.buf[n-1] == '}' && gjson.ValidBytes(s.buf)
+}
+
 // end takes what follows the last line break.
 func (s *splitter) end() error {
 	if len(s.buf) == 0 {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -67,6 +67,54 @@
 	standin.Until(t, "the list again", func() bool { l := s.All(); return l[len(l)-1].Form == brain.ListFull })
 }
 
+// A watch that had stood and ends is begun anew at once, without a failure; and an object that came whole is taken
+// before its line break, which may never come. Both carry drains that count as told.
+func TestWatchIsRenewed(t *testing.T) {
+	lim := standin.Lim
+	lim.WatchStood = 0
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	s := &standin.Lists{}
+	g.Go(func() error {
+		for i := 1; ; i++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return nil
+			}
+			g.Go(func() error {
+				defer func() { _ = conn.Close() }()
+				text := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, i)
+				_, _ = conn.Read(make([]byte, 1000))
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(text)+1, text)
+				if i < 3 { // and then no line break
+					for len(s.All()) < i && ctx.Err() == nil {
+						time.Sleep(time.Millisecond)
+					}
+					return nil
+				}
+				<-ctx.Done()
+				return nil
+			})
+		}
+	})
+	c := New(ln.Addr().String(), 0, lim, s, standin.Quiet)
+	g.Go(func() error { return c.Run(ctx) })
+	c.Watch(true)
+	standin.Until(t, "three lists", func() bool { return len(s.All()) == 3 })
+	for i, l := range s.All() {
+		if l.Form != brain.ListDelta || l.Index != uint64(i+1) {
+			t.Errorf("%d: %+v", i, l)
+		}
+	}
+	cancel()
+	_ = ln.Close()
+	_ = g.Wait()
+}
+
 // Where discovery moves, the watch goes on at the new address, be the old one deaf, mute or gone, and no failure is
 // told: the module would wait before it asks again, while drains count as told.
 func TestMove(t *testing.T) {
