Refuse ids and targets that cannot be passed on; no answer from a result that is missing

Tests: TestWhatIsAJob (the platform's front had none of its own), TestDoneWithoutAResult, rows in TestParserRefuses.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -31,7 +31,7 @@
 )
 
 // version is set by the build with -ldflags "-X main.version=...".
-var version = "0.1.0"
+var version = "0.2.0"
 
 const usage = `gatetack brings tile jobs to render boxes.
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -417,11 +417,13 @@
 		c.sink.Result(node.Result{Attempt: t.ID, Topic: brain.NoteProgress, Amount: v.Get("share").Float()})
 	case "done":
 		result := v.Get("result")
-		text := result.Raw
-		if result.Type == gjson.String {
-			text = result.Str
+		if result.Type != gjson.String {
+			// Whatever was passed on for it would be a result that no executor made.
+			c.log.Warn("a callback says done without a result", "from", key.from, "job", key.trace)
+			c.end(t, brain.Errored, report, nil)
+			break
 		}
-		c.end(t, brain.Served, report, []byte(text))
+		c.end(t, brain.Served, report, []byte(result.Str))
 	case "failed":
 		c.end(t, brain.Errored, report, nil)
 	case "returned":
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+// A callback that says done and brings no result must not become an answer that no executor made.
+func TestDoneWithoutAResult(t *testing.T) {
+	for _, rest := range []string{``, `,"result":null`, `,"result":7`, `,"result":{}`} {
+		c, s := setup(t, standin.Lim)
+		box(t, c, says(accepted))
+		c.Send(attempt(1))
+		standin.Until(t, "an outcome", func() bool {
+			_ = c.Callback([]byte(`{"id":"00000000000000aa","from":"s-7","state":"done"` + rest + `}`))
+			return len(s.outcomes(1)) > 0
+		})
+		if got := s.outcomes(1); got[0] != brain.Errored {
+			t.Errorf("%q: %v", rest, got)
+		}
+	}
+}
+
 // A callback that comes before anything of an attempt was written is of an earlier one: after "returned", a
 // repeat of that word must not end the next attempt at the same executor.
 func TestStaleCallbackBeforeTheSend(t *testing.T) {
@@ -223,7 +239,7 @@
 	standin.Until(t, "the send", func() bool { return n() == 1 })
 	_ = c.Callback([]byte(`{"id":"00000000000000aa","from":"s-7","state":"done","result":"x"}`))
 	standin.Until(t, "an outcome", func() bool {
-		return len(s.outcomes(2)) > 0 || c.Callback([]byte(`{"id":"00000000000000aa","from":"s-7","state":"done"}`)) != nil
+		return len(s.outcomes(2)) > 0 || c.Callback([]byte(`{"id":"00000000000000aa","from":"s-7","state":"done","result":"x"}`)) != nil
 	})
 	if got := s.outcomes(2); len(got) != 1 || got[0] != brain.Served {
 		t.Errorf("%v", got)
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -202,7 +202,7 @@
 	}
 	line = line[:len(line)-1]
 	for _, c := range line {
-		if c == '\r' || c == 0 {
+		if c < ' ' && c != '\t' || c == 0x7f { // what is passed on must be readable to the next, too
 			p.fail(400, "a control character in a line")
 			return
 		}
@@ -272,7 +272,7 @@
 		}
 		p.m.Status = status
 	} else {
-		if !token(first) || second == "" || strings.ContainsAny(second, "\t\x7f") {
+		if !token(first) || !Visible(second) {
 			p.fail(400, "a malformed start line")
 			return
 		}
@@ -393,6 +393,16 @@
 	return n, err == nil
 }
 
+// Visible says whether s is not empty and holds visible ASCII alone.
+func Visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
+
 // token says whether s is a method or header name as RFC 9110 5.6.2 has it.
 func token(s string) bool {
 	for i := range len(s) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,6 +11,7 @@
 	Line        int // bytes of a start line, a header line or a chunk's size line
 	HeaderBytes int // bytes of all header lines of a message together
 	Headers     int // header lines of a message
+	ID          int // bytes of an id that a client gives
 	Body        int // bytes of a body,
 	Bodies      int // and of all that are held at a time
 	WatchLine   int // bytes of one line of a watch on the list
@@ -115,7 +116,7 @@
 	spare, giveUps, batch := usable/16, usable/32, usable/16
 	workers := usable / 3
 	return Limits{
-		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, Body: 64 << 10,
+		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, ID: 256, Body: 64 << 10,
 		Bodies: memoryMB << 20 / 8, WatchLine: 1 << 20,
 		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare, WorkerConns: workers,
 		IdleConns: 32, GiveUps: giveUps,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -107,8 +107,13 @@
 func (f *Front) job(m *http1.Message, class int) (node.Job, error) {
 	j := node.Job{Class: class, Trace: m.Get("X-Trace-Id"), Idempotency: m.Get("Idempotency-Key"), Method: m.Method,
 		Target: m.Target, Body: m.Body, Repeat: m.Get("X-Second-Try") == "1", Slots: 1}
-	if j.Trace == "" {
-		return j, errors.New("X-Trace-Id is missing")
+	// An id is passed on as it came. One that a box could not read would end the connection there, and be taken for
+	// a fault of the box.
+	if !http1.Visible(j.Trace) || len(j.Trace) > f.lim.ID {
+		return j, errors.New("X-Trace-Id is missing, too long, or not visible ASCII")
+	}
+	if j.Idempotency != "" && (!http1.Visible(j.Idempotency) || len(j.Idempotency) > f.lim.ID) {
+		return j, errors.New("Idempotency-Key is too long or not visible ASCII")
 	}
 	ms, err := strconv.ParseUint(m.Get("X-Expires-In-Ms"), 10, 31)
 	if err != nil {
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/node"
+	"quincereach/internal/standin"
+)
+
+// core takes every job and refuses it at once.
+type core struct{ jobs []node.Job }
+
+func (c *core) Submit(j node.Job, cl node.Client) (uint32, error) {
+	c.jobs = append(c.jobs, j)
+	cl.Answer(node.Answer{End: node.Refused, RetryAfter: 1500 * time.Millisecond, Why: "no room"})
+	return 1, nil
+}
+func (c *core) Gone(uint32)                                 {}
+func (c *core) Ready() bool                                 { return true }
+func (c *core) Counts(context.Context) (node.Counts, error) { return node.Counts{}, nil }
+func (c *core) Callback([]byte) error                       { return nil }
+
+// What can not be a job gets an error and never reaches the core, nor does its connection count as a client's; a job
+// does, and a refusal tells when to come back, within the settings' bound.
+func TestWhatIsAJob(t *testing.T) {
+	c := &core{}
+	f := New(c, c, node.Names{Classes: []string{"tile-charge"}, Tenants: []string{"maavaade"}}, standin.Lim, time.Second, standin.Quiet)
+	ask := func(method, target string, change map[string]string) http1.Response {
+		m := &http1.Message{Method: method, Target: target}
+		for name, value := range map[string]string{"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Customer": "maavaade", "X-Expires-In-Ms": "7500"} {
+			if v, ok := change[name]; ok {
+				value = v
+			}
+			m.Fields = append(m.Fields, http1.Field{Name: name, Value: value})
+		}
+		m.Fields = append(m.Fields, http1.Field{Name: "Idempotency-Key", Value: change["Idempotency-Key"]})
+		return f.Handle(context.Background(), m)
+	}
+	for _, x := range []struct {
+		method, target string
+		change         map[string]string
+		status         int
+	}{
+		{"POST", "/tile-charges/x", nil, 404},
+		{"GET", "/tile-charge/x", nil, 405},
+		{"POST", "/tile-charge", map[string]string{"X-Trace-Id": ""}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Trace-Id": "a b"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Trace-Id": "a\x80"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Trace-Id": strings.Repeat("a", 257)}, 400},
+		{"POST", "/tile-charge", map[string]string{"Idempotency-Key": "a b"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Customer": "nobody"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Expires-In-Ms": "soon"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Expires-In-Ms": "-5"}, 400},
+		{"POST", "/tile-charge", map[string]string{"X-Expires-In-Ms": "99999999999999999999"}, 400},
+	} {
+		if r := ask(x.method, x.target, x.change); r.Status != x.status || r.Known || len(c.jobs) != 0 {
+			t.Errorf("%s %s %q: %d known %v with %d jobs taken, want %d", x.method, x.target, x.change, r.Status, r.Known, len(c.jobs), x.status)
+		}
+	}
+	r := ask("POST", "/tile-charge/x?y=1", nil)
+	if r.Status != 503 || !r.Known || len(c.jobs) != 1 || c.jobs[0].Trace != "9b1f03aa5c7e2d41" || c.jobs[0].Target != "/tile-charge/x?y=1" {
+		t.Errorf("%+v %+v", r, c.jobs)
+	}
+	if (&http1.Message{Fields: r.Fields}).Get("Retry-After") != "1.000" {
+		t.Errorf("%+v", r.Fields)
+	}
+}
