Keep one count of connections, one way to give back room, one conversion of milliseconds

Now: Conns is the map's length, Parser.Release gives back what it holds, get asks trust once, and node.Span converts. Left: discovery.list keeps its own reading loop (it moves its deadline at each read); import blocks that look alike.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -208,7 +208,7 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	most := time.Duration(c.Settings.MaxRetryAfter * float64(time.Millisecond))
+	most := node.Span(c.Settings.MaxRetryAfter)
 	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), log)
 	g.Go(func() error { return core.Run(hard) })
 	g.Go(func() error { return lists.Run(hard) })
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -75,7 +75,7 @@
 		return nil, invalid("remoteCommand", "a path that does not begin with the job's category")
 	}
 	if t.until.IsZero() {
-		t.until = now.Add(time.Duration(f.s.Classes[t.job.Class].Deadline * float64(time.Millisecond)))
+		t.until = now.Add(node.Span(f.s.Classes[t.job.Class].Deadline))
 	} else if left := t.until.Sub(now); left <= 0 {
 		return nil, &fault{"INVALID_ARGUMENT", "deadlineTime", "it has passed"}
 	} else if left > f.lim.BatchDeadline {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -150,20 +149,18 @@
 		c.Names.Tenants = append(c.Names.Tenants, pairs["tenants."+strconv.Itoa(i)+".name"])
 	}
 	c.Limits = limits.New(int(root.Get("limits.sockets").Int()), int(root.Get("limits.memory_mb").Int()),
-		ms(c.Settings.ConnectTimeout), ms(c.Settings.ConnIdle), ms(c.Settings.DrainGrace))
+		node.Span(c.Settings.ConnectTimeout), node.Span(c.Settings.ConnIdle), node.Span(c.Settings.DrainGrace))
 	longest := 0.0
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	c.Limits.Longest(ms(longest))
+	c.Limits.Longest(node.Span(longest))
 	if n, err := strconv.ParseFloat(pairs["limits.maxOpen"], 64); err == nil && n >= 1 {
 		c.Limits.MaxOpen = min(c.Limits.MaxOpen, int(n))
 	}
 	return c, nil
 }
 
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-
 func list(text string) []string {
 	if text == "" {
 		return nil
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -129,13 +129,14 @@
 
 // get gives an idle connection that still stands, or a new one.
 func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+	trust := p.trust(time.Now())
 	for {
 		c := p.take(addr)
 		if c == nil {
 			break
 		}
 		c.kept, c.stood = true, time.Since(c.idle)
-		if c.stood < p.trust(time.Now()) && c.quiet() {
+		if c.stood < trust && c.quiet() {
 			return c, nil
 		}
 		p.close(c)
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -43,6 +43,7 @@
 	// Sink, if set, gets the body's bytes as they come; they are neither kept nor bounded then.
 	Sink func([]byte) error
 	// Room, if set, is asked for the bytes of each body before they come, and the message is refused if it has none.
+	// Release gives them back as a negative number.
 	Room func(n int) bool
 
 	held   int // bytes that Room gave
@@ -59,11 +60,13 @@
 	return &Parser{lim: lim, response: response}
 }
 
-// Held is how many bytes Room gave for the message that is being read or was read last.
-func (p *Parser) Held() int { return p.held }
-
-// Release says that they were given back.
-func (p *Parser) Release() { p.held = 0 }
+// Release gives back what Room gave for the message that is being read or was read last.
+func (p *Parser) Release() {
+	if p.held > 0 {
+		p.Room(-p.held)
+		p.held = 0
+	}
+}
 
 func (p *Parser) reserve(n int) bool {
 	if p.Room == nil {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -31,7 +31,6 @@
 	h        Handler
 	log      *slog.Logger
 	draining atomic.Bool
-	open     atomic.Int64 // connections
 	busy     atomic.Int64 // requests being handled
 	bodies   atomic.Int64 // bytes of bodies that are held
 
@@ -118,7 +117,11 @@
 }
 
 // Conns is how many connections are open.
-func (s *Server) Conns() int { return int(s.open.Load()) }
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
 
 // Busy is how many requests are being handled.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
@@ -165,13 +168,11 @@
 				}
 				continue
 			}
-			s.open.Add(1)
 			nc := &conn{Conn: c, in: NewRing(s.lim.Ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1), phase: idle}
 			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too there
 			// is no descriptor for one more: it waits until another ends, since to close it would lose what came.
 			within := s.admit(nc)
 			g.Go(func() error {
-				defer s.open.Add(-1)
 				s.serve(ctx, nc, !within)
 				return nil
 			})
@@ -244,7 +245,7 @@
 		_ = nc.Close()
 		close(c.want)
 		_ = g.Wait()
-		s.room(-p.Held())
+		p.Release()
 		s.mu.Lock()
 		delete(s.conns, c)
 		if c.phase != closed {
@@ -281,7 +282,6 @@
 		}
 		r.Close = r.Close || m.Close || once || s.draining.Load()
 		ok := s.write(nc, w, &r)
-		s.room(-p.Held())
 		p.Release()
 		s.busy.Add(-1)
 		s.touch()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -242,7 +242,7 @@
 
 // step gives the batch to the module and carries out its actions.
 func (c *Core) step(now time.Time) {
-	c.stepAt = now.Add(time.Duration(c.s.Step * float64(time.Millisecond)))
+	c.stepAt = now.Add(Span(c.s.Step))
 	c.actions = c.d.Step(c.clock(now), c.batch, c.actions[:0])
 	clear(c.batch)
 	c.batch = c.batch[:0]
@@ -303,7 +303,7 @@
 		return
 	}
 	if c.leaving {
-		c.answer(j, Answer{End: Refused, RetryAfter: c.longest(), Why: leaves})
+		c.answer(j, Answer{End: Refused, RetryAfter: Span(c.s.MaxRetryAfter), Why: leaves})
 		return
 	}
 	c.jobs[j.id], c.traces[j.in.Trace] = j, j
@@ -322,6 +322,9 @@
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
+// Span makes a time of the milliseconds that the module and its settings count in.
+func Span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // settle marks that nothing more is owed for a job.
 func (c *Core) settle(j *job) {
 	j.answered = true
@@ -470,7 +473,7 @@
 		}
 		ans := Answer{End: Failed, Why: "it may have run, and can not be tried again in time"}
 		if a.Kind == brain.ActRefuse {
-			ans = Answer{End: Refused, RetryAfter: time.Duration(a.For * float64(time.Millisecond)), Why: "no room for it in time"}
+			ans = Answer{End: Refused, RetryAfter: Span(a.For), Why: "no room for it in time"}
 		}
 		c.answer(j, ans)
 	case brain.ActCancel:
@@ -483,7 +486,7 @@
 			c.end(t, brain.Cancelled, nil, nil, now)
 		}
 	case brain.ActTimer:
-		c.at(now.Add(time.Duration(a.For*float64(time.Millisecond))), token(a.Token))
+		c.at(now.Add(Span(a.For)), token(a.Token))
 	case brain.ActProbe:
 		c.exec.Probe(a.Worker)
 	case brain.ActClose:
@@ -512,7 +515,7 @@
 	w, ok := c.workers[a.Worker]
 	until := j.deadline.Add(-c.lim.AnswerEarly)
 	if a.For > 0 {
-		until = earlier(until, now.Add(time.Duration(a.For*float64(time.Millisecond))))
+		until = earlier(until, now.Add(Span(a.For)))
 	}
 	if j.answered || !ok || !until.After(now) {
 		c.end(t, brain.Moot, nil, nil, now)
@@ -593,16 +596,11 @@
 // leaves tells why a node that is about to end answers.
 const leaves = "the node leaves"
 
-// longest is the longest time that a refused client may be told to stay away.
-func (c *Core) longest() time.Duration {
-	return time.Duration(c.s.MaxRetryAfter * float64(time.Millisecond))
-}
-
 // cut ends a job without the module, which hears that the client left.
 func (c *Core) cut(j *job, why string) {
 	a := Answer{End: Failed, Why: why}
 	if j.live == 0 && !j.ran {
-		a.End, a.RetryAfter = Refused, c.longest()
+		a.End, a.RetryAfter = Refused, Span(c.s.MaxRetryAfter)
 	}
 	c.event(brain.Event{Kind: brain.EvGone, Job: j.id})
 	c.answer(j, a)
