Let batch clients that were understood keep their idle connections, too

Seen on reading the whole change once more: the budget for client connections tells known ones from strangers by Response.Known, which only the platform's front set. So every batch client's idle connection was closed after 5 s (StrangerIdle) instead of 2 minutes, and a crowd on that front could not be told from its clients. At fault: batch.Front.Handle never set it. Now an answer under 400 does. Test: TestWhoIsKnown; the batch and the integration tests pass.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -307,6 +307,12 @@
 
 // Handle answers one request.
 func (f *Front) Handle(ctx context.Context, m *http1.Message) http1.Response {
+	r := f.route(ctx, m)
+	r.Known = r.Status < 400 // a client that it understood keeps its connection as one of the platform's does
+	return r
+}
+
+func (f *Front) route(ctx context.Context, m *http1.Message) http1.Response {
 	path, ok := strings.CutPrefix(m.Path(), Prefix)
 	if !ok {
 		return problem(404, "INVALID_ARGUMENT", "", "paths of this front begin with "+Prefix)
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -70,6 +70,19 @@
 
 const good = `{"jobCategory":"tile-charge","accountingId":"maavaade","payload":"x"}`
 
+// A client that was understood keeps its connection before strangers; what asks for nothing there is does not.
+func TestWhoIsKnown(t *testing.T) {
+	f := front(&core{}, nil, time.Now())
+	for _, x := range []struct {
+		method, path, body string
+		known              bool
+	}{{"POST", "/jobs", good, true}, {"GET", "/jobs", "", true}, {"POST", "/jobs", "{", false}, {"GET", "/nothing", "", false}} {
+		if _, v, r := call(f, x.method, x.path, x.body); r.Known != x.known {
+			t.Errorf("%s %s: %d %s, known %v", x.method, x.path, r.Status, v.Raw, r.Known)
+		}
+	}
+}
+
 // A refusal tells when to come back, within the settings' bound; a front that leaves, and a core that is full,
 // refuse at once.
 func TestRefusals(t *testing.T) {
