--- a/brain/brain.go
+++ b/brain/brain.go
@@ -324,8 +324,7 @@
 	if d.now+j.work/speed > j.aimAt {
 		return false
 	}
-	for i := len(d.waiting) - 1; i >= 0; i-- {
-		k := d.waiting[i]
+	for _, k := range slices.Backward(d.waiting) {
 		if k.done || k.out > 0 || k.mayHaveRun || !(k.borrowed || k.tenant == j.tenant) {
 			continue
 		}
@@ -417,12 +416,8 @@
 		return
 	}
 	for i := range d.heardLast {
-		if w := d.heardLast[i]; w != nil {
-			d.lookAt(w)
-		}
-		if w := d.usedLast[i]; w != nil {
-			d.lookAt(w)
-		}
+		d.lookAt(d.heardLast[i])
+		d.lookAt(d.usedLast[i])
 	}
 	for n := 0; n < lookSome; n++ {
 		d.lookAt(d.workers[int(d.random()*float64(len(d.workers)))])
@@ -431,7 +426,7 @@
 
 // lookAt adds a worker to those that waiting jobs choose among, once, if it may be sent to and has room.
 func (d *Dispatcher) lookAt(w *worker) {
-	if w.looked == d.looks || !d.usable(w) {
+	if w == nil || w.looked == d.looks || !d.usable(w) {
 		return
 	}
 	w.looked = d.looks
@@ -461,8 +456,7 @@
 		d.look()
 		from = d.open
 	}
-	slack := max(j.aimAt-d.now, 1)
-	kind := d.s.Classes[j.class].Kind
+	slack, kind := max(j.aimAt-d.now, 1), d.s.Classes[j.class].Kind
 	for _, w := range from {
 		spare := w.room - j.slots
 		if spare < -1e-6 || j.slots*j.work > w.coldRoom {
@@ -471,7 +465,7 @@
 		if kind >= 0 && w.kind != kind || !d.usable(w) || !d.maySend(j, w) || d.fails(j, w) {
 			continue
 		}
-		if w.silent && d.s.Classes[j.class].Effect == Unsafe {
+		if (w.silent || d.now < w.lateUntil && !d.panicking) && d.s.Classes[j.class].Effect == Unsafe {
 			continue // it may well be lost there
 		}
 		if w.tellsMemory && j.memory > w.memory+1e-6 && w.own > 0 {
@@ -507,12 +501,7 @@
 	if d.fetching == 0 || d.fetching+j.slots <= fetchPool*d.capacity {
 		return false
 	}
-	for _, w := range j.homes {
-		if d.usable(w) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(j.homes, d.usable)
 }
 
 // push finds a worker for a job of a starved node: one that has less than its part of all slots out, sees no
@@ -661,10 +650,8 @@
 // maySend is the one gate that every send passes: the request's state, what of it may have run, drains, and
 // a cold worker's budget.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
-	if j.done || len(j.attempts) >= d.s.MaxAttempts || d.now >= j.deadline || w.cond != Ready {
-		return false
-	}
-	if j.out > 0 && !d.s.MayDuplicate {
+	over := j.done || len(j.attempts) >= d.s.MaxAttempts || d.now >= j.deadline
+	if over || w.cond != Ready || j.out > 0 && !d.s.MayDuplicate {
 		return false
 	}
 	for i := range j.attempts {
@@ -876,11 +863,11 @@
 	}
 	d.ended[why]++
 	d.endedAt = d.now
+	a := Action{Kind: ActFail, Job: j.id}
 	if d.mayRefuse(j) {
-		d.out = append(d.out, Action{Kind: ActRefuse, Job: j.id, For: d.comeBack(j)})
-	} else {
-		d.out = append(d.out, Action{Kind: ActFail, Job: j.id})
+		a.Kind, a.For = ActRefuse, d.comeBack(j)
 	}
+	d.out = append(d.out, a)
 	d.finish(j)
 }
 
@@ -920,8 +907,12 @@
 		return
 	}
 	a := &j.attempts[e.Attempt]
+	if e.Topic == NoteLate {
+		d.late(j, a)
+		return
+	}
 	d.alive(a.w)
-	a.heard = d.now
+	a.heard, a.late = d.now, false
 	if a.lost {
 		a.lost = false
 		a.w.own += j.slots
@@ -941,6 +932,28 @@
 	}
 }
 
+// late takes in that a worker owes a sign that it took a job for longer than it and its peers usually do.
+// Beside others that are heard of, one such attempt is its connection's fault: the worker is kept. It holds
+// no slots in our books, and its job may be tried elsewhere too, where that is allowed.
+func (d *Dispatcher) late(j *job, a *attempt) {
+	w, owed := a.w, 0
+	if a.started > 0 || a.late || a.lost {
+		return
+	}
+	a.late, a.lost, d.dirty = true, true, true
+	w.own -= j.slots
+	d.countWaits(w)
+	for _, k := range w.outs {
+		if last := &k.attempts[len(k.attempts)-1]; last.w == w && last.late {
+			owed++
+		}
+	}
+	if w.heard <= a.sent || owed > 1 {
+		d.eject(w, "owing signs of jobs")
+		w.lateAt, w.lateUntil = d.now, 2*w.badUntil-d.now
+	}
+}
+
 // ---- health
 
 // judge draws from an outcome what it says of the worker: its room, speed, errors and connections.
@@ -963,7 +976,9 @@
 	case Served:
 		d.alive(w)
 		w.errs *= errorKeep
-		w.strikes, w.trial, w.fullRun = 0, false, 0
+		if w.fullRun = 0; a.sent >= w.lateAt { // else it shows nothing of what came since
+			w.strikes, w.trial, w.lateUntil = 0, false, 0
+		}
 		late := d.now > j.aimAt && a.sent+j.work/d.meanSpeed() <= j.aimAt
 		blind := w.reported == 0 || d.now-w.reported > staleFor*d.freshFor() // a pause is not the end
 		if late && blind && a.sent > w.cutAt {
@@ -1043,13 +1058,9 @@
 func (d *Dispatcher) watchHealth() {
 	limit := d.silence()
 	d.sumFails()
-	for i := 0; i < len(d.ejected); {
-		if w := d.ejected[i]; d.now >= w.badUntil || w.cond != Ready {
-			d.ejected = slices.Delete(d.ejected, i, i+1)
-			continue
-		}
-		i++
-	}
+	d.ejected = slices.DeleteFunc(d.ejected, func(w *worker) bool {
+		return d.now >= w.badUntil || w.cond != Ready
+	})
 	bad := len(d.ejected)
 	for _, w := range d.busy {
 		if w.cond != Ready {
@@ -1087,19 +1098,13 @@
 
 // hedge sends the jobs of a silent worker elsewhere too, where that is allowed.
 func (d *Dispatcher) hedge() {
-	if !d.s.MayDuplicate || d.panicking {
-		return
-	}
 	for _, w := range d.busy {
-		if !w.silent {
-			continue
-		}
 		for _, j := range w.outs {
 			// One that was sent to see whether the worker lives gets its time for that, and one that queues
 			// would only queue elsewhere too.
-			last := &j.attempts[len(j.attempts)-1]
-			still := d.now-last.sent > d.silence()/2 && (last.started > 0 || !d.s.TellsStart)
-			if !j.done && !j.waiting && j.out == 1 && still && d.s.Classes[j.class].Effect != Unsafe {
+			c, last := &d.s.Classes[j.class], &j.attempts[len(j.attempts)-1]
+			still := w.silent && d.now-last.sent > d.silence()/2 && (last.started > 0 || !d.s.TellsStart)
+			if (still || last.late) && !j.done && !j.waiting && j.out == 1 && c.Effect != Unsafe {
 				d.wait(j)
 			}
 		}
@@ -1136,10 +1141,7 @@
 
 // ask keeps a subscription to the list.
 func (d *Dispatcher) ask() {
-	if !d.s.Ask || d.watching || d.now < d.nextAsk {
-		return
-	}
-	if d.asked > 0 && d.now-d.asked < d.s.AskWithin/2 {
+	if !d.s.Ask || d.watching || d.now < d.nextAsk || d.asked > 0 && d.now-d.asked < d.s.AskWithin/2 {
 		return
 	}
 	d.asked = max(d.now, 1e-9)
@@ -1171,7 +1173,9 @@
 	if len(d.workers) <= lookAll || d.now >= d.healthAt {
 		d.healthAt = d.now + d.silence()/16
 		d.watchHealth()
-		d.hedge()
+		if d.s.MayDuplicate && !d.panicking {
+			d.hedge()
+		}
 	}
 	for _, j := range d.waiting {
 		d.settle(j)
@@ -1213,11 +1217,8 @@
 
 // probe asks workers for their load, about once a report period, within a number for each request.
 func (d *Dispatcher) probe() {
-	if !d.s.MayProbe || d.s.Telemetry != ReportProbes || len(d.workers) == 0 {
-		return
-	}
-	if len(d.workers) > lookAll {
-		return // probeFor asks for each job
+	if n := len(d.workers); !d.s.MayProbe || d.s.Telemetry != ReportProbes || n == 0 || n > lookAll {
+		return // of a large fleet probeFor asks for each job
 	}
 	rate := d.rate
 	if quiet := d.now - d.lastSeen; d.lastSeen > 0 && quiet > 1000 {
--- /dev/null
+++ b/brain/late_test.go
@@ -0,0 +1,150 @@
+package brain
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// A worker that owes signs of jobs stops drawing work at once: its jobs that may be repeated go elsewhere in its cell,
+// others are not sent twice, nothing that may be lost for good goes there, and one that ends well brings it back.
+func TestLateWorker(t *testing.T) {
+	s := base()
+	for i := range s.Classes {
+		s.Classes[i].Aim, s.Classes[i].Deadline, s.Classes[i].Window = 20000, 60000, 50000
+	}
+	r := newRig(t, s, ready(7, 1), ready(8, 1), ready(9, 2))
+	tell := func(ids ...uint32) {
+		for _, id := range []uint32{7, 8, 9} {
+			w := r.d.byID[id]
+			w.free, w.reported, w.slots = 0, r.now, 4
+			for _, x := range ids {
+				if x == id {
+					w.free = 4 - w.own
+				}
+			}
+		}
+	}
+	tell(7)
+	r.after(10, request(1, 1, 0, 1), request(2, 2, 0, 1))
+	w := r.d.byID[7]
+	if w.own != 2 {
+		t.Fatalf("%v slots out at the worker, want 2", w.own)
+	}
+	tell(7, 8, 9)
+	late := func(job uint32) Event { return Event{Kind: EvNote, Job: job, Worker: 7, Topic: NoteLate} }
+	again := r.after(500, late(1), late(2))
+	for range 50 {
+		again = append(again, r.after(10, Event{Kind: EvTimer})...)
+	}
+	if got := find(again, ActSend, 1); len(got) != 1 || got[0].Worker != 8 {
+		t.Errorf("the keyed job: %v, want one more send to the cell's other worker", got)
+	}
+	if got := find(again, ActSend, 2); len(got) != 0 {
+		t.Errorf("the job that must not run twice was sent again: %v", got)
+	}
+	if w.own != 0 {
+		t.Errorf("%v slots out of what may never have come, want none", w.own)
+	}
+	// While the worker tells of room, jobs go to the others, and none that may be lost goes there first.
+	sent := map[uint32][]uint32{}
+	for id := uint32(10); id < 70; id++ {
+		class := uint8(0)
+		if id%2 == 0 {
+			class = 2
+		}
+		tell(7, 8, 9)
+		r.d.byID[8].free, r.d.byID[9].free = 1, 1 // as much room as a worker on trial has
+		for _, a := range r.after(50, request(id, class, 0, 1)) {
+			if a.Kind == ActSend {
+				sent[a.Worker] = append(sent[a.Worker], a.Job)
+				if a.Worker != 7 {
+					r.after(1, outcome(a.Job, 0, a.Worker, Served))
+				}
+			}
+		}
+	}
+	if len(sent[7]) > 1 || len(sent[7]) == 1 && sent[7][0]%2 == 0 || len(sent[8])+len(sent[9]) < 50 {
+		t.Errorf("sent %d to the late worker (%v), %d to the others", len(sent[7]), sent[7], len(sent[8])+len(sent[9]))
+	}
+	if len(sent[7]) == 0 {
+		t.Fatal("the worker was never tried again")
+	}
+	r.after(10, Event{Kind: EvNote, Job: sent[7][0], Worker: 7, Topic: NoteStarted})
+	r.after(10, outcome(sent[7][0], 0, 7, Served))
+	if w.trial || r.d.now < w.lateUntil {
+		t.Error("a job sent since ended well, and the worker is still kept away")
+	}
+	// The late one's result still counts: an answer, and no outcome is taken twice.
+	r.after(10, outcome(2, 0, 7, Served))
+	if r.d.jobs[2] != nil || w.own < 0 {
+		t.Errorf("job 2 is kept: %v, %v slots out", r.d.jobs[2], w.own)
+	}
+}
+
+// One late job beside others that are heard of is its connection's fault: the worker stays in use, and the job may be
+// tried elsewhere. A second one makes it the worker's.
+func TestLateConnection(t *testing.T) {
+	s := base()
+	r := newRig(t, s, ready(7, 1), ready(8, 1))
+	w := r.d.byID[7]
+	give := func() { w.free, w.reported, w.slots = 4-w.own, r.now, 4; r.d.byID[8].fullUntil = r.now + 1e6 }
+	give()
+	r.after(10, request(1, 1, 0, 1), request(2, 1, 0, 1), request(3, 1, 0, 1))
+	if w.own != 3 {
+		t.Fatalf("%v slots out, want 3", w.own)
+	}
+	r.after(100, Event{Kind: EvNote, Job: 3, Worker: 7, Topic: NoteStarted})
+	r.after(400, Event{Kind: EvNote, Job: 1, Worker: 7, Topic: NoteLate})
+	if r.now < w.badUntil || w.own != 2 {
+		t.Errorf("kept away until %v for one connection, %v slots out", w.badUntil, w.own)
+	}
+	r.after(10, Event{Kind: EvNote, Job: 1, Worker: 7, Topic: NoteLate}) // told again: nothing new
+	if r.now < w.badUntil || w.own != 2 {
+		t.Error("the same job counts twice")
+	}
+	r.after(10, Event{Kind: EvNote, Job: 2, Worker: 7, Topic: NoteLate})
+	if r.now >= w.badUntil {
+		t.Error("two late jobs, and the worker is still in use")
+	}
+	r.after(10, Event{Kind: EvNote, Job: 1, Worker: 7, Topic: NoteStarted})
+	if w.own != 2 || r.d.jobs[1].attempts[0].late {
+		t.Errorf("%v slots out once a late job was heard of", w.own)
+	}
+}
+
+// Where our jobs explain nothing of what workers hold, no age does: one that counts none of our jobs fits such reports
+// best, and was believed, on a day of drains, until all that ran counted as not in them.
+func TestAgeThatExplainsNothing(t *testing.T) {
+	s := base()
+	s.Balancers = 3
+	s.Fields = []Field{FieldBusy, FieldFree}
+	r := newRig(t, s, ready(7, 0), ready(8, 0))
+	rng := rand.New(rand.NewSource(5))
+	job, most := uint32(0), 0.0
+	var out []Action
+	for range 600 {
+		var events []Event
+		for range 3 { // so many that none is remembered for as long as the greatest age
+			job++
+			events = append(events, request(job, 0, 0, 1))
+		}
+		for len(out) > rng.Intn(5) {
+			events = append(events, outcome(out[0].Job, 0, out[0].Worker, Served))
+			out = out[1:]
+		}
+		for _, w := range r.d.workers {
+			busy := 3 + 0.3*rng.Float32()
+			r.d.report(w, []float32{busy, 8 - busy})
+		}
+		for _, a := range r.after(100, events...) {
+			if a.Kind == ActSend {
+				out = append(out, a)
+			}
+		}
+		most = max(most, r.d.age)
+	}
+	if most > 10*ageShare*r.d.period || math.IsNaN(most) {
+		t.Errorf("reports are taken to be up to %.0f ms old, with a period of %.0f", most, r.d.period)
+	}
+}
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -301,7 +301,11 @@
 				add(x.slots)
 			}
 		}
-		if scatter := d.ages[k].add(held-ours, pull); scatter < least {
+		scatter := d.ages[k].add(held-ours, pull)
+		// Beyond the oldest of our jobs that are remembered an age counts none of them, explains nothing, and still
+		// beats the usual one where ours are few: reports were taken to be half a minute old on a day of drains.
+		counts := d.heldStat.mean-d.ages[k].mean >= (d.heldStat.mean-d.ages[1].mean)/2
+		if scatter < least && counts {
 			least, best = scatter, k
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -20,7 +20,8 @@
 	fetches  bool // likely had to fetch its key
 	opened   bool // on a new connection
 	resolved bool
-	lost     bool // out when its worker fell silent, and not heard of since
+	lost     bool // out when its worker fell silent, or late, and not heard of since
+	late     bool // its worker owes a sign that it has taken the job
 }
 
 // job is a request this node owes an answer, or whose attempts are still out.
@@ -103,6 +104,8 @@
 	sample      uint64
 	memory      float64 // free memory as last reported, moved likewise; NaN or of no meaning if not told
 	tellsMemory bool
+	lateAt      float64 // when it was last ejected for owing signs that it has taken jobs,
+	lateUntil   float64 // and until when nothing goes there that may be lost for good
 	cutAt       float64 // when soft was cut for lateness
 	fullRun     int
 	heard       float64 // last sign of life
@@ -562,7 +565,7 @@
 		} else if r.Born > w.born {
 			// A new process: what was known of the old one no longer holds.
 			w.free, w.reported, w.soft, w.errs, w.strikes, w.badUntil = 0, 0, softStart, 0, 0, 0
-			w.linkFails, w.linkUntil = 0, 0
+			w.linkFails, w.linkUntil, w.lateAt, w.lateUntil = 0, 0, 0, 0
 			clear(w.fails)
 			w.trial, w.silent, w.idle, w.keys, w.heard = false, false, w.idle[:0], [12]uint64{}, d.now
 		}
--- a/brain/types.go
+++ b/brain/types.go
@@ -223,6 +223,7 @@
 const (
 	NoteStarted  = 1
 	NoteProgress = 2
+	NoteLate     = 3 // the worker has not said in its usual time, and in its peers', that it has taken the job
 )
 
 // Flags of a request.
--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -25,6 +25,7 @@
 	"quincereach/internal/http1"
 	"quincereach/internal/inventory"
 	"quincereach/internal/node"
+	"quincereach/internal/pace"
 	"quincereach/internal/peer"
 	"quincereach/internal/platform"
 	"quincereach/internal/store"
@@ -125,6 +126,7 @@
 		if f, err = config.ReadFile(path); err != nil {
 			return nil, nil, err
 		}
+		c.Limits.Pace = f.Pace
 	}
 	return c, f, c.Check(f)
 }
@@ -172,8 +174,8 @@
 	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, hard := errgroup.WithContext(hard)
-	exec := executor.New(hard, g, c.Limits, c.Names, core, log)
-	members, err := openStore(c, f, log)
+	exec := executor.New(hard, g, c.Limits, c.Names, core, core.Slow(), log)
+	members, err := openStore(c, f, core.Slow(), log)
 	if err != nil {
 		return err
 	}
@@ -183,7 +185,7 @@
 		kept, shared = members, members
 		g.Go(func() error { return members.Run(hard) })
 	}
-	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, log)
+	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, core.Slow(), log)
 	g.Go(func() error { reload(hard, hup, c, f, source.Move, log); return nil })
 	var lists interface {
 		node.Lists
@@ -209,7 +211,7 @@
 		return fmt.Errorf("listening: %w", err)
 	}
 	most := node.Span(c.Settings.MaxRetryAfter)
-	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), log)
+	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), core.Slow(), log)
 	g.Go(func() error { return core.Run(hard) })
 	g.Go(func() error { return lists.Run(hard) })
 	g.Go(func() error { return front.Serve(hard, ln) })
@@ -223,7 +225,7 @@
 		jobs = batch.New(core, kept, c.Name, life, c.Settings, c.Names, c.Limits, most, log)
 		lim := c.Limits
 		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
-		server := http1.NewServer(lim, jobs, log)
+		server := http1.NewServer(lim, jobs, core.Slow(), log)
 		fronts = append(fronts, server)
 		g.Go(func() error { return jobs.Run(hard) })
 		g.Go(func() error { return server.Serve(hard, ln) })
@@ -250,11 +252,11 @@
 }
 
 // openStore starts this node's member of the store, if the file names one.
-func openStore(c *config.Config, f *config.File, log *slog.Logger) (*store.Store, error) {
+func openStore(c *config.Config, f *config.File, slow *pace.Tally, log *slog.Logger) (*store.Store, error) {
 	if f.Store.Dir == "" {
 		return nil, nil
 	}
-	return store.Open(store.Config{Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members}, c.Limits, log)
+	return store.Open(store.Config{Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members}, c.Limits, slow, log)
 }
 
 // quiet returns once nothing is open and nothing new has come for a while. Clients go on using the connections they
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -131,12 +131,16 @@
 // The operator's file: unknown keys and addresses beyond this machine are refused.
 func TestFile(t *testing.T) {
 	for text, want := range map[string]string{
-		"":                                   "",
-		"batch:\n  listen: 127.0.0.1:8480\n": "",
-		"batch:\n  listen: 0.0.0.0:8480\n":   "batch.listen",
-		"batch:\n  listen: 10.0.0.1:8480\n":  "batch.listen",
-		"batch:\n  lisen: 127.0.0.1:8480\n":  "lisen",
-		"batch: [":                           "yaml",
+		"":                                    "",
+		"batch:\n  listen: 127.0.0.1:8480\n":  "",
+		"batch:\n  listen: 0.0.0.0:8480\n":    "batch.listen",
+		"batch:\n  listen: 10.0.0.1:8480\n":   "batch.listen",
+		"batch:\n  lisen: 127.0.0.1:8480\n":   "lisen",
+		"batch: [":                            "yaml",
+		"pace:\n  client_out: {rate: 4096}\n": "",
+		"pace:\n  box_out:\n    rate: 1\n    grace: 1ms\n":      "line 4: pace.box_out.grace: 1ms is not between",
+		"pace:\n  look: 250ms\n  acks: {least: 2s, most: 1s}\n": "line 3: pace.acks.most",
+		"pace:\n  client_out: {speed: 1}\n":                     "speed",
 	} {
 		_, err := parseFile([]byte(text), "")
 		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -9,8 +9,11 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"quincereach/internal/pace"
 )
 
 // File is what an operator sets beside the platform's configuration: what is off without it.
@@ -26,6 +29,7 @@
 		Listen  string            `yaml:"listen"`
 		Members map[string]string `yaml:"members"` // addresses by node name, this node's among them
 	} `yaml:"store"`
+	Pace pace.Policy `yaml:"pace"` // what is asked of slow peers; a figure that is left out stays as it is without the file
 }
 
 // ReadFile reads the file that serve --config names. A key that is not known is an error: it may be a typing
@@ -43,12 +47,16 @@
 }
 
 func parseFile(data []byte, dir string) (*File, error) {
-	f := &File{}
+	f := &File{Pace: pace.Default()}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	if err := dec.Decode(f); err != nil && !errors.Is(err, io.EOF) {
 		return nil, err
 	}
+	if err := f.Pace.Check(); err != nil {
+		field, _, _ := strings.Cut(err.Error(), ":")
+		return nil, fmt.Errorf("line %d: pace.%w", lineOf(data, append([]string{"pace"}, strings.Split(field, ".")...)), err)
+	}
 	if f.Batch.Listen != "" {
 		if err := loopback(f.Batch.Listen); err != nil {
 			return nil, fmt.Errorf("batch.listen: %w", err)
@@ -84,3 +92,25 @@
 	}
 	return nil
 }
+
+// lineOf finds the line on which a field stands in a file that can be read; the last one on its way that does.
+func lineOf(data []byte, path []string) int {
+	var doc yaml.Node
+	if yaml.Unmarshal(data, &doc) != nil || len(doc.Content) == 0 {
+		return 1
+	}
+	at, line := doc.Content[0], 1
+	for _, name := range path {
+		found := false
+		for i := 0; i+1 < len(at.Content) && at.Kind == yaml.MappingNode; i += 2 {
+			if at.Content[i].Value == name {
+				line, at, found = at.Content[i].Line, at.Content[i+1], true
+				break
+			}
+		}
+		if !found {
+			break
+		}
+	}
+	return line
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,6 +20,7 @@
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
+	"quincereach/internal/pace"
 )
 
 // Sink takes lists.
@@ -29,6 +30,7 @@
 type Client struct {
 	lim   limits.Limits
 	sink  Sink
+	slow  *pace.Tally
 	log   *slog.Logger
 	calls chan call
 	moved chan struct{}
@@ -53,8 +55,8 @@
 type call struct{ watch, on bool }
 
 // New makes a client that knows the list up to a version.
-func New(addr string, index uint64, lim limits.Limits, sink Sink, log *slog.Logger) *Client {
-	c := &Client{lim: lim, sink: sink, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
+func New(addr string, index uint64, lim limits.Limits, sink Sink, slow *pace.Tally, log *slog.Logger) *Client {
+	c := &Client{lim: lim, sink: sink, slow: slow, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
 	c.index.Store(index)
 	return c
 }
@@ -189,10 +191,11 @@
 // was cut off leaves a connection open and tells nothing.
 func (c *Client) list(ctx context.Context, addr, target string, silent time.Duration, once bool) error {
 	d := net.Dialer{Timeout: c.lim.ListCall}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	dialed, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("connecting: %w", err)
 	}
+	conn := http1.NewPaced(dialed, c.lim.Pace.ListIn, c.lim.Pace.BoxOut)
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -201,7 +204,8 @@
 	if once {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
-	_ = conn.SetDeadline(time.Now().Add(c.lim.ListCall))
+	conn.ReadBy(time.Now().Add(c.lim.ListCall))
+	conn.WriteBy(time.Now().Add(c.lim.ListCall))
 	if err := w.Request("GET", target, fields, nil); err != nil {
 		return fmt.Errorf("asking: %w", err)
 	}
@@ -219,8 +223,19 @@
 	for {
 		m, err := p.Feed(in)
 		if m == nil && err == nil {
+			// Between lines silence counts, and within one the rate: a line that drips would else start the time of
+			// silence anew with each byte, and what it tells, a drain perhaps, counts as told long before it is whole.
+			if lines.begun() || p.Begun() && p.Head() == nil {
+				conn.Await()
+			} else {
+				conn.Rest()
+			}
 			_, err = in.Fill(conn)
-			_ = conn.SetDeadline(time.Now().Add(silent))
+			conn.ReadBy(time.Now().Add(silent))
+			if slow := (*pace.Slow)(nil); errors.As(err, &slow) {
+				c.slow.Add(pace.ListDrips)
+				c.log.Info("slow list", "kind", pace.ListDrips.String(), "from", addr, "why", slow)
+			}
 			if err != nil {
 				if m, _ = p.End(); m == nil {
 					return fmt.Errorf("reading: %w", err)
@@ -285,6 +300,9 @@
 	}
 }
 
+// begun says that a part of a line has come.
+func (s *splitter) begun() bool { return len(s.buf) > 0 }
+
 // whole says that an object stands in the buffer to its end, though its line break has not come: what it tells counts
 // as told, whether the break still comes or not.
 func (s *splitter) whole() bool {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(list.Addr, 7, lim, s, standin.Quiet)
+	c := New(list.Addr, 7, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
 	t.Cleanup(func() { cancel(); _ = g.Wait() })
 	return c, s, list, box
@@ -101,7 +101,7 @@
 			})
 		}
 	})
-	c := New(ln.Addr().String(), 0, lim, s, standin.Quiet)
+	c := New(ln.Addr().String(), 0, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
 	c.Watch(true)
 	standin.Until(t, "three lists", func() bool { return len(s.All()) == 3 })
@@ -197,7 +197,7 @@
 			return ln.Close()
 		})
 		s := &standin.Lists{}
-		c := New(ln.Addr().String(), 0, standin.Lim, s, standin.Quiet)
+		c := New(ln.Addr().String(), 0, standin.Lim, s, nil, standin.Quiet)
 		g.Go(func() error { return c.Run(ctx) })
 		c.Watch(true)
 		standin.Until(t, name, func() bool { return len(s.All()) > 0 })
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
+	"quincereach/internal/pace"
 )
 
 // Sink takes what came of attempts and probes.
@@ -35,6 +37,8 @@
 	g     *errgroup.Group
 	ctx   context.Context
 	pool  *pool
+	owed  *owed
+	tally *pace.Tally
 	slots chan struct{} // connections that may be used to give up attempts at a time
 
 	mu      sync.Mutex
@@ -48,6 +52,7 @@
 type worker struct {
 	name, addr string
 	stopAt     time.Time // nothing new is written after it; zero while the worker takes work
+	heard      time.Time // its last answer, callback or new connection
 }
 
 // try is an attempt that is neither ended nor given up.
@@ -55,15 +60,20 @@
 	node.Attempt
 	key     liveKey
 	mu      sync.Mutex
-	written bool // its last byte is being written or was
-	taken   bool // 202 came
+	written bool      // its last byte is being written or was
+	taken   bool      // 202 came
+	wrote   time.Time // its last byte, zero before
+	late    bool      // the box owed a sign of it for too long
+	signed  bool      // it gave one, or the attempt ended without
 	over    bool
 	cancel  context.CancelFunc // of its connection, until the 202
 }
 
 // New makes a client whose goroutines belong to g and end with ctx.
-func New(ctx context.Context, g *errgroup.Group, lim limits.Limits, names node.Names, sink Sink, log *slog.Logger) *Client {
-	return &Client{lim: lim, names: names, sink: sink, log: log, g: g, ctx: ctx, pool: newPool(lim),
+func New(ctx context.Context, g *errgroup.Group, lim limits.Limits, names node.Names, sink Sink, slow *pace.Tally,
+	log *slog.Logger) *Client {
+	return &Client{lim: lim, names: names, sink: sink, log: log, g: g, ctx: ctx, pool: newPool(lim, slow), tally: slow,
+		owed:  &owed{acks: pace.NewAcks(lim.Pace.Acks)},
 		slots: make(chan struct{}, lim.GiveUps), workers: map[uint32]*worker{}, live: map[uint64]*try{}, byName: map[liveKey]*try{}}
 }
 
@@ -102,6 +112,23 @@
 	return w.addr, w.stopAt.IsZero() || time.Now().Before(w.stopAt)
 }
 
+// heard takes in a sign of life of a worker.
+func (c *Client) heard(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		w.heard = time.Now()
+	}
+}
+
+// unheard says that a worker gave no sign of life for so long that its machine may be cut off.
+func (c *Client) unheard(id uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	return w != nil && time.Since(w.heard) > c.lim.Pace.Unheard
+}
+
 // Send starts an attempt.
 func (c *Client) Send(a node.Attempt) {
 	c.mu.Lock()
@@ -149,6 +176,7 @@
 	if was {
 		return false
 	}
+	c.owed.ended(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.live, t.ID)
@@ -167,6 +195,9 @@
 			return brain.Moot, nil
 		}
 		conn, err := c.pool.get(ctx, addr)
+		if err == nil && !conn.kept {
+			c.heard(t.Worker)
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				c.log.Debug("connect", "to", addr, "err", err)
@@ -212,41 +243,61 @@
 	if j.Idempotency != "" {
 		fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: j.Idempotency})
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(c.lim.Write))
+	conn.WriteBy(t.Deadline)
 	err := conn.out.Request(j.Method, j.Target, fields, j.Body)
 	if err == nil {
 		err = conn.out.FlushBut()
 	}
 	// What breaks before the last byte is written never ran there, and what breaks after it may have: so the last
 	// byte waits until a connection that the other side has forgotten, or resets, has had time to show it.
+	if slow := (*pace.Slow)(nil); errors.As(err, &slow) {
+		c.slow(pace.BoxReads, t, conn, slow)
+		return brain.ConnectFailed, nil
+	}
 	if err != nil || !conn.stands(c.lim) {
 		c.saw(ctx, conn, true)
 		return brain.ConnectFailed, nil
 	}
+	// A machine acknowledges what it has, but may take its time over that (40 ms, where nothing else is to be sent): it is
+	// waited for only where a box has not been heard of for a while, and may be cut off.
+	if left, ok := 0, true; c.unheard(t.Worker) {
+		if left, ok = conn.reaches(ctx, c.lim); !ok {
+			c.slow(pace.BoxUnacked, t, conn, &pace.Slow{Direction: "out", Left: left})
+			return brain.ConnectFailed, nil
+		}
+	}
+	// All that may take a while lies behind: the drain's time and the attempt's are looked at once more.
+	if _, ok := c.address(t.Worker); !ok {
+		return brain.Moot, nil
+	}
 	t.mu.Lock()
 	given := t.over
 	t.written = !given
+	t.wrote = time.Now()
 	t.mu.Unlock()
 	if given {
 		return brain.Cancelled, nil
 	}
+	c.owed.sent(t) // before the byte that a callback can follow
 	if err = conn.out.Flush(); err != nil {
 		return brain.ConnectFailed, nil
 	}
-	_ = conn.SetDeadline(t.Deadline.Add(c.lim.Write))
 	wrote := time.Now()
-	m, err := conn.read()
+	m, err := c.answer(t, conn)
 	// A connection that was forgotten breaks as soon as the request gets there; one that breaks later was in use.
 	c.saw(ctx, conn, err != nil && !conn.parse.Begun() && time.Since(wrote) < conn.settle(c.lim))
-	if err != nil {
+	te := net.Error(nil)
+	switch {
+	case errors.As(err, &te) && te.Timeout() && conn.parse.Status() == 202:
+		return 0, nil // it has taken the job, however slowly it says the rest
+	case err != nil && conn.parse.Status() == 500:
+		return brain.Errored, nil
+	case err != nil:
 		return brain.Reset, nil // its last byte was written: it may have run
 	}
 	keep = !m.Close
 	switch {
 	case m.Status == 202:
-		t.mu.Lock()
-		t.taken = true
-		t.mu.Unlock()
 		return 0, nil
 	case (m.Status == 503 || m.Status == 504) && m.Get("X-Never-Ran") == "1":
 		return brain.Full, c.header(m)
@@ -328,7 +379,8 @@
 		return nil, err
 	}
 	deadline, _ := ctx.Deadline()
-	_ = conn.SetDeadline(deadline)
+	conn.ReadBy(deadline)
+	conn.WriteBy(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = conn.out.Request(method, target, []http1.Field{{Name: "Host", Value: "api.internal"}}, nil)
 	if err == nil {
@@ -406,7 +458,10 @@
 	t.mu.Lock()
 	written := t.written
 	t.mu.Unlock()
-	if !written {
+	if written {
+		c.heard(t.Worker)
+		c.owed.signed(t, time.Now()) // whatever it says of the job, it has it
+	} else {
 		return nil // stale: of an earlier attempt there, since nothing of this one was written
 	}
 	report := c.object(v.Get("load"))
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -16,6 +16,7 @@
 	"quincereach/brain"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
+	"quincereach/internal/pace"
 	_ "quincereach/internal/seeds"
 	"quincereach/internal/standin"
 )
@@ -50,7 +51,7 @@
 func setup(t *testing.T, lim limits.Limits) (*Client, *sink) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g, s := &errgroup.Group{}, &sink{}
-	c := New(ctx, g, lim, node.Names{Fields: []string{"pending", "x0"}}, s, standin.Quiet)
+	c := New(ctx, g, lim, node.Names{Fields: []string{"pending", "x0"}}, s, &pace.Tally{}, standin.Quiet)
 	t.Cleanup(func() { cancel(); _ = g.Wait() })
 	return c, s
 }
@@ -349,7 +350,7 @@
 // Where connections break after some idle time, those that stood as long are no longer used; those that stood for
 // less are, a break now and then among many uses says nothing, and in time the others are tried again.
 func TestTrustInKeptConnections(t *testing.T) {
-	p := newPool(standin.Lim)
+	p := newPool(standin.Lim, nil)
 	now := time.Now()
 	saw := func(stood time.Duration, broke bool, n int) {
 		for range n {
@@ -396,7 +397,7 @@
 			for _, l := range c.pool.idle {
 				idle += len(l)
 			}
-			return idle == 1 && c.pool.open == 1
+			return idle == 1 && c.pool.open.Used() == 1
 		})
 		if n() != 1 {
 			t.Fatalf("%d connections after %d attempts", n(), id+1)
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -7,16 +7,17 @@
 	"math"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
+	"quincereach/internal/sock"
 )
 
 // conn is a connection to an executor, with one ring buffer a direction.
 type conn struct {
-	net.Conn
+	*http1.Paced
 	addr  string
 	in    *http1.Ring
 	out   *http1.Writer
@@ -28,27 +29,11 @@
 }
 
 // read gives the next response.
-func (c *conn) read() (*http1.Message, error) { return c.parse.Read(c.in, c.Conn) }
+func (c *conn) read() (*http1.Message, error) { return c.parse.Read(c.in, c.Paced) }
 
 // quiet says that the other side has neither closed an idle connection nor written to it. A request written to
 // one that it has closed would count as sent, and might have run.
-func (c *conn) quiet() bool {
-	if c.in.Len() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
-}
+func (c *conn) quiet() bool { return c.in.Len() == 0 && sock.Quiet(c.Conn) }
 
 // settle is a round trip, about.
 func (c *conn) settle(lim limits.Limits) time.Duration {
@@ -58,21 +43,43 @@
 // stands waits a moment, while a request's last byte is held back, for the other side to show that it does not take
 // it: by ending the connection, or by saying something before it has the whole of it.
 func (c *conn) stands(lim limits.Limits) bool {
-	_ = c.SetReadDeadline(time.Now().Add(c.settle(lim)))
-	n, err := c.in.Fill(c.Conn)
+	c.ReadBy(time.Now().Add(c.settle(lim)))
+	n, err := c.in.Fill(c.Paced)
+	c.ReadBy(time.Time{})
 	te := net.Error(nil)
 	return n == 0 && errors.As(err, &te) && te.Timeout()
 }
 
+// reaches waits until the machine at the other end has acknowledged what was written so far, for as long as a box may
+// leave a request unread. What a machine that is cut off, or gone, has not acknowledged never reached it: while the last
+// byte is held back, that is proof that nothing ran.
+func (c *conn) reaches(ctx context.Context, lim limits.Limits) (left int, ok bool) {
+	look := c.settle(lim)
+	for end := time.Now().Add(lim.Pace.BoxOut.Grace); ; look = min(2*look, 50*time.Millisecond) {
+		if left = sock.Queued(c.Conn); left == 0 {
+			return 0, true
+		}
+		select {
+		case <-time.After(min(look, time.Until(end))):
+		case <-ctx.Done():
+			return left, false
+		}
+		if !time.Now().Before(end) {
+			return sock.Queued(c.Conn), sock.Queued(c.Conn) == 0
+		}
+	}
+}
+
 // pool keeps idle connections by address and holds all of them within the budget.
 type pool struct {
 	lim    limits.Limits
 	dialer net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn // the one used last at the end
-	open int
-	ages ages
+	mu    sync.Mutex
+	idle  map[string][]*conn   // the one used last at the end
+	open  *pace.Ledger[string] // connections by address: one box that holds all it gets must leave some to the others
+	tally *pace.Tally
+	ages  ages
 }
 
 // ages counts how many kept connections broke at the next request, by the time they had stood idle: doubling spans,
@@ -123,8 +130,9 @@
 	return p.lim.WorkerIdle
 }
 
-func newPool(lim limits.Limits) *pool {
-	return &pool{lim: lim, dialer: net.Dialer{Timeout: lim.Connect}, idle: map[string][]*conn{}}
+func newPool(lim limits.Limits, tally *pace.Tally) *pool {
+	return &pool{lim: lim, dialer: net.Dialer{Timeout: lim.Connect}, idle: map[string][]*conn{}, tally: tally,
+		open: pace.NewLedger[string](lim.WorkerConns, lim.Pace.Least, lim.Pace.Alpha)}
 }
 
 // get gives an idle connection that still stands, or a new one.
@@ -141,18 +149,19 @@
 		}
 		p.close(c)
 	}
-	if !p.reserve() {
-		return nil, fmt.Errorf("%w: %d are open", errConnect, p.lim.WorkerConns)
+	if err := p.reserve(addr); err != nil {
+		return nil, err
 	}
 	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
-		p.open--
+		p.open.Give(addr, 1)
 		p.mu.Unlock()
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
-	return &conn{Conn: nc, addr: addr, in: http1.NewRing(p.lim.Ring), out: http1.NewWriter(nc, p.lim.Ring),
+	c := http1.NewPaced(nc, p.lim.Pace.BoxIn, p.lim.Pace.BoxOut)
+	return &conn{Paced: c, addr: addr, in: http1.NewRing(p.lim.Ring), out: http1.NewWriter(c, p.lim.Ring),
 		parse: http1.NewParser(p.lim, true), trip: time.Since(began)}, nil
 }
 
@@ -169,30 +178,38 @@
 }
 
 // reserve counts a connection about to be made. At the budget it closes an idle one of another executor.
-func (p *pool) reserve() bool {
+func (p *pool) reserve(addr string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= p.lim.WorkerConns {
+	v := p.open.Take(addr, 1)
+	if v == pace.LetGo {
 		var oldest *conn
 		for _, l := range p.idle {
 			if len(l) > 0 && (oldest == nil || l[0].idle.Before(oldest.idle)) {
 				oldest = l[0]
 			}
 		}
-		if oldest == nil {
-			return false
+		if oldest != nil {
+			p.idle[oldest.addr] = p.idle[oldest.addr][1:]
+			_ = oldest.Close()
+			p.open.Give(oldest.addr, 1)
+			v = p.open.Take(addr, 1)
 		}
-		p.idle[oldest.addr] = p.idle[oldest.addr][1:]
-		_ = oldest.Close()
-		p.open--
 	}
-	p.open++
-	return true
+	switch v {
+	case pace.HoldBack:
+		p.tally.Add(pace.BoxShare)
+		return fmt.Errorf("%w: %d of %d are open to %s, its share", errConnect, p.open.Held(addr), p.lim.WorkerConns, addr)
+	case pace.LetGo:
+		return fmt.Errorf("%w: %d are open", errConnect, p.lim.WorkerConns)
+	}
+	return nil
 }
 
 // put gives back a connection that stands between requests.
 func (p *pool) put(c *conn) {
-	_ = c.SetDeadline(time.Time{})
+	c.ReadBy(time.Time{})
+	c.WriteBy(time.Time{})
 	c.idle = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -200,7 +217,7 @@
 	// Those idle for too long are at the front, the longest first.
 	for len(l) > 0 && (len(l) >= p.lim.IdleConns || c.idle.Sub(l[0].idle) >= p.lim.WorkerIdle) {
 		_ = l[0].Close()
-		p.open--
+		p.open.Give(c.addr, 1)
 		l = l[1:]
 	}
 	p.idle[c.addr] = append(l, c)
@@ -209,7 +226,7 @@
 func (p *pool) close(c *conn) {
 	_ = c.Close()
 	p.mu.Lock()
-	p.open--
+	p.open.Give(c.addr, 1)
 	p.mu.Unlock()
 }
 
@@ -219,7 +236,7 @@
 	defer p.mu.Unlock()
 	for _, c := range p.idle[addr] {
 		_ = c.Close()
-		p.open--
+		p.open.Give(addr, 1)
 	}
 	delete(p.idle, addr)
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
 	_ "quincereach/internal/seeds"
 )
 
@@ -208,7 +209,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
-	s := NewServer(lim, h, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s := NewServer(lim, h, &pace.Tally{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	g.Go(func() error { return s.Serve(ctx, ln) })
 	t.Cleanup(func() {
 		cancel()
@@ -328,7 +329,7 @@
 // A request that does not come whole in time is answered, so that slow ones do not hold descriptors for good.
 func TestServerEndsSlowRequests(t *testing.T) {
 	quick := lim
-	quick.ReadRequest = 30 * time.Millisecond
+	quick.Pace.Request = 30 * time.Millisecond
 	_, addr := serve(t, quick, func(context.Context, *Message) Response { return Response{Status: 200} })
 	c := dial(t, addr)
 	_, _ = io.WriteString(c, "GET / HT")
@@ -395,7 +396,7 @@
 // one that asked something and stays is closed sooner than that of a client.
 func TestStrangersAreNotWaitedFor(t *testing.T) {
 	quick := lim
-	quick.ReadRequest, quick.StrangerIdle, quick.ClientIdle = 100*time.Millisecond, 100*time.Millisecond, time.Hour
+	quick.Pace.Request, quick.StrangerIdle, quick.ClientIdle = 100*time.Millisecond, 100*time.Millisecond, time.Hour
 	_, addr := serve(t, quick, func(context.Context, *Message) Response { return Response{Status: 200} })
 	for name, text := range map[string]string{"says nothing": "", "drips": "GET / HTTP/1.1\r\nA: ", "stays": "GET / HTTP/1.1\r\n\r\n"} {
 		c := dial(t, addr)
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -88,6 +88,14 @@
 	return (p.st == fixedBody || p.st == chunkSize) && len(p.m.Body) == 0 && p.m.has("Expect", "100-continue")
 }
 
+// Status is that of a response whose first line has come, else 0.
+func (p *Parser) Status() int {
+	if !p.response || p.st == startLine {
+		return 0
+	}
+	return p.m.Status
+}
+
 // Head gives the message whose headers have come, or nil.
 func (p *Parser) Head() *Message {
 	if p.st <= headerLine {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -14,6 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
+	"quincereach/internal/sock"
 )
 
 // Handler answers one request. Its context ends when the client has gone away: no answer is read then.
@@ -33,16 +35,26 @@
 	draining atomic.Bool
 	busy     atomic.Int64 // requests being handled
 	bodies   atomic.Int64 // bytes of bodies that are held
+	tally    *pace.Tally
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	standing int       // of them, those that are not closed yet
+	standing int // of them, those that are not closed yet
+	unread   int // of them, those whose last answer its client's machine has not acknowledged
+	shares   *pace.Ledger[string]
 	last     time.Time // when a connection was last taken or a request last handled
 }
 
 // NewServer makes a server.
-func NewServer(lim limits.Limits, h Handler, log *slog.Logger) *Server {
-	return &Server{lim: lim, h: h, log: log, conns: map[*conn]struct{}{}}
+func NewServer(lim limits.Limits, h Handler, tally *pace.Tally, log *slog.Logger) *Server {
+	return &Server{lim: lim, h: h, tally: tally, log: log, conns: map[*conn]struct{}{},
+		shares: pace.NewLedger[string](lim.ClientConns, lim.Pace.Least, lim.Pace.Alpha)}
+}
+
+// slow counts a peer that was found slow, and logs it.
+func (s *Server) slow(k pace.Kind, c *conn, err *pace.Slow) {
+	s.tally.Add(k)
+	s.log.Info("slow peer", "kind", k.String(), "peer", c.RemoteAddr().String(), "why", err)
 }
 
 // Drain asks clients to go elsewhere: from now on each answer ends its connection. New connections are still
@@ -64,7 +76,52 @@
 func (s *Server) shut(c *conn) {
 	c.phase = closed
 	s.standing--
-	_ = c.Conn.Close()
+	s.read(c)
+	_ = c.Paced.Close()
+}
+
+// read marks that a connection's last answer is no longer followed.
+func (s *Server) read(c *conn) {
+	if c.unread {
+		c.unread = false
+		s.unread--
+	}
+}
+
+// follow looks after answers that are finished here and not read there. They hold no job, no request's place and no
+// buffer of the node's, but the kernel holds their bytes: a client that reads below the least rate is let go. Its
+// connection is closed, and what the kernel holds still goes out for a while, should the client come to read it.
+func (s *Server) follow(ctx context.Context) {
+	tick := time.NewTicker(s.lim.Pace.Look)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		full := s.lim.Pace.Full(s.standing, s.lim.ClientConns)
+		var slowest []*conn
+		for c := range s.conns {
+			if !c.unread {
+				continue
+			}
+			c.Press(full)
+			switch left, slow := c.Left(); {
+			case left == 0:
+				s.read(c)
+			case slow != nil && (c.phase == idle || c.phase == reading):
+				c.why = slow
+				slowest = append(slowest, c)
+				s.shut(c)
+			}
+		}
+		s.mu.Unlock()
+		for _, c := range slowest {
+			s.slow(pace.ClientReads, c, c.why)
+		}
+	}
 }
 
 // enter moves a connection to a phase, unless it was closed meanwhile. A connection is closed between requests, or
@@ -76,6 +133,9 @@
 	if c.phase == closed {
 		return false
 	}
+	if p == busy {
+		s.read(c) // who asks for the next has read the last, or gives up on it
+	}
 	if c.phase != p && c.served {
 		c.since = time.Now() // on a new one, since it was taken: a head that never ends grows no younger
 	}
@@ -84,21 +144,22 @@
 	return true
 }
 
-// admit counts a new connection in and says whether it is within the budget. Over it another makes place, if one can.
+// admit counts a new connection in and says whether it is within the budget, and within its peer's share where shares
+// are kept. Over the budget another makes place, if one can.
 func (s *Server) admit(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.standing >= s.lim.ClientConns {
 		var least *conn
 		for x := range s.conns {
-			if x.phase == busy || x.phase == closed || x.known && x.phase == reading {
-				continue
-			}
-			if least == nil || least.known && !x.known || least.known == x.known && x.since.Before(least.since) {
+			if x.worth() < kept && (least == nil || x.worth() < least.worth() || x.worth() == least.worth() && x.since.Before(least.since)) {
 				least = x
 			}
 		}
 		if least != nil {
+			if least.phase == answering {
+				s.tally.Add(pace.ClientCut)
+			}
 			s.shut(least)
 		}
 	}
@@ -106,9 +167,59 @@
 	s.standing++
 	c.since = time.Now()
 	s.last = c.since
-	return s.standing <= s.lim.ClientConns
+	within := s.standing <= s.lim.ClientConns
+	if s.lim.Pace.PerPeer {
+		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+		// One past its share gets one answer, as all do past the budget, and its connections stay countable.
+		if v := s.shares.Take(host, 1); v == pace.Keep {
+			c.share = host
+		} else {
+			s.tally.Add(pace.ClientShare)
+			within = false
+		}
+	}
+	return within
+}
+
+// worth orders connections by what closing them costs: those whose client leaves an answer unread, strangers, idle ones.
+// From kept on they stay: a request comes, or is handled, or its answer is being written to a client that reads.
+func (c *conn) worth() worth {
+	switch c.phase {
+	case idle:
+		switch {
+		case c.unread:
+			return unreadIdle
+		case c.known:
+			return knownIdle
+		}
+		return stranger
+	case reading:
+		if !c.known {
+			return stranger
+		}
+	case answering:
+		if c.Stalled(time.Now()) > stalledFor {
+			return stalled
+		}
+	}
+	return kept
 }
 
+// worth is what a connection is worth to the node.
+type worth uint8
+
+const (
+	unreadIdle worth = iota
+	stranger
+	knownIdle
+	stalled
+	kept
+)
+
+// stalledFor is how long a client must have read nothing of an answer that is being written, while the kernel's buffers
+// are full, before it may make place for another.
+const stalledFor = 500 * time.Millisecond
+
 // full says whether there is no descriptor for one more connection, however short.
 func (s *Server) full() bool {
 	s.mu.Lock()
@@ -146,6 +257,7 @@
 		<-ctx.Done()
 		return ln.Close()
 	})
+	g.Go(func() error { s.follow(ctx); return nil })
 	g.Go(func() error {
 		for {
 			c, err := ln.Accept()
@@ -168,7 +280,10 @@
 				}
 				continue
 			}
-			nc := &conn{Conn: c, in: NewRing(s.lim.Ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1), phase: idle}
+			sock.Bound(c, s.lim.Pace.SendBuf, 0)
+			sock.Forget(c, s.lim.Pace.Forget)
+			nc := &conn{Paced: NewPaced(c, s.lim.Pace.ClientIn, s.lim.Pace.ClientOut), in: NewRing(s.lim.Ring),
+				want: make(chan struct{}, 1), got: make(chan struct{}, 1), phase: idle}
 			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too there
 			// is no descriptor for one more: it waits until another ends, since to close it would lose what came.
 			within := s.admit(nc)
@@ -191,7 +306,7 @@
 // conn is one client's connection. One goroutine reads, when it is asked to, and one parses, handles and
 // answers: so that a client that goes away is seen while its request is being handled.
 type conn struct {
-	net.Conn
+	*Paced
 	in    *Ring
 	want  chan struct{}
 	got   chan struct{}
@@ -203,21 +318,25 @@
 	since  time.Time // when it entered the phase; of a new one, when it was taken
 	served bool      // a request came whole
 	known  bool      // and was one of the front's own clients'
+	unread bool      // the last answer is finished and not acknowledged
+	share  string    // the peer that it counts for
+	why    *pace.Slow
 }
 
 type phase uint8
 
 const (
-	idle    phase = iota // nothing of a request has come
-	reading              // a part has
-	busy                 // one that came whole is being handled
+	idle      phase = iota // nothing of a request has come
+	reading                // a part has
+	busy                   // one that came whole is being handled
+	answering              // its answer is being written: it holds no job and no request's place
 	closed
 )
 
 func (c *conn) read(gone context.CancelFunc) {
 	for range c.want {
-		_, c.err = c.in.Fill(c.Conn)
-		if te := net.Error(nil); c.err != nil && !(errors.As(c.err, &te) && te.Timeout()) {
+		_, c.err = c.in.Fill(c.Paced)
+		if c.err != nil && !timeout(c.err) {
 			gone()
 		}
 		c.got <- struct{}{}
@@ -232,17 +351,16 @@
 }
 
 func (s *Server) serve(ctx context.Context, c *conn, once bool) {
-	nc := c.Conn
 	ctx, gone := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { c.read(gone); return nil })
-	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	p, w := NewParser(s.lim, false), NewWriter(nc, s.lim.Ring)
+	stop := context.AfterFunc(ctx, func() { _ = c.Paced.Close() })
+	p, w := NewParser(s.lim, false), NewWriter(c.Paced, s.lim.Ring)
 	p.Room = s.room
 	defer func() {
 		stop()
 		gone()
-		_ = nc.Close()
+		_ = c.Paced.Close()
 		close(c.want)
 		_ = g.Wait()
 		p.Release()
@@ -250,6 +368,10 @@
 		delete(s.conns, c)
 		if c.phase != closed {
 			s.standing--
+			s.read(c)
+		}
+		if c.share != "" {
+			s.shares.Give(c.share, 1)
 		}
 		s.mu.Unlock()
 	}()
@@ -260,7 +382,7 @@
 				s.log.Debug("bad request", "err", err)
 				r := Text(bad.Status, "%s", bad.Text)
 				r.Close = true
-				s.write(nc, w, &r)
+				s.write(c, w, &r)
 			}
 			return
 		}
@@ -269,7 +391,8 @@
 		}
 		s.busy.Add(1)
 		s.touch()
-		_ = nc.SetReadDeadline(time.Time{})
+		c.Rest()
+		c.ReadBy(time.Time{})
 		// While a read is under way the ring is the reader's. A request that came along with this one must be
 		// parsed without waiting for more bytes, so with one in the ring no read is begun.
 		if c.in.Len() == 0 {
@@ -281,13 +404,17 @@
 			return
 		}
 		r.Close = r.Close || m.Close || once || s.draining.Load()
-		ok := s.write(nc, w, &r)
 		p.Release()
 		s.busy.Add(-1)
+		ok := s.enter(c, answering) && s.write(c, w, &r)
 		s.touch()
-		if r.Known {
+		if left, _ := c.Left(); ok && left > 0 || r.Known {
 			s.mu.Lock()
-			c.known = true
+			c.known = c.known || r.Known
+			if left > 0 && c.phase != closed && !c.unread {
+				c.unread = true
+				s.unread++
+			}
 			s.mu.Unlock()
 		}
 		if !ok || r.Close {
@@ -306,9 +433,14 @@
 	return true
 }
 
-func (s *Server) write(c net.Conn, w *Writer, r *Response) bool {
-	_ = c.SetWriteDeadline(time.Now().Add(s.lim.Write))
-	return w.Response(r) == nil
+// write sends an answer, as slowly as its client reads it but for the least rate.
+func (s *Server) write(c *conn, w *Writer, r *Response) bool {
+	err := w.Response(r)
+	if slow := (*pace.Slow)(nil); errors.As(err, &slow) {
+		s.tally.Add(pace.ClientReads)
+		s.slow(pace.ClientCut, c, slow)
+	}
+	return err == nil
 }
 
 // next reads the next request. Without one and without an error the client is done.
@@ -318,13 +450,14 @@
 	wait, from := s.lim.ClientIdle, time.Now()
 	switch {
 	case !c.served: // from when it was taken, not from its first byte
-		wait, from = s.lim.ReadRequest, c.since
+		wait, from = s.lim.Pace.Request, c.since
 	case !c.known:
 		wait = s.lim.StrangerIdle
 	}
 	first := !c.served
 	s.mu.Unlock()
-	_ = c.SetReadDeadline(from.Add(wait))
+	c.Rest()
+	c.ReadBy(from.Add(wait))
 	for {
 		if !c.asked {
 			m, err := p.Feed(c.in)
@@ -341,8 +474,9 @@
 		if p.Begun() && !begun {
 			begun = true
 			if !first {
-				_ = c.SetReadDeadline(time.Now().Add(s.lim.ReadRequest))
+				c.ReadBy(time.Now().Add(s.lim.Pace.Request))
 			}
+			c.Await()
 		}
 		if ctx.Err() != nil && !c.asked {
 			return nil, nil
@@ -362,7 +496,10 @@
 			if m != nil || err != nil || errors.Is(c.err, net.ErrClosed) {
 				return m, err
 			}
-			if te := net.Error(nil); p.Begun() && errors.As(c.err, &te) && te.Timeout() {
+			if p.Begun() && timeout(c.err) {
+				if slow := (*pace.Slow)(nil); errors.As(c.err, &slow) {
+					s.slow(pace.ClientSends, c, slow)
+				}
 				return nil, bad(408, "the request did not come whole in time")
 			}
 			return nil, nil
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -2,7 +2,11 @@
 // and handed down. What the settings decide (deadlines, connIdle, the step) stays in the settings.
 package limits
 
-import "time"
+import (
+	"time"
+
+	"quincereach/internal/pace"
+)
 
 // Limits bounds a node. Get one from New; a zero value bounds everything to nothing.
 type Limits struct {
@@ -50,8 +54,7 @@
 	// Times.
 	ClientIdle   time.Duration // a client's connection between requests,
 	StrangerIdle time.Duration // and one that carried nothing that the front took for its clients'
-	ReadRequest  time.Duration // from a request's first byte to its last, on a new connection from its start
-	Write        time.Duration // of one message to a peer that does not read
+	Write        time.Duration // of one short message to another member, and past an attempt's end
 	Connect      time.Duration // to an executor; the settings' connectTimeout
 	SettleLeast  time.Duration // the last byte of a request to an executor waits for a round trip,
 	SettleMost   time.Duration // within these, to see whether the connection still stands
@@ -70,6 +73,9 @@
 	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
 	Quiet        time.Duration // at the end, nothing may come for so long before the node exits
 
+	// Slow peers.
+	Pace pace.Policy
+
 	// The process.
 	Cores       int
 	MemoryBytes int64 // the collector keeps under it
@@ -125,12 +131,13 @@
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
-		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, ReadRequest: 2500 * time.Millisecond, Write: 5 * time.Second,
+		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, WatchStood: time.Second, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
+		Pace:  pace.Default(),
 		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -12,11 +12,15 @@
 
 	"quincereach/brain"
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
 )
 
 // ErrFull is the answer to a job for which the core's queue has no place.
 var ErrFull = errors.New("node: the queue of events is full")
 
+// ErrShare is the answer to a job whose customer has as many open as the operators' file allows.
+var ErrShare = errors.New("node: the customer has as many open as it may")
+
 // Core owns the decision module. Everything in it but the channels belongs to the goroutine of Run.
 type Core struct {
 	lim   limits.Limits
@@ -28,11 +32,12 @@
 	lists Lists
 	peers Peers
 
-	in     chan any
-	lastID atomic.Uint32
-	ready  atomic.Bool
-	open   atomic.Int64
-	done   chan struct{}
+	in      chan any
+	lastID  atomic.Uint32
+	ready   atomic.Bool
+	open    atomic.Int64
+	tenants []atomic.Int64 // open jobs by tenant, where the file bounds them
+	done    chan struct{}
 
 	now      func() time.Time
 	start    time.Time
@@ -47,6 +52,7 @@
 	stepAt   time.Time // no step before
 	workers  map[uint32]Entry
 	counts   Counts
+	slow     pace.Tally
 	leaving  bool // nothing more is taken
 }
 
@@ -82,6 +88,7 @@
 	c := &Core{now: time.Now, lim: lim, s: s, names: names, d: d, log: log, in: make(chan any, lim.Events), done: make(chan struct{}),
 		start: now, startMS: float64(now.UnixMicro()) / 1000, jobs: map[uint32]*job{}, traces: map[string]*job{},
 		attempts: map[uint64]*attempt{}, workers: map[uint32]Entry{}}
+	c.tenants = make([]atomic.Int64, len(names.Tenants))
 	known.Form = brain.ListCached
 	c.in <- known
 	return c, nil
@@ -90,6 +97,9 @@
 // Connect sets what carries out the core's actions. It must be called before Run.
 func (c *Core) Connect(e Executors, l Lists, p Peers) { c.exec, c.lists, c.peers = e, l, p }
 
+// Slow counts the slow peers that the core's carriers and fronts find; the counts show them.
+func (c *Core) Slow() *pace.Tally { return &c.slow }
+
 // clock is Unix time in milliseconds that never runs backwards: lists tell starts in it.
 func (c *Core) clock(t time.Time) float64 {
 	return c.startMS + float64(t.Sub(c.start).Microseconds())/1000
@@ -115,19 +125,41 @@
 func (c *Core) Submit(in Job, client Client) (uint32, error) {
 	now := c.now()
 	j := &job{id: c.lastID.Add(1), in: in, client: client, taken: now, deadline: now.Add(in.Left)}
-	if int(c.open.Add(1)) > c.lim.MaxOpen {
-		c.open.Add(-1)
-		return 0, ErrFull
+	if err := c.reserve(j); err != nil {
+		return 0, err
 	}
 	select {
 	case c.in <- submitted{j, now}:
 		return j.id, nil
 	default:
-		c.open.Add(-1)
+		c.free(j)
 		return 0, ErrFull
 	}
 }
 
+// reserve counts an open job, unless there are too many: of all, or of its customer where the file bounds those. Which
+// job is admitted is the module's to say; this keeps what waits to be told to it from growing without bound.
+func (c *Core) reserve(j *job) error {
+	if int(c.open.Add(1)) > c.lim.MaxOpen {
+		c.open.Add(-1)
+		return ErrFull
+	}
+	if most := c.lim.Pace.Requests; most > 0 && j.in.Tenant < len(c.tenants) && int(c.tenants[j.in.Tenant].Add(1)) > most {
+		c.free(j)
+		c.slow.Add(pace.ClientShare)
+		return ErrShare
+	}
+	return nil
+}
+
+// free gives back what reserve counted.
+func (c *Core) free(j *job) {
+	c.open.Add(-1)
+	if c.lim.Pace.Requests > 0 && j.in.Tenant < len(c.tenants) {
+		c.tenants[j.in.Tenant].Add(-1)
+	}
+}
+
 // post hands an event in that must not be lost. Only the core's end makes it give up.
 func (c *Core) post(ev any) {
 	select {
@@ -282,6 +314,7 @@
 		}
 	case countsTo:
 		n := c.counts
+		n.Slow = c.slow.JSON()
 		n.Open = c.Open()
 		for _, j := range c.jobs {
 			if !j.answered && j.live > 0 {
@@ -328,7 +361,7 @@
 // settle marks that nothing more is owed for a job.
 func (c *Core) settle(j *job) {
 	j.answered = true
-	c.open.Add(-1)
+	c.free(j)
 }
 
 // answer gives a job's final answer, once.
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -190,11 +190,16 @@
 type Counts struct {
 	Taken, Served, Refused, Failed, Terminated, Gone int
 	Sends, Open, Queued, Running                     int
+	Slow                                             []byte // slow peers by kind, as JSON; see pace.Tally
 }
 
 // JSON gives the counts as both fronts show them.
 func (n Counts) JSON() []byte {
-	return fmt.Appendf(nil, `{"taken":%d,"served":%d,"refused":%d,"failed":%d,"terminated":%d,"gone":%d,`+
-		`"sends":%d,"open":%d,"queued":%d,"running":%d}`, n.Taken, n.Served, n.Refused, n.Failed, n.Terminated, n.Gone,
+	out := fmt.Appendf(nil, `{"taken":%d,"served":%d,"refused":%d,"failed":%d,"terminated":%d,"gone":%d,`+
+		`"sends":%d,"open":%d,"queued":%d,"running":%d`, n.Taken, n.Served, n.Refused, n.Failed, n.Terminated, n.Gone,
 		n.Sends, n.Open, n.Queued, n.Running)
+	if len(n.Slow) > 0 {
+		out = append(append(out, `,"slow":`...), n.Slow...)
+	}
+	return append(out, '}')
 }
--- /dev/null
+++ b/internal/standin/slow.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Script is how one direction of a connection through a Slow is carried. A zero Script carries it as it comes.
+type Script struct {
+	Delay  time.Duration // before the first byte
+	Rate   int           // bytes a second, 0 for as fast as they come
+	Chunk  int           // bytes at a time, 1 if a Rate is set and this is not
+	Jitter float64       // part by which the time between chunks is drawn up or down
+	Stall  int           // after so many bytes nothing moves,
+	For    time.Duration // for so long; 0: for good
+	End    End           // what follows Stall bytes where For is 0
+}
+
+// End is how a direction ends after Script.Stall bytes.
+type End uint8
+
+// The ends.
+const (
+	Silence End = iota // both sides stay open, and nothing moves any more
+	Half               // the receiving side sees the end of what comes
+	Reset              // both sides see a reset
+)
+
+// Slow is a scripted loopback proxy: what a poor line, or a peer in a slow spell, does to a connection. All it draws
+// comes from its seed.
+type Slow struct {
+	Addr string
+
+	target string
+	mu     sync.Mutex
+	up     Script // from who connects
+	down   Script // and to them
+	rng    *rand.Rand
+	taken  int
+}
+
+// NewSlow starts a proxy in front of target.
+func NewSlow(ctx context.Context, g *errgroup.Group, target string, up, down Script, seed uint64) (*Slow, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Slow{Addr: ln.Addr().String(), target: target, up: up, down: down, rng: rand.New(rand.NewPCG(seed, 1))}
+	g.Go(func() error { <-ctx.Done(); return ln.Close() })
+	g.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return nil
+			}
+			g.Go(func() error { s.carry(ctx, c); return nil })
+		}
+	})
+	return s, nil
+}
+
+// Set changes the scripts of connections to come, and of those under way from their next chunk on.
+func (s *Slow) Set(up, down Script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up, s.down = up, down
+}
+
+// Taken is how many connections came.
+func (s *Slow) Taken() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.taken
+}
+
+func (s *Slow) script(up bool) (Script, float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if up {
+		return s.up, s.rng.Float64()
+	}
+	return s.down, s.rng.Float64()
+}
+
+func (s *Slow) carry(ctx context.Context, c net.Conn) {
+	s.mu.Lock()
+	s.taken++
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	t, err := net.DialTimeout("tcp", s.target, 2*time.Second)
+	if err != nil {
+		return
+	}
+	stopT := context.AfterFunc(ctx, func() { _ = t.Close() })
+	defer stopT()
+	// Small buffers, so that what one side does not read is soon felt by the other.
+	for _, x := range []net.Conn{c, t} {
+		_ = x.(*net.TCPConn).SetReadBuffer(4 << 10)
+	}
+	var g errgroup.Group
+	g.Go(func() error { s.pass(ctx, cancel, c, t, true); return nil })
+	g.Go(func() error { s.pass(ctx, cancel, t, c, false); return nil })
+	_ = g.Wait()
+}
+
+// pass carries one direction to its end.
+func (s *Slow) pass(ctx context.Context, cancel context.CancelFunc, from, to net.Conn, up bool) {
+	buf := make([]byte, 4<<10)
+	moved := 0
+	for {
+		sc, drawn := s.script(up)
+		if moved == 0 && !pause(ctx, sc.Delay) {
+			return
+		}
+		n := len(buf)
+		if sc.Rate > 0 {
+			n = min(max(sc.Chunk, 1), n)
+			gap := float64(n) / float64(sc.Rate) * (1 + sc.Jitter*(2*drawn-1))
+			if !pause(ctx, time.Duration(gap*float64(time.Second))) {
+				return
+			}
+		}
+		if sc.Stall > 0 {
+			if moved >= sc.Stall {
+				if !s.end(ctx, cancel, sc, from, to) {
+					return
+				}
+				sc.Stall = 0
+			} else {
+				n = min(n, sc.Stall-moved)
+			}
+		}
+		n, err := from.Read(buf[:n])
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				cancel()
+				return
+			}
+			moved += n
+		}
+		if err != nil {
+			if t, ok := to.(*net.TCPConn); ok {
+				_ = t.CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+// end does what a script says once its bytes have passed, and says whether the direction goes on.
+func (s *Slow) end(ctx context.Context, cancel context.CancelFunc, sc Script, from, to net.Conn) bool {
+	switch {
+	case sc.For > 0:
+		return pause(ctx, sc.For)
+	case sc.End == Half:
+		_ = to.(*net.TCPConn).CloseWrite()
+	case sc.End == Reset:
+		_ = to.(*net.TCPConn).SetLinger(0)
+		_ = from.(*net.TCPConn).SetLinger(0)
+		cancel()
+	default:
+		<-ctx.Done()
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -143,7 +143,7 @@
 		return nil, err
 	}
 	b := &Box{Name: name, Addr: ln.Addr().String(), node: node, run: run, repeat: 1, g: g, ctx: ctx}
-	s := http1.NewServer(Lim, b, Quiet)
+	s := http1.NewServer(Lim, b, nil, Quiet)
 	g.Go(func() error { return s.Serve(ctx, ln) })
 	return b, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,6 +30,7 @@
 
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
 )
 
 // Config names a member's place.
@@ -57,7 +58,7 @@
 var ErrNoLeader = errors.New("store: no leader is known")
 
 // Open starts a member. What it held before it reads from its folder.
-func Open(cfg Config, lim limits.Limits, log *slog.Logger) (*Store, error) {
+func Open(cfg Config, lim limits.Limits, slow *pace.Tally, log *slog.Logger) (*Store, error) {
 	if cfg.Members[cfg.Name] != cfg.Listen {
 		return nil, fmt.Errorf("store: member %q is not at %s", cfg.Name, cfg.Listen)
 	}
@@ -79,7 +80,7 @@
 	}
 	sub := lim
 	sub.ClientConns, sub.SpareConns = lim.StoreConns, lim.StoreConns/2
-	s.server = http1.NewServer(sub, s, log)
+	s.server = http1.NewServer(sub, s, slow, log)
 	return s, nil
 }
 
@@ -191,10 +192,11 @@
 		return answer(&http1.Message{Status: r.Status, Body: r.Body})
 	}
 	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", string(addr))
+	dialed, err := d.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
 		return nil, err
 	}
+	c := http1.NewPaced(dialed, s.lim.Pace.BoxIn, s.lim.Pace.BoxOut)
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	lim := standin.Lim
 	lim.StoreCall = 20 * time.Second
-	s, err := Open(m.cfg, lim, standin.Quiet)
+	s, err := Open(m.cfg, lim, nil, standin.Quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
