--- /dev/null
+++ b/cmd/slowpeers/main.go
@@ -0,0 +1,261 @@
+// Command slowpeers measures what slow peers cost the others: it starts a built node with stand-ins for boxes and the
+// list, plays clients against it, and adds slow peers of each kind. It is a tool of the project's developers; the
+// operators' page (docs/slow-peers.md) shows its tables.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/pflag"
+	"github.com/tidwall/gjson"
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/internal/standin"
+)
+
+type options struct {
+	program, log            string
+	boxes, clients          int
+	memory, sockets, result int
+	run, span               time.Duration
+	rounds                  int
+	peers                   []int
+	kinds                   []string
+}
+
+func main() {
+	var o options
+	f := pflag.CommandLine
+	f.StringVar(&o.program, "program", "bin/gatetack", "the node's program")
+	f.StringVar(&o.log, "log", "", "keep the node's log here")
+	f.IntVar(&o.boxes, "boxes", 6, "stand-ins for render boxes; each tells of 4 free slots")
+	f.IntVar(&o.clients, "clients", 10, "clients that hand in one job after another")
+	f.IntVar(&o.memory, "memory-mb", 32, "memory the node is told to keep to")
+	f.IntVar(&o.sockets, "sockets", 256, "descriptors it may have")
+	f.IntVar(&o.result, "result", 60000, "bytes of a result")
+	f.DurationVar(&o.run, "run", 200*time.Millisecond, "running time of a job")
+	f.DurationVar(&o.span, "span", 8*time.Second, "length of a play")
+	f.IntVar(&o.rounds, "rounds", 2, "plays of each case")
+	f.IntSliceVar(&o.peers, "peers", []int{20, 100, 300}, "numbers of slow peers")
+	f.StringSliceVar(&o.kinds, "kinds", nil, "cases: none, a kind of slow client, mixed, box-202, box-mute, box-unread; all if empty")
+	pflag.Parse()
+	if err := measure(&o); err != nil {
+		fmt.Fprintln(os.Stderr, "slowpeers:", err)
+		os.Exit(1)
+	}
+}
+
+func measure(o *options) error {
+	kinds := o.kinds
+	if len(kinds) == 0 {
+		kinds = []string{"none", "box-202", "box-mute", "box-unread"}
+		for _, k := range standin.Kinds {
+			kinds = append(kinds, string(k))
+		}
+		kinds = append(kinds, string(standin.Quick), "mixed")
+	}
+	fmt.Println("| case | peers | in time | served | refused | failed | p50 ms | p99 ms | memory MB | descriptors | answered | let go | still there | slow |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, kind := range kinds {
+		peers := o.peers
+		if kind == "none" || strings.HasPrefix(kind, "box-") {
+			peers = []int{0}
+		}
+		for _, n := range peers {
+			for range o.rounds {
+				if err := play(o, kind, n); err != nil {
+					return fmt.Errorf("%s with %d: %w", kind, n, err)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// play starts a node and what it needs, and prints one line.
+func play(o *options, kind string, peers int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := &errgroup.Group{}
+	defer func() { cancel(); _ = g.Wait() }()
+	ports, err := standin.Ports(1)
+	if err != nil {
+		return err
+	}
+	list, err := standin.NewList(ctx, g)
+	if err != nil {
+		return err
+	}
+	for i := range o.boxes {
+		b, err := standin.NewBox(ctx, g, fmt.Sprintf("s-%08x", i+1), ports[0], o.run)
+		if err != nil {
+			return err
+		}
+		b.Set(func(h *standin.Behaviour) { h.Slots, h.Free, h.Result = 4, 4, o.result })
+		if i == 0 && strings.HasPrefix(kind, "box-") {
+			var up, down standin.Script
+			switch kind {
+			case "box-202": // takes jobs, and says so at one byte a second; what it ran it never tells
+				down.Rate = 1
+				b.Set(func(h *standin.Behaviour) { h.Mute = true })
+			case "box-mute":
+				down.Stall = 1
+				b.Set(func(h *standin.Behaviour) { h.Mute = true })
+			case "box-unread":
+				up.Stall = 1
+			default:
+				return fmt.Errorf("no case is named %q", kind)
+			}
+			slow, err := standin.NewSlow(ctx, g, b.Addr, up, down, 1)
+			if err != nil {
+				return err
+			}
+			b.Addr = slow.Addr
+		}
+		list.Put(b, "ready")
+	}
+	node, err := start(o, ports[0], list.Addr)
+	if err != nil {
+		return err
+	}
+	defer node.stop()
+	before, _ := counts(ports[0])
+	_ = before
+	pctx, over := context.WithTimeout(ctx, o.span)
+	defer over()
+	var mu sync.Mutex
+	var ended []standin.Ended
+	var slow errgroup.Group
+	for i := range peers {
+		k := standin.Kind(kind)
+		if kind == "mixed" {
+			k = standin.Kinds[i%len(standin.Kinds)]
+		}
+		slow.Go(func() error {
+			e := standin.SlowPeer(pctx, ports[0], k, i, 25*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, e)
+			return nil
+		})
+	}
+	load := standin.Load{Addr: ports[0], Clients: o.clients, Class: "area-render", Deadline: 25 * time.Second, Aim: 1900 * time.Millisecond,
+		Prefix: "10adc1e0"}
+	var done *standin.Done
+	var play errgroup.Group
+	play.Go(func() error { done = load.Run(pctx); return nil })
+	most, fds := 0, 0
+	for pctx.Err() == nil {
+		rss, n := node.usage()
+		most, fds = max(most, rss), max(fds, n)
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, tally := counts(ports[0])
+	node.stop() // ends what still waits
+	_ = play.Wait()
+	_ = slow.Wait()
+	answered, gone, there := 0, 0, 0
+	for _, e := range ended {
+		switch {
+		case e.Status > 0:
+			answered++
+		case e.Closed:
+			gone++
+		default:
+			there++
+		}
+	}
+	ms := func(q float64) float64 { return float64(done.Latency.ValueAtQuantile(q)) / 1000 }
+	fmt.Printf("| %s | %d | %d | %d | %d | %d | %.0f | %.0f | %.1f | %d | %d | %d | %d | %s |\n", kind, peers, done.InTime, done.Served,
+		done.Refused, done.Failed, ms(50), ms(99), float64(most)/1024, fds, answered, gone, there, tally)
+	return nil
+}
+
+// process is a node under measurement.
+type process struct {
+	cmd  *exec.Cmd
+	dir  string
+	once sync.Once
+}
+
+func start(o *options, listen, list string) (*process, error) {
+	dir, err := os.MkdirTemp("", "slowpeers")
+	if err != nil {
+		return nil, err
+	}
+	config := filepath.Join(dir, "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, listen, list, o.memory, o.sockets, standin.Settings)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(o.program, "serve", "--log-level", "info"), dir: dir}
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config)
+	if o.log != "" {
+		log, err := os.OpenFile(o.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = log.Close() }()
+		p.cmd.Stderr = log
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	for range 500 {
+		if m, err := standin.Call(listen, "GET", "/healthz", nil); err == nil && m.Status == 200 {
+			return p, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.stop()
+	return nil, errors.New("the node does not become ready")
+}
+
+func (p *process) stop() {
+	p.once.Do(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		_ = p.cmd.Wait()
+		_ = os.RemoveAll(p.dir)
+	})
+}
+
+// usage tells the node's memory in KB and how many descriptors it has.
+func (p *process) usage() (kb, fds int) {
+	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
+	status, _ := os.ReadFile(dir + "/status")
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ = strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
+		}
+	}
+	entries, _ := os.ReadDir(dir + "/fd")
+	return kb, len(entries)
+}
+
+// counts asks the node for its counts, and for those of slow peers that are not zero.
+func counts(addr string) (gjson.Result, string) {
+	m, err := standin.Call(addr, "GET", "/counts", nil)
+	if err != nil {
+		return gjson.Result{}, err.Error()
+	}
+	all := gjson.ParseBytes(m.Body)
+	var out []string
+	all.Get("slow").ForEach(func(k, v gjson.Result) bool {
+		if v.Int() > 0 {
+			out = append(out, k.String()+" "+v.String())
+		}
+		return true
+	})
+	return all, strings.Join(out, ", ")
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -258,13 +258,12 @@
 		c.saw(ctx, conn, true)
 		return brain.ConnectFailed, nil
 	}
-	// A machine acknowledges what it has, but may take its time over that (40 ms, where nothing else is to be sent): it is
-	// waited for only where a box has not been heard of for a while, and may be cut off.
-	if left, ok := 0, true; c.unheard(t.Worker) {
-		if left, ok = conn.reaches(ctx, c.lim); !ok {
+	// At a box that has not been heard of for a while, which may be cut off, acknowledgements are waited for.
+	if left, ok := conn.reaches(ctx, c.lim, c.unheard(t.Worker)); !ok {
+		if ctx.Err() == nil {
 			c.slow(pace.BoxUnacked, t, conn, &pace.Slow{Direction: "out", Left: left})
-			return brain.ConnectFailed, nil
 		}
+		return brain.ConnectFailed, nil
 	}
 	// All that may take a while lies behind: the drain's time and the attempt's are looked at once more.
 	if _, ok := c.address(t.Worker); !ok {
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -50,22 +50,24 @@
 	return n == 0 && errors.As(err, &te) && te.Timeout()
 }
 
-// reaches waits until the machine at the other end has acknowledged what was written so far, for as long as a box may
-// leave a request unread. What a machine that is cut off, or gone, has not acknowledged never reached it: while the last
-// byte is held back, that is proof that nothing ran.
-func (c *conn) reaches(ctx context.Context, lim limits.Limits) (left int, ok bool) {
-	look := c.settle(lim)
-	for end := time.Now().Add(lim.Pace.BoxOut.Grace); ; look = min(2*look, 50*time.Millisecond) {
-		if left = sock.Queued(c.Conn); left == 0 {
+// reaches waits until the machine at the other end takes what was written so far, for as long as a box may leave a
+// request unread: while the last byte is held back, what it does not take is proof that nothing ran. Bytes that were not
+// even sent wait for its window; those that were sent count, where all is true, until it has acknowledged them, which it
+// may delay by 40 ms where nothing else is to be sent.
+func (c *conn) reaches(ctx context.Context, lim limits.Limits, all bool) (left int, ok bool) {
+	end := time.Now().Add(lim.Pace.BoxOut.Grace)
+	for look := c.settle(lim); ; look = min(2*look, 50*time.Millisecond) {
+		info, known := sock.Of(c.Conn)
+		if !known || info.Queued == 0 || info.Unsent == 0 && !all {
 			return 0, true
 		}
+		if !time.Now().Before(end) {
+			return info.Queued, false
+		}
 		select {
 		case <-time.After(min(look, time.Until(end))):
 		case <-ctx.Done():
-			return left, false
-		}
-		if !time.Now().Before(end) {
-			return sock.Queued(c.Conn), sock.Queued(c.Conn) == 0
+			return info.Queued, false
 		}
 	}
 }
--- /dev/null
+++ b/internal/executor/slow_test.go
@@ -0,0 +1,250 @@
+package executor
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/brain"
+	"quincereach/internal/limits"
+	"quincereach/internal/node"
+	"quincereach/internal/pace"
+	"quincereach/internal/standin"
+)
+
+// hasty are limits under which a box is late after 50 ms.
+func hasty() limits.Limits {
+	lim := limits.New(0, 0, 0, 0, 0)
+	lim.Pace.Acks = pace.AckRule{Least: 50 * time.Millisecond, Most: 200 * time.Millisecond, Times: 3, Memory: time.Minute, Crowd: 0.5}
+	return lim
+}
+
+// late counts how often the sink was told that a box owes a sign of an attempt.
+func (s *sink) late(id uint64) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.all {
+		if r.Attempt == id && r.Outcome == 0 && r.Topic == brain.NoteLate {
+			n++
+		}
+	}
+	return n
+}
+
+const done = `{"id":"00000000000000aa","from":"s-7","state":"done","result":"tile"}`
+
+// A box that says nothing, or lets its 202 drip, is told of as late, once. The attempt is not let go for it: the result
+// that comes by callback is its one outcome.
+func TestLateBox(t *testing.T) {
+	for name, script := range map[string]func(net.Conn){
+		"says nothing": func(c net.Conn) {
+			r := bufio.NewReader(c)
+			_, _ = request(r)
+			_, _ = r.ReadByte() // until the other side closes
+		},
+		"drips": func(c net.Conn) {
+			_, _ = request(bufio.NewReader(c))
+			for i := range 12 { // "HTTP/1.1 202", and no end of the line
+				_, _ = io.WriteString(c, accepted[i:i+1])
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, _ = c.Read(make([]byte, 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, s := setup(t, hasty())
+			box(t, c, script)
+			c.Send(attempt(1))
+			standin.Until(t, "the word of it", func() bool { return s.late(1) > 0 })
+			time.Sleep(300 * time.Millisecond) // longer than it takes to be told again, were it told again
+			if got := s.outcomes(1); len(got) != 0 || s.late(1) != 1 {
+				t.Errorf("told %d times, outcomes %v", s.late(1), got)
+			}
+			for range 3 {
+				if err := c.Callback([]byte(done)); err != nil {
+					t.Error(err)
+				}
+			}
+			if got := s.outcomes(1); len(got) != 1 || got[0] != brain.Served || c.owed.acks.Late("s-7") != 0 {
+				t.Errorf("%v, %d still owed", got, c.owed.acks.Late("s-7"))
+			}
+		})
+	}
+}
+
+// A callback is a sign of its own: a job that was told started is not late, however late its 202.
+func TestCallbackIsASign(t *testing.T) {
+	c, s := setup(t, hasty())
+	got := make(chan bool)
+	box(t, c, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		_, _ = request(r)
+		got <- true
+		_, _ = r.ReadByte()
+	})
+	c.Send(attempt(1))
+	<-got
+	standin.Until(t, "the start is taken", func() bool {
+		_ = c.Callback([]byte(`{"id":"00000000000000aa","from":"s-7","state":"started"}`))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.all) > 0
+	})
+	time.Sleep(400 * time.Millisecond)
+	if s.late(1) != 0 || len(s.outcomes(1)) != 0 {
+		t.Errorf("late %d times, outcomes %v", s.late(1), s.outcomes(1))
+	}
+}
+
+// The first line of a 202 says that the box has the job. The rest may drip: its connection is let go below the least
+// rate and counted, and the attempt goes on to its result.
+func TestRestOfA202Drips(t *testing.T) {
+	lim := hasty()
+	lim.Pace.BoxIn = pace.Rate{Bytes: 1 << 20, Grace: 60 * time.Millisecond}
+	c, s := setup(t, lim)
+	closed := make(chan bool)
+	box(t, c, func(conn net.Conn) {
+		_, _ = request(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 202 Accepted\r\nX-")
+		for {
+			if _, err := io.WriteString(conn, "a"); err != nil {
+				close(closed)
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	c.Send(attempt(1))
+	<-closed
+	if got := s.outcomes(1); len(got) != 0 || s.late(1) != 0 || c.tally.Count(pace.BoxDrips) != 1 {
+		t.Errorf("outcomes %v, late %d, drips %d", got, s.late(1), c.tally.Count(pace.BoxDrips))
+	}
+	_ = c.Callback([]byte(done))
+	if got := s.outcomes(1); len(got) != 1 || got[0] != brain.Served {
+		t.Errorf("%v", got)
+	}
+}
+
+// A box whose machine takes no more of a request before its last byte never ran it: the attempt could not connect, well
+// before the client's time is over, whether the write itself stalls or the kernel holds what the box's does not take.
+func TestBoxThatDoesNotRead(t *testing.T) {
+	for name, size := range map[string]int{"the kernel takes all": 60 << 10, "the write stalls": 32 << 20} {
+		t.Run(name, func(t *testing.T) {
+			lim := hasty()
+			lim.Pace.BoxOut = pace.Rate{Bytes: 1 << 30, Grace: 100 * time.Millisecond}
+			c, s := setup(t, lim)
+			release := make(chan bool)
+			defer close(release)
+			ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var g errgroup.Group
+			defer func() { _ = ln.Close(); _ = g.Wait() }()
+			smallBuffer(t, ln)
+			g.Go(func() error {
+				conn, err := ln.Accept()
+				if err != nil {
+					return nil
+				}
+				<-release
+				return conn.Close()
+			})
+			c.Told(7, node.Entry{Name: "s-7", Address: ln.Addr().String(), Status: "ready"}, time.Now())
+			a := attempt(1)
+			a.Job.Body = []byte(strings.Repeat("b", size))
+			c.Send(a)
+			standin.Until(t, "an outcome", func() bool { return len(s.outcomes(1)) > 0 })
+			if got := s.outcomes(1); got[0] != brain.ConnectFailed || c.tally.Count(pace.BoxReads)+c.tally.Count(pace.BoxUnacked) != 1 {
+				t.Errorf("%v, %s", got, c.tally.JSON())
+			}
+			release <- true
+		})
+	}
+}
+
+// smallBuffer makes a listener's connections take little, which they inherit from it.
+func smallBuffer(t *testing.T, ln net.Listener) {
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { _ = setReceiveBuffer(fd, 2048) })
+}
+
+// All boxes late at once are told of as a crowd, and none of them to the module; the one that is late alone is.
+func TestCrowdOfLateBoxes(t *testing.T) {
+	c, s := setup(t, hasty())
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &errgroup.Group{}
+	defer func() { cancel(); _ = g.Wait() }()
+	for i := range uint32(4) {
+		b, err := standin.NewBox(ctx, g, "s-"+string('a'+rune(i)), "127.0.0.1:1", time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Set(func(h *standin.Behaviour) { h.Mute = true })
+		slow, err := standin.NewSlow(ctx, g, b.Addr, standin.Script{}, standin.Script{Delay: time.Hour}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Told(20+i, node.Entry{Name: b.Name, Address: slow.Addr, Status: "ready"}, time.Now())
+	}
+	var mu sync.Mutex
+	told := 0
+	for i := range uint64(4) {
+		a := attempt(i + 1)
+		a.Worker, a.Job.Trace = 20+uint32(i), "00000000000000a"+string('0'+rune(i))
+		c.Send(a)
+	}
+	standin.Until(t, "the crowd is seen", func() bool { return c.tally.Count(pace.BoxCrowd) >= 8 })
+	mu.Lock()
+	defer mu.Unlock()
+	for i := range uint64(4) {
+		told += s.late(i + 1)
+	}
+	// The first one or two come due while the others are not late yet; from then on nobody is told of.
+	if told > 2 {
+		t.Errorf("%d of 4 boxes told of as late, while all were", told)
+	}
+}
+
+// One box cannot hold all connections: past its share an attempt could not connect, and another box still gets one.
+func TestBoxShare(t *testing.T) {
+	lim := hasty()
+	lim.WorkerConns, lim.Pace.Least, lim.Pace.Alpha = 12, 2, 2
+	c, s := setup(t, lim)
+	accepted := box(t, c, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	for id := range uint64(12) {
+		a := attempt(id + 1)
+		a.Job.Trace = "00000000000000" + string('a'+rune(id)) + "0"
+		c.Send(a)
+	}
+	standin.Until(t, "some are held back", func() bool { return c.tally.Count(pace.BoxShare) > 0 })
+	standin.Until(t, "the others are out", func() bool { return accepted()+int(c.tally.Count(pace.BoxShare)) == 12 })
+	if n := accepted(); n < 6 || n > 9 {
+		t.Errorf("one box holds %d of 12 connections", n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &errgroup.Group{}
+	defer func() { cancel(); _ = g.Wait() }()
+	b, err := standin.NewBox(ctx, g, "s-8", "127.0.0.1:1", time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Told(8, node.Entry{Name: "s-8", Address: b.Addr, Status: "ready"}, time.Now())
+	a := attempt(50)
+	a.Worker = 8
+	c.Send(a)
+	standin.Until(t, "another box gets its job", func() bool { return len(b.Starts()) == 1 })
+	if got := s.outcomes(50); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/http1/paced.go
+++ b/internal/http1/paced.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// Incoming tells how what is waited for has come so far.
+func (p *Paced) Incoming() *pace.Slow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	moved, rate := p.in.Figures(time.Now())
+	return &pace.Slow{Direction: "in", Bytes: moved, Rate: rate, Asked: p.inRate.Bytes}
+}
+
 // late judges a read that timed out.
 func (p *Paced) late(err error) error {
 	p.mu.Lock()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -497,9 +497,7 @@
 				return m, err
 			}
 			if p.Begun() && timeout(c.err) {
-				if slow := (*pace.Slow)(nil); errors.As(c.err, &slow) {
-					s.slow(pace.ClientSends, c, slow)
-				}
+				s.slow(pace.ClientSends, c, c.Incoming())
 				return nil, bad(408, "the request did not come whole in time")
 			}
 			return nil, nil
--- /dev/null
+++ b/internal/release/release.go
@@ -0,0 +1,387 @@
+// Package release decides when batch jobs that wait at this node are handed to its core: those on hold, those with a
+// start time, and the members of job arrays. It does no I/O, reads no clock and starts no goroutine; the batch front
+// carries out what it says. Which box gets a job, and whether it is admitted at all, stays the decision module's.
+//
+// # Order
+//
+// Among sessions, the one with the fewest jobs out goes first, and of equals the one that was served longest ago: a
+// session that hands in ten thousand jobs takes turns with one that hands in ten. Within a session the highest priority
+// goes first, then the order of submission. An array takes part as one item, and never has more than MaxParallel
+// members out.
+//
+// # Memory
+//
+// An array is kept as its range and what is out of it, not as its members.
+package release
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Item is a job, or an array of jobs, that waits.
+type Item struct {
+	ID       string
+	Session  string
+	Priority int
+	Start    time.Time // not before it
+	Held     bool      // until it is released
+
+	// Of an array: the indices Begin, Begin+Step ... up to End, and how many may be out at a time, 0 for any number.
+	Array            bool
+	Begin, End, Step int
+	MaxParallel      int
+}
+
+// Size is how many jobs an item stands for.
+func (i *Item) Size() int {
+	if !i.Array {
+		return 1
+	}
+	if i.Step <= 0 || i.End < i.Begin {
+		return 0
+	}
+	return (i.End-i.Begin)/i.Step + 1
+}
+
+// Ref names a job that is to be handed to the core: an item's, or the member of an array with an index.
+type Ref struct {
+	ID    string
+	Index int // of an array's member
+}
+
+// Queue holds the items that wait, and counts what of them is out.
+type Queue struct {
+	items    map[string]*item
+	sessions map[string]*session
+	starts   starts // those with a time to come
+	turn     uint64
+	seq      uint64
+	out      int
+	waiting  int // jobs that wait, held ones among them
+}
+
+type session struct {
+	items  int
+	out    int
+	served uint64 // the turn in which it was last served
+	ready  ready
+}
+
+type item struct {
+	Item
+	seq   uint64
+	next  int          // of an array: the next index
+	again []int        // members that came back refused
+	skip  map[int]bool // members that were taken away before their turn
+	out   map[int]bool
+	at    time.Time // not before it: its start, or after a refusal
+	heap  int       // its place among the session's ready ones, -1 if it is not there
+	timed int       // its place among the starts, -1 likewise
+}
+
+// New makes an empty queue.
+func New() *Queue { return &Queue{items: map[string]*item{}, sessions: map[string]*session{}} }
+
+// Add takes an item in, and says whether its name was free.
+func (q *Queue) Add(x Item, now time.Time) bool { return q.Restore(x, 0, nil, now) }
+
+// Restore takes in an item of which some is done: an array's next index, and the members before it that wait again.
+func (q *Queue) Restore(x Item, next int, again []int, now time.Time) bool {
+	if q.items[x.ID] != nil || x.Size() == 0 {
+		return false
+	}
+	q.seq++
+	it := &item{Item: x, seq: q.seq, next: max(next, x.Begin), again: again, out: map[int]bool{}, at: x.Start, heap: -1, timed: -1}
+	q.items[x.ID] = it
+	q.waiting += it.left()
+	q.session(x.Session).items++
+	q.place(it, now)
+	return true
+}
+
+func (q *Queue) session(name string) *session {
+	s := q.sessions[name]
+	if s == nil {
+		s = &session{}
+		q.sessions[name] = s
+	}
+	return s
+}
+
+// left is how many of an item's jobs wait.
+func (it *item) left() int {
+	if !it.Array {
+		if it.next > it.Begin {
+			return len(it.again)
+		}
+		return 1
+	}
+	n := len(it.again)
+	if it.next <= it.End {
+		n += (it.End-it.next)/it.Step + 1 - len(it.skip)
+	}
+	return n
+}
+
+// place puts an item where it belongs: among the ready ones, those with a time to come, or neither.
+func (q *Queue) place(it *item, now time.Time) {
+	s := q.session(it.Session)
+	full := it.MaxParallel > 0 && len(it.out) >= it.MaxParallel
+	waits := it.left() > 0 && !it.Held
+	later := it.at.After(now)
+	if ready := waits && !full && !later; ready != (it.heap >= 0) {
+		if ready {
+			heap.Push(&s.ready, it)
+		} else {
+			heap.Remove(&s.ready, it.heap)
+		}
+	}
+	if timed := waits && later; timed != (it.timed >= 0) {
+		if timed {
+			heap.Push(&q.starts, it)
+		} else {
+			heap.Remove(&q.starts, it.timed)
+		}
+	} else if timed {
+		heap.Fix(&q.starts, it.timed)
+	}
+}
+
+// Next gives up to room jobs that are to be handed to the core now, and when to ask again if nothing else happens; zero
+// for never.
+func (q *Queue) Next(now time.Time, room int) (refs []Ref, wake time.Time) {
+	for len(q.starts) > 0 && !q.starts[0].at.After(now) {
+		it := q.starts[0]
+		q.place(it, now)
+	}
+	for len(refs) < room {
+		s := q.pick()
+		if s == nil {
+			break
+		}
+		it := s.ready[0]
+		refs = append(refs, Ref{it.ID, it.take()})
+		q.turn++
+		s.served = q.turn
+		s.out++
+		q.out++
+		q.waiting--
+		q.place(it, now)
+	}
+	if len(q.starts) > 0 {
+		wake = q.starts[0].at
+	}
+	return refs, wake
+}
+
+// pick is the session whose turn it is.
+func (q *Queue) pick() *session {
+	var best *session
+	for _, s := range q.sessions {
+		if len(s.ready) == 0 {
+			continue
+		}
+		// Two sessions were never served in the same turn but before their first: what then decides is whose first item
+		// came first, and not the order of a map.
+		if best == nil || s.out < best.out || s.out == best.out && (s.served < best.served ||
+			s.served == best.served && s.ready[0].seq < best.ready[0].seq) {
+			best = s
+		}
+	}
+	return best
+}
+
+// take gives the next job of an item: what came back first, then the range.
+func (it *item) take() int {
+	index := it.next
+	if n := len(it.again); n > 0 {
+		index, it.again = it.again[0], it.again[1:]
+	} else if it.Array {
+		for it.skip[index] {
+			delete(it.skip, index)
+			index += it.Step
+		}
+		it.next = index + it.Step
+	} else {
+		it.next++
+	}
+	it.out[index] = true
+	return index
+}
+
+// Hold keeps an item back, and says whether any of it still waits.
+func (q *Queue) Hold(id string, now time.Time) bool { return q.hold(id, true, now) }
+
+// Release lets a held item go.
+func (q *Queue) Release(id string, now time.Time) bool { return q.hold(id, false, now) }
+
+func (q *Queue) hold(id string, held bool, now time.Time) bool {
+	it := q.items[id]
+	if it == nil || it.left() == 0 {
+		return false
+	}
+	it.Held = held
+	q.place(it, now)
+	return true
+}
+
+// Held says whether an item waits on hold.
+func (q *Queue) Held(id string) bool {
+	it := q.items[id]
+	return it != nil && it.Held && it.left() > 0
+}
+
+// Remove takes away what of an item still waits, and tells which jobs that were: an array's from Index next on, and
+// those that came back. Jobs that are out stay out, and end as they end.
+func (q *Queue) Remove(id string, now time.Time) (refs []Ref) {
+	it := q.items[id]
+	if it == nil {
+		return nil
+	}
+	for _, i := range it.again {
+		refs = append(refs, Ref{id, i})
+	}
+	if it.Array {
+		for ; it.next <= it.End; it.next += it.Step {
+			if !it.skip[it.next] {
+				refs = append(refs, Ref{id, it.next})
+			}
+		}
+		it.skip = nil
+	} else if it.next == it.Begin {
+		refs = append(refs, Ref{id, it.next})
+		it.next++
+	}
+	it.again = nil
+	q.waiting -= len(refs)
+	q.place(it, now)
+	q.drop(it)
+	return refs
+}
+
+// RemoveOne takes one member of an array away, and says whether it waited.
+func (q *Queue) RemoveOne(r Ref, now time.Time) bool {
+	it := q.items[r.ID]
+	if it == nil || !it.Array || r.Index < it.Begin || r.Index > it.End || (r.Index-it.Begin)%it.Step != 0 {
+		return false
+	}
+	if i := slices.Index(it.again, r.Index); i >= 0 {
+		it.again = slices.Delete(it.again, i, i+1)
+	} else if r.Index >= it.next && !it.skip[r.Index] {
+		if it.skip == nil {
+			it.skip = map[int]bool{}
+		}
+		it.skip[r.Index] = true
+	} else {
+		return false
+	}
+	q.waiting--
+	q.place(it, now)
+	q.drop(it)
+	return true
+}
+
+// Ended takes in that a job that was out has ended.
+func (q *Queue) Ended(r Ref, now time.Time) { q.back(r, false, time.Time{}, now) }
+
+// Refused takes in that a job that was out was refused, and that nothing of it ran: it waits again, not before a time.
+func (q *Queue) Refused(r Ref, again, now time.Time) { q.back(r, true, again, now) }
+
+func (q *Queue) back(r Ref, wait bool, again, now time.Time) {
+	it := q.items[r.ID]
+	if it == nil || !it.out[r.Index] {
+		return
+	}
+	delete(it.out, r.Index)
+	q.sessions[it.Session].out--
+	q.out--
+	if wait {
+		it.again = append(it.again, r.Index)
+		q.waiting++
+		if again.After(it.at) {
+			it.at = again
+		}
+	}
+	q.place(it, now)
+	q.drop(it)
+}
+
+// drop forgets an item of which nothing waits or is out, and a session without items.
+func (q *Queue) drop(it *item) {
+	if it.left() > 0 || len(it.out) > 0 {
+		return
+	}
+	delete(q.items, it.ID)
+	s := q.sessions[it.Session]
+	if s.items--; s.items == 0 {
+		delete(q.sessions, it.Session)
+	}
+}
+
+// Waiting is how many jobs wait, held ones among them.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Out is how many jobs are out.
+func (q *Queue) Out() int { return q.out }
+
+// State tells of an item: its next index, the members that wait again, and whether it is known.
+func (q *Queue) State(id string) (next int, again []int, held, ok bool) {
+	it := q.items[id]
+	if it == nil {
+		return 0, nil, false, false
+	}
+	return it.next, append([]int(nil), it.again...), it.Held, true
+}
+
+// ready is a heap of a session's items, the next one first.
+type ready []*item
+
+func (r ready) Len() int { return len(r) }
+func (r ready) Less(i, k int) bool {
+	if r[i].Priority != r[k].Priority {
+		return r[i].Priority > r[k].Priority
+	}
+	return r[i].seq < r[k].seq
+}
+func (r ready) Swap(i, k int) {
+	r[i], r[k] = r[k], r[i]
+	r[i].heap, r[k].heap = i, k
+}
+func (r *ready) Push(x any) {
+	it := x.(*item)
+	it.heap = len(*r)
+	*r = append(*r, it)
+}
+func (r *ready) Pop() any {
+	old := *r
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*r = old[:len(old)-1]
+	it.heap = -1
+	return it
+}
+
+// starts is a heap of items with a time to come, the earliest first.
+type starts []*item
+
+func (s starts) Len() int           { return len(s) }
+func (s starts) Less(i, k int) bool { return s[i].at.Before(s[k].at) }
+func (s starts) Swap(i, k int) {
+	s[i], s[k] = s[k], s[i]
+	s[i].timed, s[k].timed = i, k
+}
+func (s *starts) Push(x any) {
+	it := x.(*item)
+	it.timed = len(*s)
+	*s = append(*s, it)
+}
+func (s *starts) Pop() any {
+	old := *s
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*s = old[:len(old)-1]
+	it.timed = -1
+	return it
+}
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,236 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/internal/http1"
+)
+
+// Settings are those of a small site of one node with the platform's two classes, as its configuration has them.
+const Settings = `{"me":0,"balancers":1,"zone":0,"zones":["tallinn","tartu"],"kinds":["type-a","type-b"],"step":4.0,
+"discovery":"subscribe","weights":"rough","workload":"jobs","worthBy":"request","overShareWorth":0.2,
+"telemetry":{"how":"piggyback","fields":["pending","x0"]},
+"familyInfo":{"classKind":[-1,-1],"classStretch":[2.0,2.0],"reportX0":"free slots","tellsStart":true,"progress":1000.0},
+"limits":{"cancelling":true,"connIdle":60000.0,"connectTimeout":250.0,"maxAttempts":3,"maxOpen":20000,
+ "maxRetryAfter":2000.0,"mayDuplicate":true,"multiplex":1,"peers":false,"probing":true,"retryAfter":true},
+"invariants":{"answerSlack":16.0,"askWithin":10000.0,"coldFrom":0.3,"drainGrace":500.0,"fall":2000.0,"fallMultiple":2.5,"warmWithin":8400.0},
+"requestClasses":[
+ {"name":"tile-charge","aim":400.0,"deadline":7500.0,"worth":8.0,"effect":"single_shot","window":5000.0},
+ {"name":"area-render","aim":1500.0,"deadline":25000.0,"worth":24.0,"effect":"guarded","dedupScope":"cell","window":40000.0}],
+"tenants":[{"name":"pohjakaart","portion":0.6,"quotaRps":20.0},{"name":"maavaade","portion":0.4,"quotaRps":12.0}]}`
+
+// Load is a number of clients, each of which hands in one job after another at a node and waits for its answer.
+type Load struct {
+	Addr     string
+	Clients  int
+	Class    string
+	Deadline time.Duration // a client's patience
+	Aim      time.Duration // an answer is in time up to it
+	Jobs     int           // that each client hands in; 0: until the context ends
+	Prefix   string        // 8 hexadecimal digits that tell this load's ids from others'
+}
+
+// Done is what came of a load.
+type Done struct {
+	Served, InTime, Refused, Failed, Broken int                     // Broken: no whole answer came
+	Latency                                 *hdrhistogram.Histogram // of served jobs, in microseconds
+}
+
+// All is how many jobs were handed in.
+func (d *Done) All() int { return d.Served + d.Refused + d.Failed + d.Broken }
+
+// Job gives the headers of a job.
+func Job(id string, deadline time.Duration) []http1.Field {
+	return []http1.Field{{Name: "X-Trace-Id", Value: id}, {Name: "X-Customer", Value: "pohjakaart"},
+		{Name: "X-Expires-In-Ms", Value: strconv.FormatInt(deadline.Milliseconds(), 10)},
+		{Name: "Idempotency-Key", Value: "key-" + id}}
+}
+
+// Run plays a load. A client that is refused comes back after a short while, with a new job.
+func (l *Load) Run(ctx context.Context) *Done {
+	d := &Done{Latency: hdrhistogram.New(1, 60_000_000, 3)}
+	var mu sync.Mutex
+	var g errgroup.Group
+	for i := range l.Clients {
+		g.Go(func() error {
+			var c *Conn
+			defer func() {
+				if c != nil {
+					_ = c.Close()
+				}
+			}()
+			for n := 0; ctx.Err() == nil && (l.Jobs == 0 || n < l.Jobs); n++ {
+				if c == nil {
+					var err error
+					if c, err = Dial(l.Addr); err != nil {
+						pause(ctx, 10*time.Millisecond)
+						continue
+					}
+				}
+				began := time.Now()
+				m, err := c.Do("POST", "/"+l.Class+"/cut", []byte("scene"), Job(fmt.Sprintf("%s%04x%04x", l.Prefix, i, n), l.Deadline)...)
+				took := time.Since(began)
+				mu.Lock()
+				switch {
+				case err != nil:
+					d.Broken++
+				case m.Status == 200:
+					d.Served++
+					_ = d.Latency.RecordValue(took.Microseconds())
+					if took <= l.Aim {
+						d.InTime++
+					}
+				case m.Status == 503:
+					d.Refused++
+				default:
+					d.Failed++
+				}
+				mu.Unlock()
+				if err != nil || m.Close {
+					_ = c.Close()
+					c = nil
+				}
+				if err == nil && m.Status == 503 {
+					pause(ctx, 20*time.Millisecond)
+				}
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return d
+}
+
+// Kind is a way for a peer of a node to be slow.
+type Kind string
+
+// The kinds. All but the last are clients, or take the part of a box that calls back.
+const (
+	Reads    Kind = "reads"    // hands in a job, reads one byte a second of its answer
+	Stops    Kind = "stops"    // hands in a job, reads one byte of its answer and no more, then closes
+	Head     Kind = "head"     // sends a byte a second of a request's head
+	Body     Kind = "body"     // sends the head at once, and a byte a second of the body
+	Callback Kind = "callback" // a callback that drips
+	Says     Kind = "says"     // says nothing
+	Was      Kind = "was"      // was fast with its first job, reads one byte a second of its second answer
+	Quick    Kind = "quick"    // hands in the job that Reads does, and reads its answer at once: for comparison
+)
+
+// Kinds are all that are slow.
+var Kinds = []Kind{Reads, Stops, Head, Body, Callback, Says, Was}
+
+// Ended is how a slow peer's time ended.
+type Ended struct {
+	Kind   Kind
+	Status int  // of an answer that came whole, else 0
+	Job    bool // it handed a job in whole
+	Closed bool // the node closed the connection
+	Bytes  int  // that came
+}
+
+// SlowPeer plays one slow peer until the node lets it go, it has its answer, or the context ends. N makes its ids its own.
+func SlowPeer(ctx context.Context, addr string, k Kind, n int, deadline time.Duration) Ended {
+	e := Ended{Kind: k}
+	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
+	if err != nil {
+		e.Closed = true
+		return e
+	}
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	_ = c.(*net.TCPConn).SetReadBuffer(2048) // what the kernel takes for it is little
+	drip := func(ctx context.Context, text string) {
+		for i := range len(text) {
+			if _, err := io.WriteString(c, text[i:i+1]); err != nil || !pause(ctx, time.Second) {
+				return
+			}
+		}
+	}
+	ask := func(i int) string {
+		id := fmt.Sprintf("510%05x%08x", n, i)
+		text := "POST /area-render/slow HTTP/1.1\r\nHost: test\r\nContent-Length: 5\r\n"
+		for _, f := range Job(id, deadline) {
+			text += f.Name + ": " + f.Value + "\r\n"
+		}
+		return text + "\r\n"
+	}
+	in, p := http1.NewRing(4096), http1.NewParser(Lim, true)
+	answer := func(each int, gap time.Duration) {
+		one := make([]byte, each)
+		for {
+			m, err := p.Feed(in)
+			if m != nil {
+				e.Status = m.Status
+				return
+			}
+			if err != nil {
+				return
+			}
+			k, err := c.Read(one)
+			in.Put(one[:k])
+			e.Bytes += k
+			if err != nil {
+				e.Closed = ctx.Err() == nil && !errors.Is(err, net.ErrClosed)
+				return
+			}
+			if gap > 0 && !pause(ctx, gap) {
+				return
+			}
+		}
+	}
+	switch k {
+	case Reads, Stops, Was, Quick:
+		if k == Was {
+			_, _ = io.WriteString(c, ask(0)+"scene")
+			answer(4096, 0)
+			e.Status = 0
+		}
+		if _, err := io.WriteString(c, ask(1)+"scene"); err != nil {
+			return e
+		}
+		e.Job = true
+		switch k {
+		case Quick:
+			answer(4096, 0)
+		case Stops:
+			_, _ = c.Read(make([]byte, 1))
+			e.Bytes = 1
+			pause(ctx, 3*time.Second)
+		default:
+			answer(1, time.Second)
+		}
+	case Head, Body, Callback:
+		ctx, cancel := context.WithCancel(ctx)
+		var g errgroup.Group
+		g.Go(func() error {
+			switch k {
+			case Head:
+				drip(ctx, ask(0))
+			case Body:
+				_, _ = io.WriteString(c, ask(0))
+				drip(ctx, "scene")
+			default:
+				drip(ctx, "POST /callback HTTP/1.1\r\nContent-Length: 59\r\n\r\n"+
+					`{"id":"00000000000000aa","from":"s-00000001","state":"done"}`)
+			}
+			return nil
+		})
+		answer(4096, 0)
+		cancel()
+		_ = g.Wait()
+	case Says:
+		answer(4096, 0)
+	}
+	return e
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -58,12 +58,12 @@
 	return append([]node.List(nil), s.all...)
 }
 
-// Ports gives n addresses that are free, each another: they are held until all are found. One that is asked for
-// and given back alone may come again at once.
+// Ports gives n addresses that are free, each another: they are held until all are found. They are on a loopback address
+// on which nothing else here listens, so that no stand-in that asks for any port gets one of them meanwhile.
 func Ports(n int) ([]string, error) {
 	var out []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
 			return nil, err
 		}
@@ -119,16 +119,27 @@
 	At                            time.Time
 }
 
+// Behaviour is how a box does its work.
+type Behaviour struct {
+	Run    time.Duration // of a job
+	Slots  int           // jobs that run at a time, 0 for any number: the others wait
+	Result int           // bytes that a result is filled up to
+	Free   int           // free slots that it always tells of
+	Full   bool          // turn all away
+	Early  bool          // all callbacks before the 202
+	Mute   bool          // take jobs, run them and tell nothing
+	Repeat int           // how often each callback is made
+}
+
 // Box stands in for a render box: it takes jobs, runs each for a while and calls back.
 type Box struct {
 	Name, Addr string
 
 	mu       sync.Mutex
-	node     string        // where callbacks go
-	run      time.Duration // of a job
-	full     bool          // turn all away
-	repeat   int           // how often each callback is made
-	early    bool          // all callbacks before the 202
+	node     string // where callbacks go
+	how      Behaviour
+	running  int
+	room     chan struct{} // told when a job ends
 	starts   []Start
 	gaveUp   []string
 	callback []int // statuses that callbacks got
@@ -142,17 +153,18 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Box{Name: name, Addr: ln.Addr().String(), node: node, run: run, repeat: 1, g: g, ctx: ctx}
+	b := &Box{Name: name, Addr: ln.Addr().String(), node: node, how: Behaviour{Run: run, Repeat: 1, Free: 2}, g: g, ctx: ctx,
+		room: make(chan struct{})}
 	s := http1.NewServer(Lim, b, nil, Quiet)
 	g.Go(func() error { return s.Serve(ctx, ln) })
 	return b, nil
 }
 
 // Set changes how a box behaves.
-func (b *Box) Set(change func(run *time.Duration, full, early *bool, repeat *int)) {
+func (b *Box) Set(change func(*Behaviour)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	change(&b.run, &b.full, &b.early, &b.repeat)
+	change(&b.how)
 }
 
 // Starts are the requests that came, in order.
@@ -186,37 +198,69 @@
 	}
 	id := m.Get("X-Trace-Id")
 	b.mu.Lock()
-	full, early, run := b.full, b.early, b.run
-	if !full {
+	how := b.how
+	if !how.Full {
 		b.starts = append(b.starts, Start{id, m.Target, string(m.Body), m.Get("Idempotency-Key"), time.Now()})
 	}
 	b.mu.Unlock()
-	if full {
+	if how.Full {
 		return http1.Response{Status: 503, Fields: []http1.Field{{Name: "X-Never-Ran", Value: "1"},
 			{Name: "Endpoint-Load-Metrics", Value: "TEXT queue=4, x0=0"}}}
 	}
-	if early {
-		b.work(id, run)
+	if how.Early {
+		b.work(id, how)
 	} else {
-		b.g.Go(func() error { b.work(id, run); return nil })
+		b.g.Go(func() error { b.work(id, how); return nil })
 	}
 	return http1.Response{Status: 202}
 }
 
-func (b *Box) work(id string, run time.Duration) {
-	b.tell(id, `"state":"started"`)
+func (b *Box) work(id string, how Behaviour) {
+	for {
+		b.mu.Lock()
+		ok, room := how.Slots == 0 || b.running < how.Slots, b.room
+		if ok {
+			b.running++
+		}
+		b.mu.Unlock()
+		if ok {
+			break
+		}
+		select {
+		case <-room:
+		case <-b.ctx.Done():
+			return
+		}
+	}
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.running--
+		close(b.room)
+		b.room = make(chan struct{})
+	}()
+	if !how.Mute {
+		b.tell(id, `"state":"started"`)
+	}
 	select {
-	case <-time.After(run):
+	case <-time.After(how.Run):
 	case <-b.ctx.Done():
 		return
 	}
+	if how.Mute {
+		return
+	}
 	b.tell(id, `"state":"running","share":0.9`)
-	b.tell(id, `"state":"done","result":"tile of `+id+`","load":{"queue":0,"x0":2}`)
+	result := "tile of " + id
+	if n := how.Result - len(result); n > 0 {
+		result += strings.Repeat(".", n)
+	}
+	b.tell(id, `"state":"done","result":"`+result+`","load":{"queue":0,"x0":`+strconv.Itoa(how.Free)+`}`)
 }
 
 func (b *Box) tell(id, rest string) {
 	b.mu.Lock()
-	node, repeat := b.node, b.repeat
+	node, repeat := b.node, b.how.Repeat
 	b.mu.Unlock()
 	for range repeat {
 		m, err := Call(node, "POST", "/callback", []byte(`{"id":"`+id+`","from":"`+b.Name+`",`+rest+`}`))
--- a/test/fronts_test.go
+++ b/test/fronts_test.go
@@ -18,7 +18,7 @@
 func TestBothFronts(t *testing.T) {
 	s := newSite(t, 3, 30*time.Millisecond)
 	for _, b := range s.boxes { // callbacks may repeat, and may come before the 202
-		b.Set(func(_ *time.Duration, _, early *bool, repeat *int) { *early, *repeat = b == s.boxes[0], 3 })
+		b.Set(func(h *standin.Behaviour) { h.Early, h.Repeat = b == s.boxes[0], 3 })
 	}
 	s.start()
 	// The module refuses what comes beyond its tokens, so both ends are seen; what a client is told is what counts.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -39,19 +39,6 @@
 	os.Exit(code)
 }
 
-// settings of the site, as the simulator's first message has them.
-const settings = `{"me":0,"balancers":1,"zone":0,"zones":["tallinn","tartu"],"kinds":["type-a","type-b"],"step":4.0,
-"discovery":"subscribe","weights":"rough","workload":"jobs","worthBy":"request","overShareWorth":0.2,
-"telemetry":{"how":"piggyback","fields":["pending","x0"]},
-"familyInfo":{"classKind":[-1,-1],"classStretch":[2.0,2.0],"reportX0":"free slots","tellsStart":true,"progress":1000.0},
-"limits":{"cancelling":true,"connIdle":60000.0,"connectTimeout":250.0,"maxAttempts":3,"maxOpen":20000,
- "maxRetryAfter":2000.0,"mayDuplicate":true,"multiplex":1,"peers":false,"probing":true,"retryAfter":true},
-"invariants":{"answerSlack":16.0,"askWithin":10000.0,"coldFrom":0.3,"drainGrace":500.0,"fall":2000.0,"fallMultiple":2.5,"warmWithin":8400.0},
-"requestClasses":[
- {"name":"tile-charge","aim":400.0,"deadline":7500.0,"worth":8.0,"effect":"single_shot","window":5000.0},
- {"name":"area-render","aim":1500.0,"deadline":25000.0,"worth":24.0,"effect":"guarded","dedupScope":"cell","window":40000.0}],
-"tenants":[{"name":"pohjakaart","portion":0.6,"quotaRps":20.0},{"name":"maavaade","portion":0.4,"quotaRps":12.0}]}`
-
 // site is a node under test with what it needs.
 type site struct {
 	t       *testing.T
@@ -71,6 +58,9 @@
 	log     *os.File
 }
 
+// settings of the site, as the simulator's first message has them.
+const settings = standin.Settings
+
 func newSite(t *testing.T, boxes int, run time.Duration) *site {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &errgroup.Group{}
--- /dev/null
+++ b/test/slow_test.go
@@ -0,0 +1,218 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/internal/standin"
+)
+
+// load plays jobs, a fixed number for each client, and gives what came of them.
+func (s *site) load(class, prefix string, clients, jobs int) *standin.Done {
+	s.t.Helper()
+	l := standin.Load{Addr: s.listen, Clients: clients, Class: class, Deadline: 7500 * time.Millisecond, Aim: 7 * time.Second,
+		Jobs: jobs, Prefix: prefix}
+	return l.Run(s.ctx)
+}
+
+func (s *site) counts() gjson.Result {
+	s.t.Helper()
+	m, err := standin.Call(s.listen, "GET", "/counts", nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return gjson.ParseBytes(m.Body)
+}
+
+// balanced checks that each job taken has exactly one end, and that no box got a job twice where it may not.
+func (s *site) balanced() {
+	s.t.Helper()
+	s.until("all jobs have ended", func() bool { return s.counts().Get("open").Int() == 0 })
+	n := s.counts()
+	sum := int64(0)
+	for _, end := range []string{"served", "refused", "failed", "terminated", "gone"} {
+		sum += n.Get(end).Int()
+	}
+	if n.Get("taken").Int() != sum {
+		s.t.Errorf("jobs taken and ended differ: %s", n.Raw)
+	}
+	for id, l := range s.starts() {
+		if len(l) > 1 && l[0].Target[:5] == "/tile" {
+			s.t.Errorf("the tile-charge %s was started %d times", id, len(l))
+		}
+	}
+}
+
+// slowBox puts a proxy in front of a box, told to the node as its address.
+func (s *site) slowBox(i int, up, down standin.Script) *standin.Slow {
+	s.t.Helper()
+	p, err := standin.NewSlow(s.ctx, s.g, s.boxes[i].Addr, up, down, 1)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.boxes[i].Addr = p.Addr
+	s.list.Put(s.boxes[i], "ready")
+	return p
+}
+
+// slowPeers plays n slow clients of mixed kinds until stop is called, which gives how each one's time ended.
+func (s *site) slowPeers(n int) (stop func() []standin.Ended) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	var g errgroup.Group
+	var mu sync.Mutex
+	var all []standin.Ended
+	for i := range n {
+		g.Go(func() error {
+			e := standin.SlowPeer(ctx, s.listen, standin.Kinds[i%len(standin.Kinds)], i, 7500*time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, e)
+			return nil
+		})
+	}
+	return func() []standin.Ended { cancel(); _ = g.Wait(); return all }
+}
+
+// Twenty slow peers of mixed kinds cost the others nothing: as many of their jobs are served as without them, within
+// 2%, and each slow peer that handed a job in has one end, counted.
+func TestTwentySlowPeers(t *testing.T) {
+	served := map[bool]int{}
+	for _, beside := range []bool{false, true} {
+		s := newSite(t, 4, 30*time.Millisecond)
+		for _, b := range s.boxes {
+			b.Set(func(h *standin.Behaviour) { h.Result, h.Free = 60000, 16 })
+		}
+		s.start()
+		stop := func() []standin.Ended { return nil }
+		if beside {
+			stop = s.slowPeers(20)
+			s.until("the slow peers are there", func() bool { return s.counts().Get("taken").Int() >= 8 })
+		}
+		d := s.load("area-render", "10adc1e0", 5, 20)
+		served[beside] = d.Served
+		if d.All() != 100 || d.Broken != 0 || d.Failed != 0 {
+			t.Errorf("beside slow peers %v: %+v", beside, d)
+		}
+		if beside {
+			s.until("those that send too slowly are let go", func() bool { return s.counts().Get("slow.client_sends").Int() >= 4 })
+		}
+		for _, e := range stop() {
+			if e.Job && e.Bytes == 0 && !e.Closed {
+				t.Errorf("a slow peer that handed a job in got nothing of an answer: %+v", e)
+			}
+		}
+		s.balanced()
+	}
+	if served[true] < served[false]*98/100 {
+		t.Errorf("%d of 100 jobs served beside slow peers, %d without them", served[true], served[false])
+	}
+}
+
+// A box that takes jobs, lets its 202 drip and tells nothing more costs the others nothing either: what went there is
+// tried elsewhere in its rack, and it stops drawing work. Well again, it gets work back.
+func TestTricklingBox(t *testing.T) {
+	s := newSite(t, 5, 30*time.Millisecond)
+	drip := s.slowBox(0, standin.Script{}, standin.Script{Rate: 1})
+	s.boxes[0].Set(func(h *standin.Behaviour) { h.Mute = true })
+	s.start()
+	d := s.load("area-render", "10adc1e0", 4, 25)
+	if d.Served < 98 || d.Broken+d.Failed > 0 {
+		t.Errorf("%d of 100 jobs served beside a box that drips: %+v", d.Served, d)
+	}
+	drew := len(s.boxes[0].Starts())
+	if drew == 0 {
+		t.Fatal("the box drew no work: the test shows nothing")
+	}
+	if drew > 15 {
+		t.Errorf("the box drew %d of 100 jobs", drew)
+	}
+	if n := s.counts(); n.Get("slow.box_late").Int() == 0 {
+		t.Errorf("no late sign was counted: %s", n.Raw)
+	}
+	drip.Set(standin.Script{}, standin.Script{})
+	s.boxes[0].Set(func(h *standin.Behaviour) { h.Mute = false })
+	round := 0
+	s.until("the box has work again", func() bool {
+		round++
+		s.load("area-render", fmt.Sprintf("10ad%04x", round), 12, 10) // more at a time than the others' room
+		return len(s.boxes[0].Starts()) > drew+10
+	})
+	s.balanced()
+}
+
+// A box that accepts connections and never speaks: a tile-charge that went there is not sent again, and has one answer.
+func TestMuteBoxAndTileCharges(t *testing.T) {
+	s := newSite(t, 3, 20*time.Millisecond)
+	s.slowBox(0, standin.Script{}, standin.Script{Delay: time.Hour})
+	s.boxes[0].Set(func(h *standin.Behaviour) { h.Mute = true })
+	s.start()
+	d := s.load("tile-charge", "10adc1e0", 4, 30)
+	if d.All() != 120 || d.Broken != 0 || d.Failed > len(s.boxes[0].Starts()) || d.Served < 100 {
+		t.Errorf("%+v, %d went to the mute box", d, len(s.boxes[0].Starts()))
+	}
+	s.balanced()
+}
+
+// All boxes slow at once: none is shunned for it, and the node goes on serving.
+func TestAllBoxesSlow(t *testing.T) {
+	s := newSite(t, 3, 20*time.Millisecond)
+	for i := range s.boxes {
+		s.slowBox(i, standin.Script{}, standin.Script{Delay: 700 * time.Millisecond, Rate: 2000, Chunk: 8})
+	}
+	s.start()
+	if d := s.load("tile-charge", "10adc1e0", 6, 8); d.Served < 46 || d.Broken+d.Failed > 0 {
+		t.Errorf("%+v", d)
+	}
+	s.balanced()
+}
+
+// A drain told while attempts drip at the box holds for it all the same.
+func TestDrainWhileDripping(t *testing.T) {
+	s := newSite(t, 2, 20*time.Millisecond)
+	s.slowBox(0, standin.Script{}, standin.Script{Rate: 1})
+	s.start()
+	var g errgroup.Group
+	g.Go(func() error { s.load("area-render", "10adc1e0", 4, 60); return nil })
+	s.until("the box has work", func() bool { return len(s.boxes[0].Starts()) > 0 })
+	s.list.Put(s.boxes[0], "draining")
+	told := time.Now()
+	_ = g.Wait()
+	for _, x := range s.boxes[0].Starts() {
+		if late := x.At.Sub(told); late > 500*time.Millisecond {
+			t.Errorf("job %s was sent %v after the drain", x.ID, late)
+		}
+	}
+	s.balanced()
+}
+
+// Three hundred slow peers at a node with 256 descriptors and 32 MB: it stands, goes on serving, takes SIGHUP, and ends
+// on SIGTERM while they are there.
+func TestThreeHundredSlowPeers(t *testing.T) {
+	s := newSite(t, 3, 20*time.Millisecond)
+	s.sockets, s.memory = 256, 32
+	s.start()
+	stop := s.slowPeers(300)
+	defer stop()
+	s.until("the node is crowded", func() bool { // it may well turn a stranger away that asks for its counts
+		m, err := standin.Call(s.listen, "GET", "/counts", nil)
+		return err == nil && gjson.GetBytes(m.Body, "taken").Int() > 0
+	})
+	if err := s.process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	s.until("the reload", func() bool { return s.logged("msg=reload") })
+	d := s.load("area-render", "10adc1e0", 5, 12)
+	if d.Served < 50 {
+		t.Errorf("%d of 60 jobs served in a crowd: %+v", d.Served, d)
+	}
+	if err := s.term(); err != nil {
+		t.Errorf("leaving with slow peers: %v", err)
+	}
+}
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -21,7 +21,7 @@
 	if _, v := s.drmaa("GET", "/jobs/"+done+"/wait", ""); v.Get("jobState").String() != "DONE" {
 		t.Fatalf("the first job: %s", v.Raw)
 	}
-	s.boxes[0].Set(func(run *time.Duration, _, _ *bool, _ *int) { *run = time.Minute })
+	s.boxes[0].Set(func(h *standin.Behaviour) { h.Run = time.Minute })
 	ids := map[string]string{} // by payload
 	for i := range 12 {
 		payload := fmt.Sprintf("job %d", i)
