--- /dev/null
+++ b/cmd/gatetack/serve.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/internal/batch"
+	"quincereach/internal/config"
+	"quincereach/internal/discovery"
+	"quincereach/internal/executor"
+	"quincereach/internal/http1"
+	"quincereach/internal/inventory"
+	"quincereach/internal/node"
+	"quincereach/internal/pace"
+	"quincereach/internal/peer"
+	"quincereach/internal/platform"
+	"quincereach/internal/records"
+	"quincereach/internal/store"
+)
+
+// load reads the platform's configuration and, where one is named, the operator's file. A file that names the node stands
+// for both: the node is alone then, and no variable of the platform's is needed.
+func load(path string) (*config.Config, *config.File, error) {
+	f := &config.File{Pace: pace.Default()}
+	var err error
+	if path != "" {
+		if f, err = config.ReadFile(path); err != nil {
+			return nil, nil, err
+		}
+	}
+	var c *config.Config
+	if f.Alone() {
+		c, err = f.Config()
+	} else {
+		c, err = config.FromEnv(os.Getenv)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	c.Limits.Pace = f.Pace
+	return c, f, c.Check(f)
+}
+
+// noPeers stands where the settings allow no messages.
+type noPeers struct{}
+
+func (noPeers) Tell(uint16, []byte) {}
+
+// reload reads the platform's configuration each time its file was replaced and moves to the discovery it names. It
+// goes on while the node leaves; a file that can not be used changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, move func(string), log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		if f.Alone() {
+			log.Warn("reload: a node that is alone reads its file at its start")
+			continue
+		}
+		next, err := c.Again(os.Getenv)
+		if err == nil {
+			err = next.Check(f)
+		}
+		if err != nil {
+			log.Error("reload: the configuration can not be used, the old one stays", "err", err)
+			continue
+		}
+		if stays := c.Stays(next); len(stays) > 0 {
+			log.Warn("reload: holds from the next start on", "changed", stays)
+		}
+		log.Info("reload", "discovery", next.Discovery, "was", c.Discovery)
+		c.Discovery = next.Discovery
+		move(next.Discovery)
+	}
+}
+
+// serve runs the node. When ctx ends it goes on until all that was taken is answered and nothing new comes.
+func serve(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, log *slog.Logger) error {
+	life := time.Now()
+	runtime.GOMAXPROCS(c.Limits.Cores)
+	debug.SetMemoryLimit(c.Limits.MemoryBytes)
+	core, err := node.New(c.Settings, c.Seed, c.Known, c.Names, c.Limits, log)
+	if err != nil {
+		return err
+	}
+	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, hard := errgroup.WithContext(hard)
+	exec := executor.New(hard, g, c.Limits, c.Names, core, core.Slow(), log)
+	members, err := openStore(c, f, core.Slow(), log)
+	if err != nil {
+		return err
+	}
+	var kept records.Store
+	var shared inventory.Keeper
+	switch {
+	case members != nil:
+		kept, shared = members, members
+		g.Go(func() error { return members.Run(hard) })
+	case f.Batch.Dir != "":
+		own, err := records.OpenBolt(f.Batch.Dir)
+		if err != nil {
+			return err
+		}
+		defer func() {
+			if err := own.Close(); err != nil {
+				log.Error("closing the records", "err", err)
+			}
+		}()
+		kept = own
+	}
+	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, core.Slow(), log)
+	g.Go(func() error { reload(hard, hup, c, f, source.Move, log); return nil })
+	var lists interface {
+		node.Lists
+		Run(context.Context) error
+	} = source
+	if f.Inventory.File != "" {
+		if lists, err = inventory.Open(f.Inventory.File, c.Names, c.Limits, core, shared, log); err != nil {
+			return err
+		}
+	}
+	var peers node.Peers = noPeers{}
+	if c.Settings.MayTell && c.PeerListen != "" {
+		socket, err := peer.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Limits, core, log)
+		if err != nil {
+			return err
+		}
+		peers = socket
+		g.Go(func() error { return socket.Run(hard) })
+	}
+	core.Connect(exec, lists, peers)
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	most := node.Span(c.Settings.MaxRetryAfter)
+	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), core.Slow(), log)
+	g.Go(func() error { return core.Run(hard) })
+	g.Go(func() error { return lists.Run(hard) })
+	g.Go(func() error { return front.Serve(hard, ln) })
+	fronts := []*http1.Server{front}
+	var jobs *batch.Front
+	if f.Batch.Listen != "" {
+		ln, err := net.Listen("tcp", f.Batch.Listen)
+		if err != nil {
+			return fmt.Errorf("batch front: %w", err)
+		}
+		jobs = batch.New(batch.Options{Core: core, Store: kept, Node: c.Name, Version: version, Life: life, Settings: c.Settings,
+			Names: c.Names, Limits: c.Limits, Most: most, Log: log})
+		lim := c.Limits
+		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
+		server := http1.NewServer(lim, jobs, core.Slow(), log)
+		fronts = append(fronts, server)
+		g.Go(func() error { return jobs.Run(hard) })
+		g.Go(func() error { return server.Serve(hard, ln) })
+	}
+	log.Info("serving", "node", c.Name, "listen", c.Listen, "version", version)
+	g.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-hard.Done():
+			return nil
+		}
+		log.Info("leaving", "open", core.Open())
+		if jobs != nil {
+			jobs.Drain()
+			fronts[1].Drain()
+		}
+		quiet(hard, core, fronts, jobs, c)
+		return nil
+	})
+	err = g.Wait()
+	log.Info("ended", "err", err)
+	return err
+}
+
+// openStore starts this node's member of the store, if the file names one.
+func openStore(c *config.Config, f *config.File, slow *pace.Tally, log *slog.Logger) (*store.Store, error) {
+	if f.Store.Dir == "" {
+		return nil, nil
+	}
+	return store.Open(store.Config{Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members}, c.Limits, slow, log)
+}
+
+// quiet returns once nothing is open and nothing new has come for a while. Clients go on using the connections they
+// have for as long as those stand, and new ones go elsewhere or nowhere: so the platform's front serves on until the
+// node may be killed, and only then are answers given early and connections closed between requests. (Closing them
+// at once lost all requests of a client that has one node, from the signal to the node's next start.)
+func quiet(ctx context.Context, core *node.Core, fronts []*http1.Server, jobs *batch.Front, c *config.Config) {
+	told, left := time.Now(), false
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		last, busy := told, 0
+		for i, s := range fronts {
+			if left || i > 0 && time.Since(told) >= c.Limits.Quiet {
+				s.CloseIdle()
+			}
+			busy += s.Conns()
+			if at := s.LastUse(); at.After(last) {
+				last = at
+			}
+		}
+		if !left && time.Since(told) >= c.Limits.Stay {
+			left = true
+			fronts[0].Drain()
+			core.Leave(told)
+		}
+		// A store without a leader must not keep the node for good: ends that it does not take stay unrecorded.
+		pending := jobs != nil && jobs.Pending() && time.Since(last) < 2*c.Limits.StoreCall
+		if core.Open() == 0 && busy == 0 && !pending && time.Since(last) >= c.Limits.Quiet {
+			return
+		}
+	}
+}
--- a/cmd/slowpeers/main.go
+++ b/cmd/slowpeers/main.go
@@ -5,15 +5,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/spf13/pflag"
@@ -124,13 +119,11 @@
 		}
 		list.Put(b, "ready")
 	}
-	node, err := start(o, ports[0], list.Addr)
+	node, err := standin.StartNode(standin.Process{Program: o.program, Listen: ports[0], Discovery: list.Addr, MemoryMB: o.memory, Sockets: o.sockets, Log: o.log})
 	if err != nil {
 		return err
 	}
-	defer node.stop()
-	before, _ := counts(ports[0])
-	_ = before
+	defer node.Stop()
 	pctx, over := context.WithTimeout(ctx, o.span)
 	defer over()
 	var mu sync.Mutex
@@ -156,12 +149,12 @@
 	play.Go(func() error { done = load.Run(pctx); return nil })
 	most, fds := 0, 0
 	for pctx.Err() == nil {
-		rss, n := node.usage()
+		rss, n := node.Usage()
 		most, fds = max(most, rss), max(fds, n)
 		time.Sleep(50 * time.Millisecond)
 	}
 	_, tally := counts(ports[0])
-	node.stop() // ends what still waits
+	node.Stop() // ends what still waits
 	_ = play.Wait()
 	_ = slow.Wait()
 	answered, gone, there := 0, 0, 0
@@ -181,68 +174,6 @@
 	return nil
 }
 
-// process is a node under measurement.
-type process struct {
-	cmd  *exec.Cmd
-	dir  string
-	once sync.Once
-}
-
-func start(o *options, listen, list string) (*process, error) {
-	dir, err := os.MkdirTemp("", "slowpeers")
-	if err != nil {
-		return nil, err
-	}
-	config := filepath.Join(dir, "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, listen, list, o.memory, o.sockets, standin.Settings)
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	p := &process{cmd: exec.Command(o.program, "serve", "--log-level", "info"), dir: dir}
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config)
-	if o.log != "" {
-		log, err := os.OpenFile(o.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = log.Close() }()
-		p.cmd.Stderr = log
-	}
-	if err := p.cmd.Start(); err != nil {
-		return nil, err
-	}
-	for range 500 {
-		if m, err := standin.Call(listen, "GET", "/healthz", nil); err == nil && m.Status == 200 {
-			return p, nil
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	p.stop()
-	return nil, errors.New("the node does not become ready")
-}
-
-func (p *process) stop() {
-	p.once.Do(func() {
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
-		_ = p.cmd.Wait()
-		_ = os.RemoveAll(p.dir)
-	})
-}
-
-// usage tells the node's memory in KB and how many descriptors it has.
-func (p *process) usage() (kb, fds int) {
-	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
-	status, _ := os.ReadFile(dir + "/status")
-	for line := range strings.Lines(string(status)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ = strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
-		}
-	}
-	entries, _ := os.ReadDir(dir + "/fd")
-	return kb, len(entries)
-}
-
 // counts asks the node for its counts, and for those of slow peers that are not zero.
 func counts(addr string) (gjson.Result, string) {
 	m, err := standin.Call(addr, "GET", "/counts", nil)
--- /dev/null
+++ b/internal/batch/array.go
@@ -0,0 +1,179 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quincereach/internal/records"
+	"quincereach/internal/release"
+)
+
+// arrayRecord is what is known of a job array (DRMAAv2, section 8.2): its range, and how many of its members have ended
+// how. Members become jobs of their own when their turn comes; until then the array stands for them.
+type arrayRecord struct {
+	ID          string          `json:"jobArrayId"`
+	Session     string          `json:"sessionName"`
+	Name        string          `json:"jobName,omitempty"`
+	Category    string          `json:"jobCategory"`
+	Account     string          `json:"accountingId,omitempty"`
+	Begin       int             `json:"beginIndex"`
+	End         int             `json:"endIndex"`
+	Step        int             `json:"step"`
+	MaxParallel int             `json:"maxParallel,omitempty"`
+	Priority    int             `json:"priority,omitempty"`
+	Submitted   time.Time       `json:"submissionTime"`
+	Start       time.Time       `json:"startTime,omitzero"`
+	Deadline    time.Time       `json:"deadlineTime,omitzero"`
+	Held        bool            `json:"held"`
+	Jobs        int             `json:"jobs"`
+	Next        int             `json:"nextIndex"` // members before it had their turn
+	Cut         bool            `json:"terminated,omitempty"`
+	Done        int             `json:"done"`
+	Failed      int             `json:"failed"`
+	Template    json.RawMessage `json:"template,omitempty"`
+}
+
+type array struct {
+	t template
+
+	mu sync.Mutex
+	r  arrayRecord
+}
+
+func (a *array) record() arrayRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.r
+}
+
+func (a *array) set(change func(*arrayRecord)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change(&a.r)
+}
+
+func (a *array) change() records.Change {
+	r := a.record()
+	v, _ := json.Marshal(r)
+	return records.Change{Kind: kindArray, Key: key(r.ID), Value: v}
+}
+
+// ended counts a member that has ended.
+func (a *array) ended(r *Record) {
+	a.set(func(x *arrayRecord) {
+		if r.State == Done {
+			x.Done++
+		} else {
+			x.Failed++
+		}
+	})
+}
+
+func (a *array) over() bool {
+	r := a.record()
+	return r.Done+r.Failed >= r.Jobs
+}
+
+// status is an array as its clients see it.
+func (r arrayRecord) status() map[string]any {
+	out := map[string]any{}
+	r.Template = nil
+	b, _ := json.Marshal(r)
+	_ = json.Unmarshal(b, &out)
+	state := Queued
+	switch {
+	case r.Done+r.Failed >= r.Jobs && r.Failed > 0:
+		state = Failed
+	case r.Done+r.Failed >= r.Jobs:
+		state = Done
+	case r.Next > r.Begin:
+		state = Running
+	case r.Held:
+		state = QueuedHeld
+	}
+	out["jobState"] = state
+	return out
+}
+
+func (r *arrayRecord) item() release.Item {
+	return release.Item{ID: r.ID, Session: r.Session, Priority: r.Priority, Start: r.Start, Held: r.Held, Array: true,
+		Begin: r.Begin, End: r.End, Step: r.Step, MaxParallel: r.MaxParallel}
+}
+
+// member makes the job of a member whose turn has come, or finds it if it had one before. The front's lock is held.
+func (f *Front) member(a *array, ref release.Ref, now time.Time) *job {
+	id := memberID(ref.ID, ref.Index)
+	if j := f.jobs[id]; j != nil {
+		return j
+	}
+	x := a.record()
+	j := &job{f: f, array: a, ref: ref, queue: true, in: a.t.member(ref.Index), until: x.Deadline, changed: make(chan struct{}), ready: closed,
+		r: a.memberRecord(&x, ref.Index)}
+	f.keep(j)
+	a.set(func(x *arrayRecord) { x.Next = max(x.Next, ref.Index+x.Step) })
+	return j
+}
+
+// closed is a channel that always was.
+var closed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+func (a *array) memberRecord(x *arrayRecord, index int) Record {
+	return Record{ID: memberID(x.ID, index), State: Queued, SubState: subHeld, Name: x.Name, Category: x.Category, Account: x.Account,
+		Session: x.Session, Array: x.ID, Index: &index, Priority: x.Priority, Submitted: x.Submitted, Start: x.Start, Deadline: x.Deadline}
+}
+
+// finished lets an array go whose members have all ended: from the memory where it is on record, or as the last of so
+// many where it is not. The front's lock is held.
+func (f *Front) finished(a *array) {
+	if f.ended = append(f.ended, a.r.ID); f.store == nil && len(f.ended) <= f.lim.BatchJobs/4 {
+		return
+	}
+	delete(f.arrays, f.ended[0])
+	f.ended = f.ended[1:]
+}
+
+// arrayOf finds an array, here or on record.
+func (f *Front) arrayOf(ctx context.Context, id string) (*array, bool, error) {
+	f.mu.Lock()
+	a := f.arrays[id]
+	f.mu.Unlock()
+	if a != nil || f.store == nil || f.ids.origin(id) == noID {
+		return a, a != nil, nil
+	}
+	value, found, err := f.store.Get(ctx, kindArray, key(id))
+	if err != nil || !found {
+		return nil, false, err
+	}
+	a = &array{}
+	return a, true, json.Unmarshal(value, &a.r)
+}
+
+// unborn tells of a member that is no job of its own: its turn has not come, or never will.
+func (f *Front) unborn(ctx context.Context, id string) (Record, bool) {
+	n, ok := parseID(id)
+	if !ok || !n.member {
+		return Record{}, false
+	}
+	a, ok, err := f.arrayOf(ctx, strings.TrimSuffix(id, "-"+strconv.Itoa(n.index)))
+	if !ok || err != nil {
+		return Record{}, false
+	}
+	x := a.record()
+	if n.index < x.Begin || n.index > x.End || (n.index-x.Begin)%x.Step != 0 || n.index < x.Next {
+		return Record{}, false
+	}
+	r := a.memberRecord(&x, n.index)
+	switch {
+	case x.Cut:
+		r.State, r.SubState = Failed, subTerminated
+	case x.Held:
+		r.State = QueuedHeld
+	case x.Start.After(time.Now()):
+		r.SubState = subDeferred
+	}
+	return r, true
+}
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -1,28 +1,25 @@
-// Package batch is the front for DRMAA-style batch submission: an HTTP/1.1 + JSON binding of DRMAAv2's terms
-// (job template, job info, job states, terminate, wait). Jobs go through the same core as the platform's.
+// Package batch is the front for DRMAA-style batch submission: an HTTP/1.1 + JSON binding of DRMAAv2's interfaces
+// (GFD.194: session manager, job sessions, jobs, arrays, monitoring). Jobs go through the same core as the platform's;
+// those that wait - on hold, for a time, or for their turn in an array - wait here, and internal/release says which goes
+// next.
 package batch
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
-	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"quincereach/brain"
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
+	"quincereach/internal/records"
+	"quincereach/internal/release"
 )
 
 // Core takes jobs.
@@ -30,67 +27,156 @@
 	Submit(node.Job, node.Client) (uint32, error)
 	Terminate(ctx context.Context, id uint32) error
 	Counts(context.Context) (node.Counts, error)
-}
-
-// Store keeps what must outlive this life of the node. Put returns once the value is safe, and Get tells nothing
-// that is out of date: an older record could say of a job that nothing of it was sent.
-type Store interface {
-	Put(ctx context.Context, kind, key string, value []byte) error
-	Get(ctx context.Context, kind, key string) (value []byte, found bool, err error)
+	Machines(context.Context) ([]node.Machine, error)
 }
 
 // Prefix of all paths of this front.
 const Prefix = "/drmaa2/v1"
 
+// Options are what a front is made of.
+type Options struct {
+	Core     Core
+	Store    records.Store // nil: nothing outlives the node
+	Node     string
+	Version  string
+	Life     time.Time
+	Settings brain.Settings
+	Names    node.Names
+	Limits   limits.Limits
+	Most     time.Duration // that a client may be told to stay away
+	Log      *slog.Logger
+}
+
 // Front answers batch clients.
 type Front struct {
-	core  Core
-	store Store // nil: nothing outlives the node
-	s     brain.Settings
-	names node.Names
-	lim   limits.Limits
-	most  time.Duration // that a client may be told to stay away
-	log   *slog.Logger
-	ids   ids
-	stop  atomic.Bool
-
-	mu    sync.Mutex
-	jobs  map[string]*job
-	order []*job    // as submitted; those that are over go first
-	bytes int       // of results kept
-	dirty chan *job // whose ends are to be recorded
-	// How many ends are not on record yet; dirty is empty already while the last one is being written.
+	core    Core
+	store   records.Store
+	s       brain.Settings
+	names   node.Names
+	lim     limits.Limits
+	most    time.Duration
+	log     *slog.Logger
+	version string
+	ids     ids
+	events  *events
+	stop    atomic.Bool
+	kick    chan struct{} // something may be handed to the core
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	order    []*job // as they came; those that are over go first
+	bytes    int    // of results kept
+	queue    *release.Queue
+	waits    map[string]*job // by the queue's name
+	arrays   map[string]*array
+	ended    []string // arrays whose members have all ended, and that are kept
+	sessions map[string]*session
+	same     map[string]*job // by session and idempotency key, of jobs that are kept
+	loaded   chan struct{}   // closed once what an earlier life left was read
+
+	dirty chan *job // whose states are to be recorded
+	// How many are not on record yet; dirty is empty already while the last one is being written.
 	unsaved atomic.Int64
 }
 
 // New makes a front for one life of a node.
-func New(core Core, store Store, nodeName string, life time.Time, s brain.Settings, names node.Names,
-	lim limits.Limits, maxRetryAfter time.Duration, log *slog.Logger) *Front {
-	return &Front{core: core, store: store, s: s, names: names, lim: lim, most: maxRetryAfter, log: log,
-		ids: ids{node: nodeName, life: life.UnixMilli()}, jobs: map[string]*job{}, dirty: make(chan *job, lim.MaxOpen)}
+func New(o Options) *Front {
+	f := &Front{core: o.Core, store: o.Store, s: o.Settings, names: o.Names, lim: o.Limits, most: o.Most, log: o.Log,
+		version: o.Version, ids: ids{node: o.Node, life: o.Life.UnixMilli()}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
+		kick: make(chan struct{}, 1), jobs: map[string]*job{}, queue: release.New(), waits: map[string]*job{},
+		arrays: map[string]*array{}, sessions: map[string]*session{}, same: map[string]*job{},
+		dirty: make(chan *job, o.Limits.MaxOpen)}
+	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.Life.UTC()}}
+	f.loaded = make(chan struct{})
+	if f.store == nil {
+		close(f.loaded)
+	}
+	return f
 }
 
-// Drain refuses new submissions from now on. All else is still answered.
+// Drain refuses new submissions from now on, and hands nothing more to the core. All else is still answered.
 func (f *Front) Drain() { f.stop.Store(true) }
 
-// Run records ends in the store until the context ends.
+// Run takes up what an earlier life left, hands waiting jobs to the core, and records ends, until the context ends.
 func (f *Front) Run(ctx context.Context) error {
+	for !f.ready() {
+		err := f.load(ctx)
+		if err == nil {
+			close(f.loaded)
+			break
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		// Until it is known what an earlier life left, nothing new is taken: a job could be taken twice.
+		f.log.Warn("what was on record can not be read yet", "err", err)
+		select {
+		case <-time.After(f.lim.StoreBeat):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	f.wake()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	sweep := time.NewTicker(time.Minute)
+	defer sweep.Stop()
 	for {
 		select {
 		case j := <-f.dirty:
-			if err := f.put(ctx, j, nil); err != nil && ctx.Err() == nil {
-				f.log.Warn("a job's end was not recorded", "job", j.record().ID, "err", err)
-			}
-			f.unsaved.Add(-1)
+			f.save(ctx, j)
+		case <-f.kick:
+			timer.Reset(f.pump(ctx))
+		case <-timer.C:
+			timer.Reset(f.pump(ctx))
+		case <-sweep.C:
+			f.sweep()
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// ready says whether what is on record was read.
+func (f *Front) ready() bool {
+	select {
+	case <-f.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// save records a job as it is, with others that wait for the same.
+func (f *Front) save(ctx context.Context, j *job) {
+	batch := []*job{j}
+	for len(batch) < 64 {
+		select {
+		case k := <-f.dirty:
+			batch = append(batch, k)
+			continue
+		default:
+		}
+		break
+	}
+	var g sync.WaitGroup
+	for _, k := range batch { // side by side: they share a sync of the disk
+		g.Go(func() {
+			if err := f.put(ctx, k, nil); err != nil && ctx.Err() == nil {
+				f.log.Warn("a job's state was not recorded", "job", k.record().ID, "err", err)
+			}
+			f.unsaved.Add(-1)
+		})
+	}
+	g.Wait()
+}
+
 // put records a job as it is, or as change makes it. Records of one job follow one another: an end that was
 // recorded must not be overwritten by a send that was decided before it.
-func (f *Front) put(ctx context.Context, j *job, change func(*Record) error) error {
+func (f *Front) put(ctx context.Context, j *job, change func(*Record) error, more ...records.Change) error {
+	if f.store == nil {
+		return nil
+	}
 	j.putting.Lock()
 	defer j.putting.Unlock()
 	r := j.record()
@@ -99,301 +185,165 @@
 			return err
 		}
 	}
-	value, err := json.Marshal(r)
-	if err != nil {
-		return err
+	all := append(r.changes(), more...)
+	if j.array != nil {
+		all = append(all, j.array.change())
 	}
-	return f.store.Put(ctx, "job", r.ID, value)
+	return f.store.Write(ctx, all...)
 }
 
-// Pending says whether ends still wait to be recorded.
+// Pending says whether states still wait to be recorded.
 func (f *Front) Pending() bool { return f.unsaved.Load() > 0 }
 
-// ids name jobs by node and life, so that after a restart a job of an earlier life is told from one of this.
-type ids struct {
-	node string
-	life int64
-	last atomic.Uint64
-}
-
-func (x *ids) next() string { return fmt.Sprintf("%s.%x.%d", x.node, x.life, x.last.Add(1)) }
-
-// origin is where an id comes from.
-type origin uint8
-
-const (
-	noID      origin = iota
-	ours             // this life of this node gave it
-	formerly         // an earlier life of this node did
-	elsewhere        // another node did
-)
-
-// origin tells where an id comes from.
-func (x *ids) origin(id string) origin {
-	head, last, ok := cutLast(id)
-	name, text, ok2 := cutLast(head)
-	seq, err := strconv.ParseUint(last, 10, 64)
-	if !ok || !ok2 || err != nil || seq == 0 || name == "" || len(id) > 200 {
-		return noID
-	}
-	life, err := strconv.ParseInt(text, 16, 64)
-	switch {
-	case err != nil:
-		return noID
-	case name != x.node:
-		return elsewhere
-	case life < x.life:
-		return formerly
-	case life == x.life && seq <= x.last.Load():
-		return ours
-	}
-	return noID
-}
-
-func cutLast(s string) (before, after string, ok bool) {
-	at := strings.LastIndexByte(s, '.')
-	if at < 0 {
-		return "", "", false
+// later records a job soon.
+func (f *Front) later(j *job) {
+	if f.store == nil {
+		return
+	}
+	f.unsaved.Add(1)
+	select {
+	case f.dirty <- j:
+	default:
+		f.unsaved.Add(-1)
+		f.log.Warn("a job's state is not recorded: too many wait", "job", j.record().ID)
 	}
-	return s[:at], s[at+1:], true
-}
-
-// State is a job's state in DRMAAv2's words.
-type State string
-
-// The states in use. Nothing here suspends or holds a job.
-const (
-	Undetermined State = "UNDETERMINED"
-	Queued       State = "QUEUED"
-	Requeued     State = "REQUEUED" // an executor handed it back unstarted
-	Running      State = "RUNNING"
-	Done         State = "DONE"
-	Failed       State = "FAILED"
-)
-
-func (s State) over() bool { return s == Done || s == Failed }
-
-// Record is what is known of a job: DRMAAv2's JobInfo, with what this front adds behind it.
-type Record struct {
-	ID         string    `json:"jobId"`
-	State      State     `json:"jobState"`
-	SubState   string    `json:"jobSubState,omitempty"`
-	Annotation string    `json:"annotation,omitempty"`
-	ExitStatus *int      `json:"exitStatus,omitempty"`
-	Machines   []string  `json:"allocatedMachines,omitempty"`
-	Name       string    `json:"jobName,omitempty"`
-	Category   string    `json:"jobCategory,omitempty"`
-	Account    string    `json:"accountingId,omitempty"`
-	Submitted  time.Time `json:"submissionTime,omitzero"`
-	Dispatched time.Time `json:"dispatchTime,omitzero"`
-	Finished   time.Time `json:"finishTime,omitzero"`
-	RetryMS    int64     `json:"retryAfterMs,omitempty"`
-	Result     *string   `json:"result,omitempty"`
-}
-
-// Sub-states say more than DRMAAv2's states do.
-const (
-	subHeld       = "held"       // at this node, until an executor has room
-	subSent       = "sent"       // to an executor, and not started there as far as is known
-	subRefused    = "refused"    // submitting it again is harmless
-	subFailed     = "failed"     // promises nothing
-	subTerminated = "terminated" // before it was sent
-	subUnsent     = "unsent"     // the node ended before it sent it: submitting it again is harmless
-)
-
-// job is one of this life. The core's goroutine and the clients' ones share it.
-type job struct {
-	f    *Front
-	core uint32 // the core's number for it, set before the job can be found
-
-	putting sync.Mutex
-
-	mu      sync.Mutex
-	r       Record
-	changed chan struct{} // closed at the next change
-}
-
-func (j *job) update(change func(*Record)) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	change(&j.r)
-	close(j.changed)
-	j.changed = make(chan struct{})
-}
-
-func (j *job) record() Record {
-	r, _ := j.watch()
-	return r
-}
-
-func (j *job) watch() (Record, <-chan struct{}) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.r, j.changed
-}
-
-// Sent, Started, Returned and Answer are what the core tells.
-func (j *job) Sent(executor string) {
-	j.update(func(r *Record) {
-		r.SubState, r.Machines = subSent, []string{executor}
-		if r.Dispatched.IsZero() {
-			r.Dispatched = time.Now()
-		}
-	})
 }
 
-// Started says that an executor has begun the job.
-func (j *job) Started() { j.update(func(r *Record) { r.State, r.SubState = Running, "" }) }
-
-// Returned says that nothing of the job is out any more, and that it goes on.
-func (j *job) Returned(neverRan bool) {
-	j.update(func(r *Record) {
-		if r.State = Requeued; !neverRan {
-			r.Annotation = "an attempt may have run"
-		}
-		r.SubState = subHeld
-	})
+func (f *Front) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
 }
 
-// Answer ends the job.
-func (j *job) Answer(a node.Answer) {
-	j.update(func(r *Record) {
-		r.State, r.Finished, r.Annotation = Failed, time.Now(), a.Why
-		switch a.End {
-		case node.Served:
-			zero, text := 0, string(a.Result)
-			r.State, r.SubState, r.ExitStatus, r.Result = Done, "", &zero, &text
-		case node.Refused:
-			r.SubState = subRefused
-			r.RetryMS = node.Round(a.RetryAfter, j.f.most).Milliseconds()
-		case node.Failed:
-			r.SubState = subFailed
-		case node.Terminated:
-			r.SubState = subTerminated
-		}
-	})
-	j.f.over(j, len(a.Result))
+// keep makes a job known by its id.
+func (f *Front) keep(j *job) {
+	f.jobs[j.r.ID] = j
+	f.order = append(f.order, j)
 }
 
 // over keeps a job that has ended for later queries, within bounds: the oldest ones go first.
-func (f *Front) over(j *job, size int) {
+func (f *Front) over(j *job, now time.Time) {
+	r := j.record()
 	f.mu.Lock()
-	f.bytes += size
+	f.bytes += r.Size
+	if j.queue {
+		f.queue.Ended(j.ref, now)
+		if j.array == nil {
+			delete(f.waits, j.ref.ID)
+		}
+	}
+	if j.array != nil {
+		if j.array.ended(&r); j.array.over() {
+			f.finished(j.array)
+		}
+	}
 	for i := 0; i < len(f.order) && (len(f.order) > f.lim.BatchJobs || f.bytes > f.lim.BatchBytes); {
 		old := f.order[i]
-		r := old.record()
-		if !r.State.over() || old == j {
+		if r := old.record(); !r.State.over() || old == j {
 			i++
 			continue
+		} else {
+			f.forget(old, &r)
 		}
-		if r.Result != nil {
-			f.bytes -= len(*r.Result)
-		}
-		delete(f.jobs, r.ID)
 		f.order = append(f.order[:i], f.order[i+1:]...)
 	}
 	f.mu.Unlock()
-	if f.store == nil {
-		return
-	}
-	f.unsaved.Add(1)
-	select {
-	case f.dirty <- j:
-	default:
-		f.unsaved.Add(-1)
-		f.log.Warn("a job's end is not recorded: too many wait", "job", j.record().ID)
+	f.later(j)
+	f.wake()
+}
+
+// forget drops a job that is over from memory. Its place in order is the caller's.
+func (f *Front) forget(j *job, r *Record) {
+	f.bytes -= r.Size
+	delete(f.jobs, r.ID)
+	if k := sameKey(r.Session, j.in.Idempotency); f.same[k] == j {
+		delete(f.same, k)
 	}
 }
 
-// Handle answers one request.
-func (f *Front) Handle(ctx context.Context, m *http1.Message) http1.Response {
-	r := f.route(ctx, m)
-	r.Known = r.Status < 400 // a client that it understood keeps its connection as one of the platform's does
-	return r
+// refused takes back a job that the core refused, to wait for a while.
+func (f *Front) refused(j *job, after time.Duration, now time.Time) {
+	j.mu.Lock()
+	j.core = 0
+	j.mu.Unlock()
+	f.mu.Lock()
+	f.queue.Refused(j.ref, now.Add(after), now)
+	f.mu.Unlock()
+	f.later(j) // that nothing of it is out any more
+	f.wake()
 }
 
-func (f *Front) route(ctx context.Context, m *http1.Message) http1.Response {
-	path, ok := strings.CutPrefix(m.Path(), Prefix)
-	if !ok {
-		return problem(404, "INVALID_ARGUMENT", "", "paths of this front begin with "+Prefix)
+// pump hands jobs whose turn it is to the core, and says when to do so again if nothing else happens.
+func (f *Front) pump(ctx context.Context) time.Duration {
+	const never = time.Hour
+	if f.stop.Load() {
+		return never
 	}
-	switch parts := strings.Split(strings.Trim(path, "/"), "/"); {
-	case parts[0] == "counts" && len(parts) == 1:
-		if m.Method != "GET" {
-			return method("GET")
-		}
-		n, err := f.core.Counts(ctx)
-		if err != nil {
-			return problem(500, "INTERNAL", "", err.Error())
+	now := time.Now()
+	f.mu.Lock()
+	refs, wake := f.queue.Next(now, f.lim.BatchOut-f.queue.Out())
+	jobs := make([]*job, 0, len(refs))
+	for _, ref := range refs {
+		j := f.waits[ref.ID]
+		if a := f.arrays[ref.ID]; a != nil {
+			j = f.member(a, ref, now)
 		}
-		return http1.Response{Status: 200, Fields: jsonType(), Body: n.JSON()}
-	case parts[0] != "jobs" || len(parts) > 3:
-	case len(parts) == 1 && m.Method == "POST":
-		return f.submit(ctx, m.Body)
-	case len(parts) == 1 && m.Method == "GET":
-		return f.list(m.Target)
-	case len(parts) == 1:
-		return method("GET, POST")
-	case len(parts) == 2 && m.Method == "GET":
-		return f.info(ctx, parts[1])
-	case len(parts) == 2 && m.Method == "DELETE":
-		return f.terminate(ctx, parts[1])
-	case len(parts) == 2:
-		return method("GET, DELETE")
-	case parts[2] == "terminate" && m.Method == "POST":
-		return f.terminate(ctx, parts[1])
-	case parts[2] == "wait" && m.Method == "GET":
-		return f.wait(ctx, parts[1], m.Target)
-	case parts[2] == "terminate":
-		return method("POST")
-	case parts[2] == "wait":
-		return method("GET")
-	}
-	return problem(404, "INVALID_ARGUMENT", "", "no such path")
+		jobs = append(jobs, j)
+	}
+	f.mu.Unlock()
+	var g sync.WaitGroup
+	for _, j := range jobs {
+		g.Go(func() { f.hand(ctx, j) })
+	}
+	g.Wait()
+	if wake.IsZero() {
+		return never
+	}
+	return max(time.Until(wake), time.Millisecond)
 }
 
-// submit takes a job template. What is wrong with it is said before anything enters the core.
-func (f *Front) submit(ctx context.Context, body []byte) http1.Response {
-	if f.stop.Load() {
-		return tryLater("the node is leaving")
-	}
-	t, fault := f.parse(body, time.Now())
-	if fault != nil {
-		return problem(400, fault.code, fault.field, fault.text)
+// hand gives a job that waited to the core. It is on record as given before that: a job that is not has not run.
+func (f *Front) hand(ctx context.Context, j *job) {
+	now := time.Now()
+	if !j.until.IsZero() && !now.Before(j.until) {
+		j.end(func(r *Record) {
+			r.State, r.SubState, r.Annotation = Failed, subTerminated, "its deadline passed while it waited"
+		}, now)
+		return
 	}
-	var raw [16]byte
-	_, _ = rand.Read(raw[:])
-	j := &job{f: f, changed: make(chan struct{}), r: Record{ID: f.ids.next(), State: Queued, SubState: subHeld, Name: t.name,
-		Category: f.names.Classes[t.job.Class], Submitted: time.Now()}}
-	if len(f.names.Tenants) > 0 {
-		j.r.Account = f.names.Tenants[t.job.Tenant]
+	j.update(func(r *Record) {
+		r.State, r.SubState, r.Handed = Queued, subHeld, true
+		r.RetryMS = 0
+	})
+	if err := f.put(ctx, j, nil); err != nil {
+		f.refused(j, f.lim.StoreBeat, now)
+		return
 	}
-	in := t.job
-	in.Trace, in.Method = hex.EncodeToString(raw[:8]), "POST"
-	if in.Idempotency == "" {
-		in.Idempotency = hex.EncodeToString(raw[:])
+	in := j.in
+	in.Trace = trace()
+	class := node.Span(f.s.Classes[in.Class].Deadline)
+	if in.Left = class; !j.until.IsZero() {
+		in.Left = time.Until(j.until)
 	}
+	f.give(in, j)
+}
+
+// give submits to the core.
+func (f *Front) give(in node.Job, j *job) error {
 	if f.store != nil {
-		in.Before = func(executor string) error { return f.sending(j, executor, t.until) }
-		if err := f.put(ctx, j, nil); err != nil {
-			return tryLater("the job could not be recorded: " + err.Error())
-		}
+		until := time.Now().Add(in.Left)
+		in.Before = func(executor string) error { return f.sending(j, executor, until) }
 	}
-	in.Left = time.Until(t.until)
 	id, err := f.core.Submit(in, j)
 	if err != nil {
-		j.Answer(node.Answer{End: node.Refused, Why: err.Error()})
-		return tryLater(err.Error())
+		j.Answer(node.Answer{End: node.Refused, RetryAfter: f.lim.BatchAgain, Why: err.Error()})
+		return err
 	}
-	// Found by its id only from here on: a termination needs the core's number for it.
-	f.mu.Lock()
+	j.mu.Lock()
 	j.core = id
-	f.jobs[j.r.ID] = j
-	f.order = append(f.order, j)
-	f.mu.Unlock()
-	r := f.answer(201, j.record())
-	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/jobs/" + j.r.ID})
-	return r
+	j.mu.Unlock()
+	return nil
 }
 
 // sending records a send before it is made: after a restart, a job with a send on record may have run, and one
@@ -422,6 +372,18 @@
 	if from == noID {
 		return nil, Record{}, false
 	}
+	if f.store != nil {
+		value, found, err := f.store.Get(ctx, kindJob, key(id))
+		if err != nil {
+			return nil, Record{ID: id, State: Undetermined, Annotation: "the store can not tell: " + err.Error()}, true
+		}
+		if found {
+			return nil, told(parseRecord(value), from), true
+		}
+	}
+	if r, ok := f.unborn(ctx, id); ok {
+		return nil, r, true
+	}
 	r := Record{ID: id, State: Undetermined}
 	switch from {
 	case ours:
@@ -431,173 +393,48 @@
 	default:
 		r.Annotation = "it is another node's, and nothing is on record"
 	}
-	if f.store == nil {
-		return nil, r, true
-	}
-	value, found, err := f.store.Get(ctx, "job", id)
-	if err != nil {
-		r.Annotation = "the store can not tell: " + err.Error()
-	} else if found {
-		r = told(parseRecord(value), from)
-	}
 	return nil, r, true
 }
 
-// told turns a record into what can be said of the job now. Nothing is ever run again here.
-func told(r Record, from origin) Record {
-	switch {
-	case r.State.over() || from != formerly:
-	case r.SubState == subHeld && r.State == Queued:
-		// Each send is on record before it is made, and the life that could make one is over.
-		r.State, r.SubState = Failed, subUnsent
-		r.Annotation = "the node ended before it sent the job: submitting it again is harmless"
-	default:
-		r.State, r.SubState = Undetermined, ""
-		r.Annotation = "the node ended after it sent the job, which may have run"
-	}
-	return r
-}
-
-// parseRecord reads a record as json.Marshal wrote it.
-func parseRecord(data []byte) Record {
-	v := gjson.ParseBytes(data)
-	r := Record{ID: v.Get("jobId").String(), State: State(v.Get("jobState").String()), SubState: v.Get("jobSubState").String(),
-		Annotation: v.Get("annotation").String(), Name: v.Get("jobName").String(), Category: v.Get("jobCategory").String(),
-		Account: v.Get("accountingId").String(), Submitted: v.Get("submissionTime").Time(), Dispatched: v.Get("dispatchTime").Time(),
-		Finished: v.Get("finishTime").Time(), RetryMS: v.Get("retryAfterMs").Int()}
-	for _, m := range v.Get("allocatedMachines").Array() {
-		r.Machines = append(r.Machines, m.String())
-	}
-	if x := v.Get("exitStatus"); x.Exists() {
-		n := int(x.Int())
-		r.ExitStatus = &n
-	}
-	if x := v.Get("result"); x.Exists() {
-		text := x.String()
-		r.Result = &text
-	}
+// Handle answers one request.
+func (f *Front) Handle(ctx context.Context, m *http1.Message) http1.Response {
+	r := f.route(ctx, m)
+	r.Known = r.Status < 400 // a client that it understood keeps its connection as one of the platform's does
 	return r
 }
 
-func (f *Front) info(ctx context.Context, id string) http1.Response {
-	_, r, ok := f.find(ctx, id)
-	if !ok {
-		return unknown(id)
-	}
-	return f.answer(200, r)
-}
-
-// list gives the jobs of this life that are kept, of one state if the query names it.
-func (f *Front) list(target string) http1.Response {
-	_, query, _ := strings.Cut(target, "?")
-	q, err := url.ParseQuery(query)
-	if err != nil {
-		return problem(400, "INVALID_ARGUMENT", "query", err.Error())
-	}
-	want := State(q.Get("jobState"))
-	f.mu.Lock()
-	jobs := append([]*job(nil), f.order...)
-	f.mu.Unlock()
-	out := []Record{}
-	for _, j := range jobs {
-		if r := j.record(); want == "" || r.State == want {
-			r.Result = nil // told by the job's own info
-			out = append(out, r)
-		}
-	}
-	body, _ := json.Marshal(map[string]any{"jobs": out})
-	return http1.Response{Status: 200, Fields: jsonType(), Body: body}
-}
-
-// terminate ends a job that was not sent. One that was is not stopped, and is not said to be.
-func (f *Front) terminate(ctx context.Context, id string) http1.Response {
-	j, r, ok := f.find(ctx, id)
-	if !ok {
-		return unknown(id)
-	}
-	if j == nil {
-		return conflict(r, "the job is not one that this node can end")
-	}
-	err := f.core.Terminate(ctx, j.core)
-	switch r = j.record(); {
-	case err == nil:
-		return f.answer(200, r)
-	case errors.Is(err, node.ErrRunning):
-		return conflict(r, "the job was sent to an executor, is not stopped there, and its result still comes")
-	case errors.Is(err, node.ErrUnknown):
-		return conflict(r, "the job has ended")
-	}
-	return problem(500, "INTERNAL", "", err.Error())
-}
-
-// wait answers once a job has started, or has ended, or when the time to wait is over.
-func (f *Front) wait(ctx context.Context, id, target string) http1.Response {
-	_, query, _ := strings.Cut(target, "?")
-	q, err := url.ParseQuery(query)
-	if err != nil {
-		return problem(400, "INVALID_ARGUMENT", "query", err.Error())
-	}
-	started := false
-	switch q.Get("for") {
-	case "", "terminated":
-	case "started":
-		started = true
-	default:
-		return problem(400, "INVALID_ARGUMENT", "for", "neither started nor terminated")
-	}
-	most := f.lim.BatchWait
-	if text := q.Get("timeoutMs"); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 31)
-		if err != nil {
-			return problem(400, "INVALID_ARGUMENT", "timeoutMs", "not a whole number of milliseconds")
-		}
-		most = min(most, time.Duration(ms)*time.Millisecond)
-	}
-	j, r, ok := f.find(ctx, id)
-	if !ok {
-		return unknown(id)
-	}
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	for j != nil {
-		var changed <-chan struct{}
-		if r, changed = j.watch(); r.State.over() || started && r.State == Running {
-			break
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return state(504, "TIMEOUT", r, "the job is not there yet")
-		case <-ctx.Done():
-			return http1.Response{Status: 503, Close: true} // nobody reads it
-		}
-	}
-	return f.answer(200, r)
-}
-
 func (f *Front) answer(status int, r Record) http1.Response {
-	body, _ := json.Marshal(r)
-	out := http1.Response{Status: status, Fields: jsonType(), Body: body}
+	out := reply(status, r.shown())
 	if r.RetryMS > 0 {
 		out.Fields = append(out.Fields, http1.RetryAfter(time.Duration(r.RetryMS)*time.Millisecond))
 	}
 	return out
 }
 
+// reply is an answer with a JSON body.
+func reply(status int, v any) http1.Response {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return problem(500, "INTERNAL", "", err.Error())
+	}
+	return http1.Response{Status: status, Fields: jsonType(), Body: body}
+}
+
 func jsonType() []http1.Field {
 	return []http1.Field{{Name: "Content-Type", Value: "application/json"}}
 }
 
-// problem is an error in DRMAAv2's words.
+// problem is an error in DRMAAv2's words (section 4.2).
 func problem(status int, code, field, text string) http1.Response {
 	m := map[string]any{"error": code, "message": text}
 	if field != "" {
 		m["field"] = field
 	}
-	body, _ := json.Marshal(m)
-	return http1.Response{Status: status, Fields: jsonType(), Body: body}
+	return reply(status, m)
 }
 
+func refuse(x *fault) http1.Response { return problem(400, x.code, x.field, x.text) }
+
 // tryLater refuses a submission that the module has not seen.
 func tryLater(text string) http1.Response {
 	r := problem(503, "TRY_LATER", "", text)
@@ -606,19 +443,18 @@
 }
 
 func state(status int, code string, r Record, text string) http1.Response {
-	body, _ := json.Marshal(map[string]any{"error": code, "message": text, "jobId": r.ID,
+	return reply(status, map[string]any{"error": code, "message": text, "jobId": r.ID,
 		"jobState": r.State, "jobSubState": r.SubState})
-	return http1.Response{Status: status, Fields: jsonType(), Body: body}
 }
 
 func conflict(r Record, text string) http1.Response { return state(409, "INVALID_STATE", r, text) }
 
 func unknown(id string) http1.Response {
-	return problem(404, "INVALID_ARGUMENT", "jobId", "no job has the id "+strconv.Quote(id))
+	return problem(404, "INVALID_ARGUMENT", "jobId", "no job has the id "+quote(id))
 }
 
-func method(allowed string) http1.Response {
-	r := problem(405, "UNSUPPORTED_OPERATION", "", "only "+allowed)
-	r.Fields = append(r.Fields, http1.Field{Name: "Allow", Value: allowed})
+func method(allowed ...string) http1.Response {
+	r := problem(405, "UNSUPPORTED_OPERATION", "", "only "+strings.Join(allowed, ", "))
+	r.Fields = append(r.Fields, http1.Field{Name: "Allow", Value: strings.Join(allowed, ", ")})
 	return r
 }
--- /dev/null
+++ b/internal/batch/events.go
@@ -0,0 +1,100 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Event is a change of a job's state (DRMAAv2's DrmaaNotification, section 8.3).
+type Event struct {
+	Cursor  string    `json:"cursor"`
+	Event   string    `json:"event"` // NEW_STATE
+	ID      string    `json:"jobId"`
+	Session string    `json:"sessionName"`
+	State   State     `json:"jobState"`
+	Sub     string    `json:"jobSubState,omitempty"`
+	At      time.Time `json:"time"`
+}
+
+// events are the latest changes, numbered one after another within a life of the node. A client that comes back says
+// which one it saw last, and goes on without a gap or a repeat, or is told that it fell too far behind.
+type events struct {
+	life int64
+
+	mu    sync.Mutex
+	ring  []Event
+	last  uint64        // the number of the latest
+	grown chan struct{} // closed at the next one
+}
+
+func newEvents(life int64, size int) *events {
+	return &events{life: life, ring: make([]Event, max(size, 1)), grown: make(chan struct{})}
+}
+
+func (e *events) cursor(n uint64) string { return fmt.Sprintf("%x.%d", e.life, n) }
+
+func (e *events) add(r *Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last++
+	e.ring[e.last%uint64(len(e.ring))] = Event{Cursor: e.cursor(e.last), Event: "NEW_STATE", ID: r.ID, Session: r.Session,
+		State: r.State, Sub: r.SubState, At: time.Now().UTC()}
+	close(e.grown)
+	e.grown = make(chan struct{})
+}
+
+// now is the cursor of the latest event.
+func (e *events) now() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cursor(e.last)
+}
+
+// parse reads a cursor; an empty one stands for now. One of another life is behind by all that is gone with it.
+func (e *events) parse(text string) (n uint64, lost bool, err error) {
+	if text == "" {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.last, false, nil
+	}
+	life, number, ok := strings.Cut(text, ".")
+	l, err1 := strconv.ParseInt(life, 16, 64)
+	n, err2 := strconv.ParseUint(number, 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case !ok || err1 != nil || err2 != nil || l > e.life || l == e.life && n > e.last:
+		return 0, false, fmt.Errorf("%q is no cursor that this node gave", text)
+	case l < e.life:
+		return 0, true, nil
+	}
+	return n, false, nil
+}
+
+// after gives up to limit events that follow number n, the number to go on from, and a channel that is closed when
+// there are more. Lost says that some that followed are no longer kept.
+func (e *events) after(n uint64, limit int, pick func(*Event) bool) (out []Event, next uint64, lost bool, more <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	size := uint64(len(e.ring))
+	if e.last > size && n < e.last-size {
+		return nil, e.last - size, true, e.grown
+	}
+	for ; n < e.last && len(out) < limit; n++ {
+		if x := &e.ring[(n+1)%size]; pick(x) {
+			out = append(out, *x)
+		}
+	}
+	return out, n, false, e.grown
+}
+
+// lostEvent tells a client that events are missing: what it knows of jobs is to be read anew.
+func lostEvent(cursor string) []byte {
+	b, _ := json.Marshal(map[string]any{"event": "LOST", "cursor": cursor,
+		"message": "events were not kept so long: read the jobs' states anew and go on from this cursor"})
+	return b
+}
--- /dev/null
+++ b/internal/batch/hard_test.go
@@ -0,0 +1,358 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/node"
+	"quincereach/internal/records"
+)
+
+// engine is a core that takes jobs and ends them as it is told.
+type engine struct {
+	core
+	mu      sync.Mutex
+	clients []node.Client
+	full    bool
+	most    int // out at a time, as seen
+	out     int
+}
+
+func (e *engine) Submit(j node.Job, c node.Client) (uint32, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.full {
+		return 0, node.ErrFull
+	}
+	e.clients = append(e.clients, c)
+	e.jobs = append(e.jobs, j)
+	e.out++
+	e.most = max(e.most, e.out)
+	return uint32(len(e.clients)), nil
+}
+
+// take removes the clients that wait, and gives them with their jobs.
+func (e *engine) take() ([]node.Client, []node.Job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, j := e.clients, e.jobs
+	e.clients, e.jobs, e.out = nil, nil, e.out-len(c)
+	return c, j
+}
+
+// run runs a front until the test ends.
+func run(t *testing.T, f *Front) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { _ = f.Run(ctx); close(done) }()
+	stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(stop)
+	return stop
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain:", what)
+		}
+	}
+}
+
+func submitArray(t *testing.T, f *Front, args string) string {
+	t.Helper()
+	status, v, _ := call(f, "POST", "/arrays", `{"jobTemplate":`+good+`,`+args+`}`)
+	if status != 201 {
+		t.Fatalf("%d %s", status, v.Raw)
+	}
+	return v.Get("jobArrayId").String()
+}
+
+// An array of 10,000 runs each member once, no more than maxParallel at a time, though some are refused on the way; its
+// memory stays that of the members that are out.
+func TestLargeArray(t *testing.T) {
+	e := &engine{}
+	f := front(e, nil, time.Now())
+	f.lim.BatchJobs, f.lim.BatchAgain = 200, time.Millisecond
+	run(t, f)
+	id := submitArray(t, f, `"endIndex":10000,"maxParallel":50`)
+	seen, refused := map[string]int{}, 0
+	for served := 0; served < 10000; {
+		clients, jobs := e.take()
+		for i, c := range clients {
+			if (served+i)%97 == 13 && refused < 100 {
+				refused++
+				c.Answer(node.Answer{End: node.Refused, RetryAfter: time.Millisecond, Why: "no room"})
+				continue
+			}
+			seen[jobs[i].Idempotency]++
+			served++
+			c.Answer(node.Answer{End: node.Served, Result: []byte("x")})
+		}
+		f.mu.Lock()
+		if n := len(f.jobs); n > 300 {
+			t.Fatalf("%d jobs are kept", n)
+		}
+		f.mu.Unlock()
+	}
+	eventually(t, "its end", func() bool {
+		_, v, _ := call(f, "GET", "/arrays/"+id, "")
+		return v.Get("done").Int() == 10000 && v.Get("jobState").String() == "DONE"
+	})
+	for key, n := range seen {
+		if n != 1 {
+			t.Fatalf("member %s ran %d times", key, n)
+		}
+	}
+	if len(seen) != 10000 || e.most > 50 || refused == 0 {
+		t.Errorf("%d members, %d at a time, %d refusals", len(seen), e.most, refused)
+	}
+}
+
+// Release crossing terminate, from many clients at a time: a job either runs or is terminated, and both are told truly.
+func TestReleaseCrossesTerminate(t *testing.T) {
+	e := &engine{}
+	f := front(e, nil, time.Now())
+	run(t, f)
+	for range 60 {
+		_, v, _ := call(f, "POST", "/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1))
+		id := v.Get("jobId").String()
+		var g sync.WaitGroup
+		statuses := make([]int, 2)
+		for i, what := range []string{"/release", "/terminate"} {
+			g.Go(func() { statuses[i], _, _ = call(f, "POST", "/jobs/"+id+what, "") })
+		}
+		g.Wait()
+		if statuses[1] == 200 {
+			if _, v, _ := call(f, "GET", "/jobs/"+id, ""); v.Get("jobSubState").String() != "terminated" {
+				t.Fatalf("terminated, and it is %s", v.Raw)
+			}
+			continue
+		}
+		// Not terminated: it was released before, and is handed to the core.
+		eventually(t, "the released job", func() bool {
+			clients, _ := e.take()
+			for _, c := range clients {
+				c.Answer(node.Answer{End: node.Served})
+			}
+			_, v, _ := call(f, "GET", "/jobs/"+id, "")
+			return v.Get("jobState").String() == "DONE"
+		})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.queue.Waiting()+f.queue.Out()+len(f.waits) != 0 {
+		t.Errorf("%d wait, %d out, %d known", f.queue.Waiting(), f.queue.Out(), len(f.waits))
+	}
+	if clients, _ := e.take(); len(clients) != 0 {
+		t.Errorf("%d jobs that were terminated reached the core", len(clients))
+	}
+}
+
+// A submission sent many times at once under one key is one job; after a restart the key still gives it back; one that
+// could not be taken leaves its key free.
+func TestOneKeyOneJob(t *testing.T) {
+	e, m := &engine{}, &memory{values: map[string][]byte{}}
+	began := time.Now()
+	f := front(e, m, began)
+	body := strings.Replace(good, "{", `{"idempotencyKey":"k1",`, 1)
+	ids := make([]string, 16)
+	var g sync.WaitGroup
+	for i := range ids {
+		g.Go(func() {
+			status, v, _ := call(f, "POST", "/jobs", body)
+			if ids[i] = v.Get("jobId").String(); status != 201 && status != 200 {
+				ids[i] = v.Raw
+			}
+		})
+	}
+	g.Wait()
+	for _, id := range ids {
+		if id != ids[0] || id == "" {
+			t.Fatalf("%q", ids)
+		}
+	}
+	if clients, _ := e.take(); len(clients) != 1 {
+		t.Fatalf("%d jobs reached the core", len(clients))
+	}
+	later := front(e, m, began.Add(time.Second))
+	if status, v, _ := call(later, "POST", "/jobs", body); status != 200 || v.Get("jobId").String() != ids[0] {
+		t.Errorf("after a restart: %d %s", status, v.Raw)
+	}
+	if status, v, _ := call(later, "POST", "/jobs", strings.Replace(body, "tile-charge", "area-render", 1)); status != 409 {
+		t.Errorf("another template under the key: %d %s", status, v.Raw)
+	}
+	other := strings.Replace(body, "k1", "k2", 1)
+	e.full = true
+	if status, v, _ := call(later, "POST", "/jobs", other); status != 503 {
+		t.Errorf("a full core: %d %s", status, v.Raw)
+	}
+	e.full = false
+	if status, v, _ := call(later, "POST", "/jobs", other); status != 201 {
+		t.Errorf("again, once there is room: %d %s", status, v.Raw)
+	}
+}
+
+// After a restart held and deferred jobs, and members of arrays that were never sent, wait again and run once; members
+// that were sent are UNDETERMINED and do not run again.
+func TestRestartTakesUp(t *testing.T) {
+	e, m := &engine{}, &memory{values: map[string][]byte{}}
+	began := time.Now()
+	f := front(e, m, began)
+	stop := run(t, f)
+	_, v, _ := call(f, "POST", "/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1))
+	held := v.Get("jobId").String()
+	id := submitArray(t, f, `"endIndex":6,"maxParallel":3`)
+	eventually(t, "three members with the core", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.clients) == 3 })
+	e.mu.Lock()
+	if err := e.jobs[0].Before("s-1"); err != nil { // one of them is sent
+		t.Fatal(err)
+	}
+	sent := e.clients[0].(*job).record().ID
+	e.mu.Unlock()
+	stop()
+	e.take()
+	f = front(e, m, began.Add(time.Second))
+	if _, v, _ = call(f, "GET", "/jobs/"+held, ""); v.Get("jobState").String() != "QUEUED_HELD" {
+		t.Errorf("the held job: %s", v.Raw)
+	}
+	if _, v, _ = call(f, "GET", "/jobs/"+sent, ""); v.Get("jobState").String() != "UNDETERMINED" {
+		t.Errorf("the member that was sent: %s", v.Raw)
+	}
+	run(t, f)
+	if status, v, _ := call(f, "POST", "/jobs/"+held+"/release", ""); status != 200 {
+		t.Errorf("%d %s", status, v.Raw)
+	}
+	ran := map[string]int{}
+	eventually(t, "all but the one that was sent run", func() bool {
+		clients, _ := e.take()
+		for _, c := range clients {
+			ran[c.(*job).record().ID]++
+			c.Answer(node.Answer{End: node.Served})
+		}
+		return len(ran) >= 6
+	})
+	for i := 1; i <= 6; i++ {
+		want := 1
+		if memberID(id, i) == sent {
+			want = 0
+		}
+		if got := ran[memberID(id, i)]; got != want {
+			t.Errorf("member %d ran %d times after the restart, want %d", i, got, want)
+		}
+	}
+	if ran[held] != 1 {
+		t.Errorf("the held job ran %d times", ran[held])
+	}
+	eventually(t, "the array has ended", func() bool {
+		_, v, _ := call(f, "GET", "/arrays/"+id, "")
+		return v.Get("done").Int() == 5 && v.Get("failed").Int() == 1
+	})
+}
+
+// A store that is gone: submissions are refused with when to come back, nothing is half taken, and what waits goes on
+// once it is back.
+func TestStoreGone(t *testing.T) {
+	e, m := &engine{}, &memory{values: map[string][]byte{}}
+	f := front(e, m, time.Now())
+	f.lim.StoreBeat = 5 * time.Millisecond
+	run(t, f)
+	_, v, _ := call(f, "POST", "/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1))
+	held := v.Get("jobId").String()
+	set := func(err error) { m.mu.Lock(); m.err = err; m.mu.Unlock() }
+	set(errors.New("disk full"))
+	for _, x := range []struct{ path, body string }{{"/jobs", good}, {"/arrays", `{"jobTemplate":` + good + `,"endIndex":5}`}, {"/sessions", `{"sessionName":"s"}`},
+		{"/jobs", strings.Replace(good, "{", `{"idempotencyKey":"k",`, 1)}} {
+		status, v, r := call(f, "POST", x.path, x.body)
+		if status != 503 || v.Get("error").String() != "TRY_LATER" || r.Fields[len(r.Fields)-1].Name != "Retry-After" {
+			t.Errorf("%s: %d %s", x.path, status, v.Raw)
+		}
+	}
+	call(f, "POST", "/jobs/"+held+"/release", "")
+	time.Sleep(30 * time.Millisecond)
+	if clients, _ := e.take(); len(clients) != 0 || f.enter("s") {
+		t.Errorf("%d jobs reached the core without a record", len(clients))
+	}
+	if status, v, _ := call(f, "GET", "/jobs", ""); status != 503 {
+		t.Errorf("a list: %d %s", status, v.Raw)
+	}
+	set(nil)
+	eventually(t, "the released job", func() bool { clients, _ := e.take(); return len(clients) == 1 })
+	for _, k := range []string{"array", "same", "session"} {
+		if rows, _ := m.Page(context.Background(), k, "", 10); len(rows) != 0 {
+			t.Errorf("left of what was refused: %s %s", k, rows[0].Key)
+		}
+	}
+}
+
+// A watch that can not keep up is told so, with a cursor to go on from; one that comes back in time misses nothing.
+func TestWatchFallsBehind(t *testing.T) {
+	f := front(&core{}, nil, time.Now())
+	f.events.ring = make([]Event, 8)
+	start := f.events.now()
+	call(f, "POST", "/jobs", good)
+	_, v, r := call(f, "GET", "/events?after="+start, "")
+	cursor := ""
+	for _, x := range r.Fields {
+		if x.Name == "X-Cursor" {
+			cursor = x.Value
+		}
+	}
+	if v.Get("jobState").String() != "QUEUED" || cursor == "" {
+		t.Fatalf("%s, cursor %q", v.Raw, cursor)
+	}
+	for range 20 {
+		call(f, "POST", "/jobs", good)
+	}
+	if _, v, _ = call(f, "GET", "/events?after="+cursor, ""); v.Get("event").String() != "LOST" {
+		t.Fatalf("21 events later: %s", v.Raw)
+	}
+	_, _, r = call(f, "GET", "/events?after="+v.Get("cursor").String(), "")
+	lines := strings.Split(strings.TrimSpace(string(r.Body)), "\n")
+	last := ""
+	for _, l := range lines {
+		c := gjson.Get(l, "cursor").String()
+		var n, life int
+		if _, err := fmt.Sscanf(c, "%x.%d", &life, &n); err != nil || last != "" && fmt.Sprintf("%x.%d", life, n-1) != last {
+			t.Errorf("%s after %s", c, last)
+		}
+		last = c
+	}
+	if len(lines) != 8 || last != f.events.now() {
+		t.Errorf("%d events from there on, the last %s", len(lines), last)
+	}
+}
+
+// Records of long ago, and the first where there are too many, go; those of open jobs stay.
+func TestRetention(t *testing.T) {
+	b, err := records.OpenBolt(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = b.Close() }()
+	e := &engine{}
+	f := front(e, b, time.Now())
+	f.lim.BatchValues, f.lim.BatchJobs = 5, 1
+	run(t, f)
+	call(f, "POST", "/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1))
+	for range 12 {
+		call(f, "POST", "/jobs", good)
+	}
+	clients, _ := e.take()
+	for _, c := range clients {
+		c.Answer(node.Answer{End: node.Served})
+	}
+	eventually(t, "all on record", func() bool { return !f.Pending() })
+	f.sweep()
+	status, v, _ := call(f, "GET", "/jobs", "")
+	if n := len(v.Get("jobs").Array()); status != 200 || n != 5 || v.Get("jobs.0.jobState").String() != "QUEUED_HELD" {
+		t.Errorf("%d left: %s", n, v.Raw)
+	}
+}
--- /dev/null
+++ b/internal/batch/monitor.go
@@ -0,0 +1,395 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"quincereach/brain"
+	"quincereach/internal/filter"
+	"quincereach/internal/http1"
+	"quincereach/internal/node"
+)
+
+// Capabilities are DRMAAv2's optional ones (GFD.194, section 4.5), and whether this node has them.
+var Capabilities = map[string]bool{
+	"ADVANCE_RESERVATION": false, "RESERVE_SLOTS": false, "CALLBACK": true, "BULK_JOBS_MAXPARALLEL": true,
+	"JT_EMAIL": false, "JT_STAGING": false, "JT_DEADLINE": true, "JT_MAXSLOTS": true, "JT_ACCOUNTINGID": true,
+	"RT_STARTNOW": false, "RT_DURATION": false, "RT_MACHINEOS": false, "RT_MACHINEARCH": false,
+}
+
+// manager tells what this implementation is (SessionManager).
+func (f *Front) manager() http1.Response {
+	return reply(200, map[string]any{"drmsName": "gatetack", "drmsVersion": f.version, "drmaaName": "gatetack DRMAAv2 over HTTP",
+		"drmaaVersion": "2.0", "contact": f.ids.node, "capabilities": Capabilities})
+}
+
+func (f *Front) supports(capability string) http1.Response {
+	has, known := Capabilities[capability]
+	if !known {
+		return problem(400, "INVALID_ARGUMENT", "capability", "no capability of DRMAAv2 is named "+quote(capability))
+	}
+	return reply(200, map[string]any{"capability": capability, "supported": has})
+}
+
+// categories are the classes (JobSession::jobCategories).
+func (f *Front) categories() http1.Response {
+	return reply(200, map[string]any{"jobCategories": f.names.Classes})
+}
+
+var effects = map[brain.Effect]string{brain.Safe: "free", brain.Keyed: "guarded", brain.Unsafe: "single_shot"}
+
+// queues are the classes as queues, with what waits and runs of each (MonitoringSession::getAllQueues).
+func (f *Front) queues() http1.Response {
+	waiting, running := map[string]int{}, map[string]int{}
+	f.mu.Lock()
+	for _, j := range f.order {
+		switch r := j.record(); {
+		case r.State == Running:
+			running[r.Category]++
+		case !r.State.over():
+			waiting[r.Category]++
+		}
+	}
+	for _, a := range f.arrays {
+		if r := a.record(); !r.Cut && r.Next <= r.End {
+			waiting[r.Category] += (r.End-r.Next)/r.Step + 1
+		}
+	}
+	f.mu.Unlock()
+	list := []map[string]any{}
+	for i, name := range f.names.Classes {
+		c := &f.s.Classes[i]
+		list = append(list, map[string]any{"name": name, "deadlineMs": c.Deadline, "aimMs": c.Aim, "worth": c.Worth,
+			"effect": effects[c.Effect], "waiting": waiting[name], "running": running[name]})
+	}
+	return reply(200, map[string]any{"queues": list})
+}
+
+// MachineFields are what filters of machines may name.
+var MachineFields = filter.Schema{
+	{Name: "name", Kind: filter.Text}, {Name: "status", Kind: filter.Word, Words: []string{"ready", "draining", "gone"}},
+	{Name: "zone", Kind: filter.Text}, {Name: "type", Kind: filter.Text}, {Name: "group", Kind: filter.Number},
+	{Name: "weight", Kind: filter.Number}, {Name: "out", Kind: filter.Number, Help: "attempts of this node that are out"},
+}
+
+// machines are the boxes as this node sees them (MonitoringSession::getAllMachines).
+func (f *Front) machines(ctx context.Context, target string) http1.Response {
+	_, query, _ := strings.Cut(target, "?")
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		return problem(400, "INVALID_ARGUMENT", "query", err.Error())
+	}
+	pick, err := filter.Parse(MachineFields, q.Get("filter"))
+	if err != nil {
+		return problem(400, "INVALID_ARGUMENT", "filter", err.Error())
+	}
+	all, err := f.core.Machines(ctx)
+	if err != nil {
+		return problem(500, "INTERNAL", "", err.Error())
+	}
+	list := []map[string]any{}
+	for i := range all {
+		if m := &all[i]; pick.Match(machineRow(m), time.Now()) {
+			list = append(list, map[string]any{"name": m.Name, "address": m.Address, "status": m.Status, "zone": m.Zone, "type": m.Kind,
+				"group": m.Group, "weight": m.Weight, "sinceMs": m.SinceMS, "out": m.Out, "available": m.Status == "ready"})
+		}
+	}
+	return reply(200, map[string]any{"machines": list})
+}
+
+func machineRow(m *node.Machine) filter.Row {
+	return func(name string) any {
+		switch name {
+		case "name":
+			return m.Name
+		case "status":
+			return m.Status
+		case "zone":
+			return m.Zone
+		case "type":
+			return m.Kind
+		case "group":
+			return float64(m.Group)
+		case "weight":
+			return m.Weight
+		}
+		return float64(m.Out)
+	}
+}
+
+// watch gives the changes of jobs' states after a cursor: as one answer, once there are any or the time to wait is over;
+// or, with stream=1, as one JSON object a line for as long as the client reads. An empty line comes every 2 s.
+func (f *Front) watch(ctx context.Context, session, target string) http1.Response {
+	_, query, _ := strings.Cut(target, "?")
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		return problem(400, "INVALID_ARGUMENT", "query", err.Error())
+	}
+	n, behind, err := f.events.parse(q.Get("after"))
+	if err != nil {
+		return problem(400, "INVALID_ARGUMENT", "after", err.Error())
+	}
+	pick := func(e *Event) bool { return session == "" || e.Session == session }
+	if id := q.Get("jobId"); id != "" {
+		of := pick
+		pick = func(e *Event) bool { return of(e) && (e.ID == id || strings.HasPrefix(e.ID, id+"-")) }
+	}
+	fields := []http1.Field{{Name: "Content-Type", Value: "application/x-ndjson"}}
+	if q.Get("stream") == "1" {
+		return http1.Response{Status: 200, Fields: fields, Close: true, Stream: func(ctx context.Context, w io.Writer) error {
+			return f.follow(ctx, w, n, behind, pick)
+		}}
+	}
+	_, most, bad := f.waitArgs("", q.Get("timeoutMs"))
+	if bad != nil {
+		return refuse(bad)
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		out, next, lost, more := f.events.after(n, 256, pick)
+		var body bytes.Buffer
+		if lost || behind {
+			body.Write(lostEvent(f.events.cursor(next)))
+			body.WriteByte('\n')
+			return http1.Response{Status: 200, Fields: fields, Body: body.Bytes()}
+		}
+		n = next
+		if len(out) > 0 {
+			for i := range out {
+				line, _ := json.Marshal(&out[i])
+				body.Write(append(line, '\n'))
+			}
+			return http1.Response{Status: 200, Fields: append(fields, http1.Field{Name: "X-Cursor", Value: f.events.cursor(n)}), Body: body.Bytes()}
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return http1.Response{Status: 503, Close: true}
+		case <-timer.C:
+			return http1.Response{Status: 200, Fields: append(fields, http1.Field{Name: "X-Cursor", Value: f.events.cursor(n)}), Body: []byte("\n")}
+		}
+	}
+}
+
+var errFellBehind = errors.New("batch: a watch fell too far behind")
+
+// follow writes a stream of events.
+func (f *Front) follow(ctx context.Context, w io.Writer, n uint64, behind bool, pick func(*Event) bool) error {
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	for {
+		out, next, lost, more := f.events.after(n, 64, pick)
+		if lost || behind {
+			if _, err := w.Write(append(lostEvent(f.events.cursor(next)), '\n')); err != nil {
+				return err
+			}
+			return errFellBehind
+		}
+		n = next
+		var lines []byte
+		for i := range out {
+			line, _ := json.Marshal(&out[i])
+			lines = append(append(lines, line...), '\n')
+		}
+		if len(lines) > 0 {
+			if _, err := w.Write(lines); err != nil {
+				return err
+			}
+			continue
+		}
+		select {
+		case <-more:
+		case <-beat.C:
+			if _, err := io.WriteString(w, "\n"); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// route finds what a path stands for. Paths under /jobs and /arrays are the default session's; /sessions/NAME/... are a
+// session's own; /monitoring/... are of all.
+func (f *Front) route(ctx context.Context, m *http1.Message) http1.Response {
+	path, ok := strings.CutPrefix(m.Path(), Prefix)
+	if !ok {
+		return problem(404, "INVALID_ARGUMENT", "", "paths of this front begin with "+Prefix)
+	}
+	p := strings.Split(strings.Trim(path, "/"), "/")
+	for i := range p {
+		text, err := url.PathUnescape(p[i])
+		if err != nil {
+			return problem(400, "INVALID_ARGUMENT", "path", err.Error())
+		}
+		p[i] = text
+	}
+	switch {
+	case p[0] == "counts" && len(p) == 1:
+		return get(m, func() http1.Response {
+			n, err := f.core.Counts(ctx)
+			if err != nil {
+				return problem(500, "INTERNAL", "", err.Error())
+			}
+			return http1.Response{Status: 200, Fields: jsonType(), Body: n.JSON()}
+		})
+	case p[0] == "manager" && len(p) == 1:
+		return get(m, f.manager)
+	case p[0] == "manager" && len(p) == 3 && p[1] == "supports":
+		return get(m, func() http1.Response { return f.supports(p[2]) })
+	case p[0] == "reservations" || p[0] == "monitoring" && len(p) > 1 && p[1] == "reservations":
+		return problem(501, "UNSUPPORTED_OPERATION", "", "nothing is reserved: supports(ADVANCE_RESERVATION) is false")
+	case p[0] == "categories" && len(p) == 1:
+		return get(m, f.categories)
+	case p[0] == "monitoring" && len(p) == 2:
+		return f.monitoring(ctx, m, p[1])
+	case p[0] == "sessions":
+		return f.sessionRoute(ctx, m, p[1:])
+	case p[0] == "jobs", p[0] == "arrays", p[0] == "events":
+		return f.jobRoute(ctx, m, "", p)
+	}
+	return problem(404, "INVALID_ARGUMENT", "", "no such path")
+}
+
+func get(m *http1.Message, do func() http1.Response) http1.Response {
+	if m.Method != "GET" {
+		return method("GET")
+	}
+	return do()
+}
+
+func (f *Front) monitoring(ctx context.Context, m *http1.Message, what string) http1.Response {
+	if m.Method != "GET" {
+		return method("GET")
+	}
+	switch what {
+	case "jobs":
+		return f.list(ctx, "", m.Target)
+	case "queues":
+		return f.queues()
+	case "machines":
+		return f.machines(ctx, m.Target)
+	case "events":
+		return f.watch(ctx, "", m.Target)
+	}
+	return problem(404, "INVALID_ARGUMENT", "", "no such path")
+}
+
+func (f *Front) sessionRoute(ctx context.Context, m *http1.Message, p []string) http1.Response {
+	switch {
+	case len(p) == 0 && m.Method == "GET":
+		return f.sessionNames()
+	case len(p) == 0 && m.Method == "POST":
+		return f.createSession(ctx, m.Body)
+	case len(p) == 0:
+		return method("GET", "POST")
+	case len(p) == 1 && m.Method == "GET":
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if s := f.sessions[p[0]]; s != nil {
+			return reply(200, s.status())
+		}
+		return noSession(p[0])
+	case len(p) == 1 && m.Method == "DELETE":
+		return f.destroySession(ctx, p[0])
+	case len(p) == 1:
+		return method("GET", "DELETE")
+	case len(p) == 2 && (p[1] == "open" || p[1] == "close") && m.Method != "POST":
+		return method("POST")
+	case len(p) == 2 && p[1] == "open":
+		return f.openSession(p[0], 200)
+	case len(p) == 2 && p[1] == "close":
+		return f.closeSession(p[0], m.Get("X-Session-Instance"))
+	}
+	if r, ok := f.instance(p[0], m); !ok {
+		return r
+	}
+	if p[1] == "categories" && len(p) == 2 {
+		return get(m, f.categories)
+	}
+	return f.jobRoute(ctx, m, p[0], p[1:])
+}
+
+// jobRoute is what a session's clients may call; an empty one stands for the default session, whose clients see all jobs
+// by their ids.
+func (f *Front) jobRoute(ctx context.Context, m *http1.Message, session string, p []string) http1.Response {
+	in := session
+	if in == "" {
+		in = defaultSession
+	}
+	switch {
+	case p[0] == "events" && len(p) == 1:
+		return get(m, func() http1.Response { return f.watch(ctx, session, m.Target) })
+	case p[0] == "arrays" && len(p) == 1 && m.Method == "POST":
+		return f.bulk(ctx, in, m.Body)
+	case p[0] == "arrays" && len(p) == 1:
+		return method("POST")
+	case p[0] == "arrays" && len(p) == 2 && m.Method == "DELETE":
+		return f.arrayCall(ctx, session, p[1], "terminate")
+	case p[0] == "arrays" && len(p) == 2:
+		return get(m, func() http1.Response { return f.arrayCall(ctx, session, p[1], "") })
+	case p[0] == "arrays" && len(p) == 3 && calls[p[2]] == "POST" && p[2] != "reap":
+		if m.Method != "POST" {
+			return method("POST")
+		}
+		return f.arrayCall(ctx, session, p[1], p[2])
+	case p[0] != "jobs" || len(p) > 3:
+	case len(p) == 1 && m.Method == "POST":
+		return f.submit(ctx, in, m.Body)
+	case len(p) == 1 && m.Method == "GET":
+		return f.list(ctx, session, m.Target)
+	case len(p) == 1:
+		return method("GET", "POST")
+	case len(p) == 2 && p[1] == "wait":
+		if m.Method != "POST" {
+			return method("POST")
+		}
+		return f.waitAny(ctx, session, m.Body)
+	case len(p) == 2 && m.Method == "GET":
+		return f.info(ctx, session, p[1])
+	case len(p) == 2 && m.Method == "DELETE":
+		return f.terminate(ctx, session, p[1])
+	case len(p) == 2:
+		return method("GET", "DELETE")
+	case calls[p[2]] == "":
+	case calls[p[2]] != m.Method:
+		return method(calls[p[2]])
+	default:
+		return f.jobCall(ctx, m, session, p[1], p[2])
+	}
+	return problem(404, "INVALID_ARGUMENT", "", "no such path")
+}
+
+// calls are what can be asked of a job by name, and how.
+var calls = map[string]string{"terminate": "POST", "hold": "POST", "release": "POST", "suspend": "POST", "resume": "POST",
+	"reap": "POST", "wait": "GET", "template": "GET", "state": "GET"}
+
+func (f *Front) jobCall(ctx context.Context, m *http1.Message, session, id, call string) http1.Response {
+	switch call {
+	case "terminate":
+		return f.terminate(ctx, session, id)
+	case "hold", "release":
+		return f.hold(ctx, session, id, call == "hold")
+	case "reap":
+		return f.reap(ctx, session, id)
+	case "wait":
+		return f.wait(ctx, session, id, m.Target)
+	case "template":
+		return f.template(ctx, session, id)
+	}
+	_, r, ok := f.visible(ctx, session, id)
+	switch {
+	case !ok:
+		return unknown(id)
+	case call == "state":
+		return reply(200, map[string]any{"jobId": r.ID, "jobState": r.State, "jobSubState": r.SubState})
+	}
+	return f.noSuspend(call)
+}
--- /dev/null
+++ b/internal/batch/session.go
@@ -0,0 +1,210 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/records"
+)
+
+// defaultSession is the one that jobs belong to whose clients name none. It always is, and is never destroyed.
+const defaultSession = "default"
+
+// sessionRecord is a job session (GFD.194, sections 7.1 and 8.2). It outlives its clients and the node, until it is
+// destroyed.
+type sessionRecord struct {
+	Name    string    `json:"sessionName"`
+	Contact string    `json:"contact,omitempty"`
+	Created time.Time `json:"created"`
+}
+
+type session struct {
+	r         sessionRecord
+	instances map[string]bool // opened and not closed, in this life
+}
+
+func noSession(name string) http1.Response {
+	return problem(404, "INVALID_SESSION", "sessionName", "no job session is named "+quote(name))
+}
+
+// enter says whether a session is there.
+func (f *Front) enter(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sessions[name] != nil
+}
+
+func (s *session) status() map[string]any {
+	return map[string]any{"sessionName": s.r.Name, "contact": s.r.Contact, "created": s.r.Created, "openInstances": len(s.instances)}
+}
+
+// sessionNames lists all sessions (getJobSessionNames).
+func (f *Front) sessionNames() http1.Response {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []map[string]any{}
+	for _, s := range f.sessions {
+		list = append(list, s.status())
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i]["sessionName"].(string) < list[k]["sessionName"].(string) })
+	return reply(200, map[string]any{"sessions": list})
+}
+
+// createSession makes a session (createJobSession). A name that is taken is refused: two clients that both create it
+// must not share it by accident.
+func (f *Front) createSession(ctx context.Context, body []byte) http1.Response {
+	if r, ok := f.open(ctx); !ok {
+		return r
+	}
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
+	}
+	r := sessionRecord{Created: time.Now().UTC()}
+	var bad *fault
+	gjson.ParseBytes(body).ForEach(func(k, v gjson.Result) bool {
+		name := k.String()
+		switch {
+		case name != "sessionName" && name != "contact":
+			bad = &fault{"INVALID_ARGUMENT", name, "no argument of a session"}
+		case v.Type != gjson.String:
+			bad = &fault{"INVALID_ARGUMENT", name, "not a string"}
+		case name == "sessionName":
+			r.Name = v.Str
+		default:
+			r.Contact = v.Str
+		}
+		return bad == nil
+	})
+	switch {
+	case bad != nil:
+	case !visible(r.Name) || len(r.Name) > 64 || strings.ContainsAny(r.Name, "/?#%"):
+		bad = &fault{"INVALID_ARGUMENT", "sessionName", "not a word of 1 to 64 visible characters without / ? # or %"}
+	case r.Contact != "" && r.Contact != f.ids.node:
+		bad = &fault{"INVALID_ARGUMENT", "contact", "this node's is " + quote(f.ids.node)}
+	}
+	if bad != nil {
+		return refuse(bad)
+	}
+	f.mu.Lock()
+	switch {
+	case f.sessions[r.Name] != nil:
+		f.mu.Unlock()
+		return problem(409, "INVALID_ARGUMENT", "sessionName", "a job session of this name exists")
+	case len(f.sessions) >= f.lim.BatchSessions:
+		f.mu.Unlock()
+		return problem(503, "TRY_LATER", "", "there are as many sessions as there may be")
+	}
+	s := &session{r: r}
+	f.sessions[r.Name] = s
+	f.mu.Unlock()
+	if f.store != nil {
+		v, _ := json.Marshal(r)
+		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: r.Name, Value: v}); err != nil {
+			f.mu.Lock()
+			delete(f.sessions, r.Name)
+			f.mu.Unlock()
+			return tryLater("the session could not be recorded: " + err.Error())
+		}
+	}
+	return f.openSession(r.Name, 201)
+}
+
+// openSession gives an instance of a session (openJobSession). Several clients may have one open: each has an instance
+// of its own, and all see its jobs.
+func (f *Front) openSession(name string, status int) http1.Response {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sessions[name]
+	if s == nil {
+		return noSession(name)
+	}
+	if len(s.instances) >= f.lim.BatchConns*16 {
+		return problem(503, "TRY_LATER", "", "the session is open as often as it may be")
+	}
+	id := trace()
+	if s.instances == nil {
+		s.instances = map[string]bool{}
+	}
+	s.instances[id] = true
+	out := s.status()
+	out["instance"] = id
+	return reply(status, out)
+}
+
+// closeSession ends an instance (closeJobSession). Calls that name it are refused from then on.
+func (f *Front) closeSession(name, instance string) http1.Response {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sessions[name]
+	if s == nil {
+		return noSession(name)
+	}
+	if !s.instances[instance] {
+		return problem(409, "INVALID_SESSION", "instance", "no such instance of the session is open")
+	}
+	delete(s.instances, instance)
+	return reply(200, s.status())
+}
+
+// destroySession takes a session away (destroyJobSession), unless an instance is open or a job of it has not ended.
+func (f *Front) destroySession(ctx context.Context, name string) http1.Response {
+	f.mu.Lock()
+	s := f.sessions[name]
+	open := 0
+	for _, j := range f.order {
+		if r := j.record(); r.Session == name && !r.State.over() {
+			open++
+		}
+	}
+	for _, a := range f.arrays {
+		if r := a.record(); r.Session == name && r.Done+r.Failed < r.Jobs {
+			open++
+		}
+	}
+	switch {
+	case s == nil:
+		f.mu.Unlock()
+		return noSession(name)
+	case name == defaultSession:
+		f.mu.Unlock()
+		return problem(409, "INVALID_SESSION", "sessionName", "the default session stays")
+	case len(s.instances) > 0:
+		f.mu.Unlock()
+		return problem(409, "INVALID_STATE", "sessionName", "an instance of the session is open")
+	case open > 0:
+		f.mu.Unlock()
+		return problem(409, "INVALID_STATE", "sessionName", "jobs of the session have not ended")
+	}
+	delete(f.sessions, name)
+	f.mu.Unlock()
+	if f.store != nil {
+		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: name}); err != nil {
+			f.mu.Lock()
+			f.sessions[name] = s
+			f.mu.Unlock()
+			return tryLater("the session's end could not be recorded: " + err.Error())
+		}
+	}
+	return http1.Response{Status: 204}
+}
+
+// instance checks that a call which names an instance of its session names one that is open.
+func (f *Front) instance(name string, m *http1.Message) (http1.Response, bool) {
+	id := m.Get("X-Session-Instance")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sessions[name]
+	switch {
+	case s == nil:
+		return noSession(name), false
+	case id != "" && !s.instances[id]:
+		return problem(409, "INVALID_SESSION", "X-Session-Instance", "the instance was closed, or never was"), false
+	}
+	return http1.Response{}, true
+}
--- /dev/null
+++ b/internal/batch/submit.go
@@ -0,0 +1,456 @@
+package batch
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/node"
+	"quincereach/internal/records"
+	"quincereach/internal/release"
+)
+
+func quote(s string) string { return strconv.Quote(s) }
+
+// trace makes an id under which a job goes to a box.
+func trace() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// sameRecord is what a session's idempotency key stands for.
+type sameRecord struct {
+	ID   string `json:"id"`
+	Hash string `json:"hash"`
+}
+
+// open says whether submissions are taken now. At the node's start it waits a while for what is on record to be read: a
+// job must not be taken twice.
+func (f *Front) open(ctx context.Context) (http1.Response, bool) {
+	if f.stop.Load() {
+		return tryLater("the node is leaving"), false
+	}
+	if !f.ready() {
+		select {
+		case <-f.loaded:
+		case <-ctx.Done():
+			return http1.Response{Status: 503, Close: true}, false
+		case <-time.After(f.lim.StoreCall):
+			return tryLater("what an earlier life left is being read"), false
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.waits)+len(f.arrays) >= f.lim.BatchWaiting {
+		return tryLater("too many jobs wait here"), false
+	}
+	return http1.Response{}, true
+}
+
+// submit takes a job template (runJob). What is wrong with it is said before anything enters the core.
+func (f *Front) submit(ctx context.Context, session string, body []byte) http1.Response {
+	if r, ok := f.open(ctx); !ok {
+		return r
+	}
+	now := time.Now()
+	t, bad := f.parse(body, now)
+	if bad != nil {
+		return refuse(bad)
+	}
+	if t.same != "" {
+		if r, ok := f.again(ctx, session, t); ok {
+			return r
+		}
+	}
+	j := f.newJob(session, t, now)
+	if !f.claim(session, t, j) {
+		return f.submit(ctx, session, body) // another with the same key came in between: it is found now
+	}
+	r, ok := f.take(ctx, session, t, j, now)
+	if !ok {
+		f.mu.Lock()
+		j.mu.Lock()
+		j.gone = true
+		j.mu.Unlock()
+		k := sameKey(session, t.same)
+		mine := f.same[k] == j
+		if mine {
+			delete(f.same, k)
+		}
+		f.mu.Unlock()
+		if mine && f.store != nil { // the client was told to try again: its key must not stand for what was not taken
+			if err := f.store.Write(ctx, records.Change{Kind: kindSame, Key: k}); err != nil {
+				f.log.Warn("an idempotency key of a job that was not taken stays on record", "err", err)
+			}
+		}
+	}
+	close(j.ready)
+	return r
+}
+
+func (f *Front) newJob(session string, t *template, now time.Time) *job {
+	j := &job{f: f, in: t.job, until: t.until, hash: t.hash, changed: make(chan struct{}), ready: make(chan struct{}),
+		queue: t.waits(now), r: Record{ID: f.ids.next(), State: Queued, SubState: subHeld, Name: t.name, Session: session,
+			Category: f.names.Classes[t.job.Class], Priority: t.priority, Submitted: now, Start: t.start, Deadline: t.until}}
+	if len(f.names.Tenants) > 0 {
+		j.r.Account = f.names.Tenants[t.job.Tenant]
+	}
+	switch {
+	case t.hold:
+		j.r.State = QueuedHeld
+	case j.queue:
+		j.r.SubState = subDeferred
+	}
+	j.r.Template, j.ref = t.raw, release.Ref{ID: j.r.ID}
+	j.in.Trace, j.in.Method = trace(), "POST"
+	if j.in.Idempotency == "" {
+		j.in.Idempotency = trace() + trace()
+	}
+	return j
+}
+
+// claim takes a session's idempotency key for a job, unless another has it.
+func (f *Front) claim(session string, t *template, j *job) bool {
+	if t.same == "" {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := sameKey(session, t.same)
+	if f.same[k] != nil {
+		return false
+	}
+	f.same[k] = j
+	return true
+}
+
+// again finds what was submitted under an idempotency key before: a submission whose answer was lost gives the first job
+// back. Another template under the same key is a mistake, and is told so.
+func (f *Front) again(ctx context.Context, session string, t *template) (http1.Response, bool) {
+	f.mu.Lock()
+	j := f.same[sameKey(session, t.same)]
+	f.mu.Unlock()
+	if j != nil {
+		select { // it may be on its way still
+		case <-j.ready:
+		case <-ctx.Done():
+			return http1.Response{Status: 503, Close: true}, true
+		}
+		j.mu.Lock()
+		gone := j.gone
+		j.mu.Unlock()
+		switch {
+		case gone:
+			return http1.Response{}, false
+		case j.hash != t.hash:
+			return problem(409, "INVALID_ARGUMENT", "idempotencyKey", "another template was submitted under this key, as job "+j.record().ID), true
+		}
+		return f.answer(200, j.record()), true
+	}
+	if f.store == nil {
+		return http1.Response{}, false
+	}
+	value, found, err := f.store.Get(ctx, kindSame, sameKey(session, t.same))
+	if err != nil {
+		return tryLater("whether this was submitted before can not be told: " + err.Error()), true
+	}
+	if !found {
+		return http1.Response{}, false
+	}
+	var same sameRecord
+	_ = json.Unmarshal(value, &same)
+	if same.Hash != fmt.Sprintf("%016x", t.hash) {
+		return problem(409, "INVALID_ARGUMENT", "idempotencyKey", "another template was submitted under this key, as job "+same.ID), true
+	}
+	_, r, ok := f.find(ctx, same.ID)
+	if !ok {
+		return http1.Response{}, false
+	}
+	return f.answer(200, r), true
+}
+
+// take puts a job on record, and then gives it to the core or lets it wait.
+func (f *Front) take(ctx context.Context, session string, t *template, j *job, now time.Time) (http1.Response, bool) {
+	var more []records.Change
+	if t.same != "" {
+		v, _ := json.Marshal(sameRecord{j.r.ID, fmt.Sprintf("%016x", t.hash)})
+		more = append(more, records.Change{Kind: kindSame, Key: sameKey(session, t.same), Value: v})
+	}
+	if !f.enter(session) {
+		return noSession(session), false
+	}
+	j.r.Handed = !j.queue
+	if err := f.put(ctx, j, nil, more...); err != nil {
+		return tryLater("the job could not be recorded: " + err.Error()), false
+	}
+	f.events.add(&j.r)
+	if j.queue {
+		f.mu.Lock()
+		f.keep(j)
+		f.waits[j.r.ID] = j
+		f.queue.Add(release.Item{ID: j.r.ID, Session: session, Priority: t.priority, Start: t.start, Held: t.hold}, now)
+		f.mu.Unlock()
+		f.wake()
+		return f.created(j), true
+	}
+	class := node.Span(f.s.Classes[t.job.Class].Deadline)
+	if j.in.Left = class; !t.until.IsZero() {
+		j.in.Left = time.Until(t.until)
+	}
+	f.mu.Lock()
+	f.keep(j)
+	f.mu.Unlock()
+	if err := f.give(j.in, j); err != nil {
+		return tryLater(err.Error()), false
+	}
+	return f.created(j), true
+}
+
+func (f *Front) created(j *job) http1.Response {
+	r := f.answer(201, j.record())
+	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/jobs/" + j.r.ID})
+	return r
+}
+
+// bulk takes a job array (runBulkJobs, GFD.194 section 8.2.7).
+func (f *Front) bulk(ctx context.Context, session string, body []byte) http1.Response {
+	if r, ok := f.open(ctx); !ok {
+		return r
+	}
+	if nested(body) > 16 || !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON, nested at most 16 levels deep")
+	}
+	x := arrayRecord{Begin: 1, End: -1, Step: 1, Session: session}
+	root := gjson.ParseBytes(body)
+	var bad *fault
+	var t *template
+	now := time.Now()
+	root.ForEach(func(k, v gjson.Result) bool {
+		var err error
+		switch k.String() {
+		case "jobTemplate":
+			t, bad = f.read(v, now)
+		case "beginIndex":
+			x.Begin, err = whole(v, 0, mostIndex)
+		case "endIndex":
+			x.End, err = whole(v, 0, mostIndex)
+		case "step":
+			x.Step, err = whole(v, 1, mostIndex)
+		case "maxParallel":
+			x.MaxParallel, err = whole(v, 0, mostIndex)
+		default:
+			err = fmt.Errorf("no argument of a bulk submission")
+		}
+		if err != nil {
+			bad = &fault{"INVALID_ARGUMENT", k.String(), err.Error()}
+		}
+		return bad == nil
+	})
+	item := release.Item{Array: true, Begin: x.Begin, End: x.End, Step: x.Step}
+	switch {
+	case bad != nil:
+	case t == nil:
+		bad = &fault{"INVALID_ARGUMENT", "jobTemplate", "missing"}
+	case t.same != "":
+		bad = &fault{"UNSUPPORTED_ATTRIBUTE", "idempotencyKey", "an array is not submitted under a key"}
+	case x.End < 0:
+		bad = &fault{"INVALID_ARGUMENT", "endIndex", "missing"}
+	case x.End < x.Begin:
+		bad = &fault{"INVALID_ARGUMENT", "endIndex", "before beginIndex"}
+	case item.Size() > f.lim.BatchArray:
+		bad = &fault{"INVALID_ARGUMENT", "endIndex", fmt.Sprintf("more than %d members", f.lim.BatchArray)}
+	}
+	if bad != nil {
+		return refuse(bad)
+	}
+	x.ID, x.Name, x.Category, x.Priority = f.ids.next(), t.name, f.names.Classes[t.job.Class], t.priority
+	if len(f.names.Tenants) > 0 {
+		x.Account = f.names.Tenants[t.job.Tenant]
+	}
+	x.Submitted, x.Start, x.Deadline, x.Held, x.Jobs, x.Next, x.Template = now, t.start, t.until, t.hold, item.Size(), x.Begin, t.raw
+	t.job.Method, t.job.Idempotency = "POST", trace()+trace()
+	a := &array{t: *t, r: x}
+	if !f.enter(session) {
+		return noSession(session)
+	}
+	if f.store != nil {
+		if err := f.store.Write(ctx, a.change()); err != nil {
+			return tryLater("the array could not be recorded: " + err.Error())
+		}
+	}
+	f.mu.Lock()
+	f.arrays[x.ID] = a
+	f.queue.Add(x.item(), now)
+	f.mu.Unlock()
+	f.wake()
+	r := reply(201, x.status())
+	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/arrays/" + x.ID})
+	return r
+}
+
+// load takes up what an earlier life of this node left: its sessions, arrays, and jobs that wait here. What may have been
+// sent is told as UNDETERMINED, and what was on its way to the core without a send on record as unsent; neither is run
+// again. Members of an array that were never sent have their turn again.
+func (f *Front) load(ctx context.Context) error {
+	now := time.Now()
+	if err := f.pages(ctx, kindSession, "", func(r records.Row) error {
+		var x sessionRecord
+		if err := json.Unmarshal(r.Value, &x); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.sessions[x.Name] = &session{r: x}
+		f.mu.Unlock()
+		return nil
+	}); err != nil {
+		return err
+	}
+	own := f.ids.node + "."
+	arrays := map[string]*array{}
+	if err := f.pages(ctx, kindArray, own, func(r records.Row) error {
+		a := &array{}
+		if err := json.Unmarshal(r.Value, &a.r); err != nil {
+			return err
+		}
+		if a.r.Cut && a.r.Next > a.r.End || a.over() {
+			f.mu.Lock()
+			f.arrays[a.r.ID] = a
+			f.mu.Unlock()
+			return nil
+		}
+		t, bad := f.read(gjson.ParseBytes(a.r.Template), a.r.Submitted)
+		if bad != nil {
+			f.log.Warn("an array on record can not be taken up", "array", a.r.ID, "field", bad.field, "why", bad.text)
+			return nil
+		}
+		t.job.Method, t.job.Idempotency = "POST", trace()+trace()
+		a.t = *t
+		arrays[a.r.ID] = a
+		return nil
+	}); err != nil {
+		return err
+	}
+	again := map[string][]int{}
+	var waiting []*job
+	if err := f.pages(ctx, kindOpen, own, func(row records.Row) error {
+		value, found, err := f.store.Get(ctx, kindJob, row.Key)
+		if err != nil || !found {
+			return err
+		}
+		r := parseRecord(value)
+		a := arrays[r.Array]
+		switch unsent := r.SubState == subHeld || r.SubState == subDeferred || r.State == QueuedHeld; {
+		case r.State.over():
+		case unsent && a != nil:
+			again[r.Array] = append(again[r.Array], *r.Index)
+		case unsent && !r.Handed && r.Array == "":
+			t, bad := f.parse(r.Template, r.Submitted)
+			if bad != nil {
+				return nil
+			}
+			j := &job{f: f, queue: true, ref: release.Ref{ID: r.ID}, in: t.job, until: r.Deadline, hash: t.hash,
+				changed: make(chan struct{}), ready: closed, r: r}
+			j.in.Method = "POST"
+			if j.in.Idempotency == "" {
+				j.in.Idempotency = trace() + trace()
+			}
+			waiting = append(waiting, j)
+			return nil
+		default:
+			r = told(r, formerly)
+			if r.State == Undetermined {
+				r.Finished = now
+			}
+			if a != nil {
+				a.ended(&r)
+				if err := f.store.Write(ctx, a.change()); err != nil {
+					return err
+				}
+			}
+		}
+		changes := r.changes()
+		changes[1].Value = nil // nothing of it is open in this life
+		return f.store.Write(ctx, changes...)
+	}); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, a := range arrays {
+		f.arrays[id] = a
+		x := a.record()
+		item := x.item()
+		if x.Cut {
+			item.End = x.Next - x.Step
+		}
+		f.queue.Restore(item, x.Next, again[id], now)
+	}
+	for _, j := range waiting {
+		if f.jobs[j.r.ID] != nil {
+			continue
+		}
+		f.keep(j)
+		f.waits[j.r.ID] = j
+		f.queue.Add(release.Item{ID: j.r.ID, Session: j.r.Session, Priority: j.r.Priority, Start: j.r.Start, Held: j.r.State == QueuedHeld}, now)
+	}
+	f.log.Info("batch jobs on record", "waiting", f.queue.Waiting(), "arrays", len(arrays))
+	return nil
+}
+
+// pages calls each for all rows of a kind whose keys begin with a prefix.
+func (f *Front) pages(ctx context.Context, kind, prefix string, each func(records.Row) error) error {
+	after := prefix
+	for {
+		rows, err := f.store.Page(ctx, kind, after, 256)
+		if err != nil {
+			return err
+		}
+		for _, r := range rows {
+			if len(r.Key) < len(prefix) || r.Key[:len(prefix)] != prefix {
+				return nil
+			}
+			if err := each(r); err != nil {
+				return fmt.Errorf("%s %s: %w", kind, r.Key, err)
+			}
+			after = r.Key
+		}
+		if len(rows) == 0 { // a page may be cut short by its bytes
+			return nil
+		}
+	}
+}
+
+// sweeper is a store that can take old records away.
+type sweeper interface {
+	Sweep(kind string, most records.Tally, limit int, fate func(key string, value []byte) records.Fate) (int, error)
+}
+
+// sweep takes away records of jobs that ended long ago, or the first ones where there are too many.
+func (f *Front) sweep() {
+	s, ok := f.store.(sweeper)
+	if !ok {
+		return
+	}
+	before := time.Now().Add(-f.lim.BatchAge)
+	gone, err := s.Sweep(kindJob, records.Tally{Values: f.lim.BatchValues, Bytes: f.lim.BatchRecords}, 10000,
+		func(_ string, v []byte) records.Fate {
+			switch end := gjson.GetBytes(v, "finishTime"); {
+			case !end.Exists():
+				return records.Hold
+			case end.Time().Before(before):
+				return records.Drop
+			}
+			return records.Stay
+		})
+	if err != nil || gone > 0 {
+		f.log.Info("old records of batch jobs", "gone", gone, "err", err)
+	}
+}
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -2,46 +2,110 @@
 
 import (
 	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
 
+	"quincereach/brain"
 	"quincereach/internal/node"
 )
 
 // template is a job template that was found good.
 type template struct {
-	name  string
-	job   node.Job
-	until time.Time
+	name     string
+	job      node.Job
+	until    time.Time // the client's deadline, zero for the class's from when the job is handed to the core
+	start    time.Time
+	hold     bool
+	priority int
+	same     string // the client's idempotency key
+	hash     uint64
+	raw      []byte
 }
 
+// waits says whether a job of this template waits here before it is handed to the core.
+func (t *template) waits(now time.Time) bool { return t.hold || t.start.After(now) }
+
 // fault is what is wrong with a template, and where.
 type fault struct{ code, field, text string }
 
-// unsupported are attributes of DRMAAv2's job template that this node has no use for. A job that asks for one
-// must not run as if it had not.
-var unsupported = map[string]bool{"submitAsHold": true, "rerunnable": true, "jobEnvironment": true,
-	"workingDirectory": true, "email": true, "emailOnStarted": true, "emailOnTerminated": true, "inputPath": true,
-	"outputPath": true, "errorPath": true, "joinFiles": true, "reservationId": true, "queueName": true,
-	"priority": true, "candidateMachines": true, "machineOS": true, "machineArch": true, "startTime": true,
-	"stageInFiles": true, "stageOutFiles": true, "resourceLimits": true, "args": true}
+// unsupported are attributes of DRMAAv2's job template (GFD.194, section 5.6) that this node has no use for, and why. A
+// job that asks for one must not run as if it had not.
+var unsupported = map[string]string{
+	"jobEnvironment":    "a render box runs a request, not a process with an environment",
+	"workingDirectory":  "a render box runs a request, not a process in a folder",
+	"email":             "no mail is sent: watch the events",
+	"emailOnStarted":    "no mail is sent: watch the events",
+	"emailOnTerminated": "no mail is sent: watch the events",
+	"inputPath":         "no files are read: the payload is the job's input",
+	"outputPath":        "no files are written: the result is in the job's info",
+	"errorPath":         "no files are written: the annotation says why a job failed",
+	"joinFiles":         "no files are written",
+	"stageInFiles":      "no files are staged: the payload is the job's input",
+	"stageOutFiles":     "no files are staged: the result is in the job's info",
+	"reservationId":     "nothing is reserved: supports(ADVANCE_RESERVATION) is false",
+	"queueName":         "the job's category is its queue",
+	"candidateMachines": "the module chooses the box: it alone knows room, racks and drains",
+	"machineOS":         "boxes are told apart by kind, which the class names",
+	"machineArch":       "boxes are told apart by kind, which the class names",
+	"resourceLimits":    "a job at a box is not stopped, so no limit could be kept; deadlineTime bounds the wait",
+}
+
+// placeholder stands for a member's index in the path and the payload of an array's template.
+const placeholder = "$PARAMETRIC_INDEX"
 
-// parse reads a job template: jobCategory is the class, accountingId the tenant, remoteCommand the path,
+const mostPriority = 1024
+
+// parse reads a job template: jobCategory is the class, accountingId the tenant, remoteCommand the path, args its query,
 // deadlineTime when the client gives up; payload is the body and idempotencyKey what the name says.
 func (f *Front) parse(body []byte, now time.Time) (*template, *fault) {
-	invalid := func(field, text string) *fault { return &fault{"INVALID_ARGUMENT", field, text} }
+	if len(body) > 0 && nested(body) > 16 {
+		return nil, &fault{"INVALID_ARGUMENT", "body", "nested deeper than 16 levels"}
+	}
 	if !gjson.ValidBytes(body) {
-		return nil, invalid("body", "not valid JSON")
+		return nil, &fault{"INVALID_ARGUMENT", "body", "not valid JSON"}
 	}
-	root := gjson.ParseBytes(body)
+	return f.read(gjson.ParseBytes(body), now)
+}
+
+// nested is how deeply a text's objects and lists stand in one another, without a parser that calls itself.
+func nested(b []byte) int {
+	depth, most, quoted := 0, 0, false
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+			most = max(most, depth)
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return most
+}
+
+func (f *Front) read(root gjson.Result, now time.Time) (*template, *fault) {
+	invalid := func(field, text string) *fault { return &fault{"INVALID_ARGUMENT", field, text} }
 	if !root.IsObject() {
 		return nil, invalid("body", "not an object")
 	}
-	t := &template{job: node.Job{Slots: 1, Class: -1, Tenant: -1}}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(root.Raw))
+	t := &template{job: node.Job{Slots: 1, Class: -1, Tenant: -1}, hash: h.Sum64(), raw: []byte(root.Raw)}
 	var bad *fault
 	seen := map[string]bool{}
+	var args []string
+	rerunnable := (*bool)(nil)
 	root.ForEach(func(key, v gjson.Result) bool {
 		name := key.String()
 		if seen[name] {
@@ -49,9 +113,22 @@
 			return false
 		}
 		seen[name] = true
-		if err := f.attribute(t, name, v); errors.Is(err, errUnsupported) {
-			bad = &fault{"UNSUPPORTED_ATTRIBUTE", name, err.Error()}
-		} else if err != nil {
+		if why, no := unsupported[name]; no {
+			bad = &fault{"UNSUPPORTED_ATTRIBUTE", name, why}
+			return false
+		}
+		var err error
+		switch name {
+		case "args":
+			args, err = strs(v, 256)
+		case "rerunnable":
+			var on bool
+			on, err = boolean(v)
+			rerunnable = &on
+		default:
+			err = f.attribute(t, name, v)
+		}
+		if err != nil {
 			bad = invalid(name, err.Error())
 		}
 		return bad == nil
@@ -62,6 +139,7 @@
 	if t.job.Class < 0 {
 		return nil, invalid("jobCategory", "missing: it names the class")
 	}
+	class := &f.s.Classes[t.job.Class]
 	if t.job.Tenant < 0 {
 		if len(f.names.Tenants) > 0 {
 			return nil, invalid("accountingId", "missing: it names the tenant")
@@ -74,36 +152,96 @@
 	} else if rest, ok := strings.CutPrefix(t.job.Target, path); !ok || rest != "" && rest[0] != '/' && rest[0] != '?' {
 		return nil, invalid("remoteCommand", "a path that does not begin with the job's category")
 	}
-	if t.until.IsZero() {
-		t.until = now.Add(node.Span(f.s.Classes[t.job.Class].Deadline))
-	} else if left := t.until.Sub(now); left <= 0 {
-		return nil, &fault{"INVALID_ARGUMENT", "deadlineTime", "it has passed"}
-	} else if left > f.lim.BatchDeadline {
-		return nil, invalid("deadlineTime", "further off than "+f.lim.BatchDeadline.String())
+	if len(args) > 0 {
+		if strings.Contains(t.job.Target, "?") {
+			return nil, invalid("args", "remoteCommand has a query already")
+		}
+		for i, a := range args {
+			sep := "&"
+			if i == 0 {
+				sep = "?"
+			}
+			t.job.Target += sep + "arg=" + strings.ReplaceAll(url.QueryEscape(a), url.QueryEscape(placeholder), placeholder)
+		}
+		if len(t.job.Target) > f.lim.Line/2 {
+			return nil, invalid("args", "longer than a request's first line may be")
+		}
+	}
+	// The class says what a repeat may do. A template may agree with it; it can not widen it, nor is there a way to tell
+	// a box that drops repeats not to.
+	if rerunnable != nil && *rerunnable != (class.Effect != brain.Unsafe) {
+		if *rerunnable {
+			return nil, invalid("rerunnable", "a job of this category must never run twice")
+		}
+		return nil, &fault{"UNSUPPORTED_ATTRIBUTE", "rerunnable", "jobs of this category may be repeated, where their boxes drop the repeat"}
+	}
+	if !t.start.IsZero() && t.start.Sub(now) > f.lim.BatchAhead {
+		return nil, invalid("startTime", "further off than "+f.lim.BatchAhead.String())
+	}
+	begin := now
+	if t.start.After(now) {
+		begin = t.start
+	}
+	if !t.until.IsZero() {
+		switch left := t.until.Sub(begin); {
+		case left <= 0 && begin.After(now):
+			return nil, invalid("deadlineTime", "it is before startTime")
+		case left <= 0:
+			return nil, invalid("deadlineTime", "it has passed")
+		case left > f.lim.BatchDeadline:
+			return nil, invalid("deadlineTime", "further off than "+f.lim.BatchDeadline.String())
+		}
 	}
 	return t, nil
 }
 
-var errUnsupported = errors.New("this node does not support it")
+func boolean(v gjson.Result) (bool, error) {
+	if !v.IsBool() {
+		return false, errors.New("neither true nor false")
+	}
+	return v.Bool(), nil
+}
+
+func strs(v gjson.Result, most int) ([]string, error) {
+	if !v.IsArray() {
+		return nil, errors.New("not a list of strings")
+	}
+	var out []string
+	for _, x := range v.Array() {
+		if x.Type != gjson.String {
+			return nil, errors.New("not a list of strings")
+		}
+		if out = append(out, x.Str); len(out) > most {
+			return nil, fmt.Errorf("more than %d", most)
+		}
+	}
+	return out, nil
+}
+
+func whole(v gjson.Result, least, most float64) (int, error) {
+	if v.Type != gjson.Number || v.Num != math.Trunc(v.Num) || v.Num < least || v.Num > most {
+		return 0, fmt.Errorf("not a whole number from %.0f to %.0f", least, most)
+	}
+	return int(v.Num), nil
+}
 
 // attribute takes in one attribute.
 func (f *Front) attribute(t *template, name string, v gjson.Result) error {
-	if unsupported[name] {
-		return errUnsupported
-	}
 	switch name {
-	case "jobName", "jobCategory", "accountingId", "remoteCommand", "deadlineTime", "payload", "idempotencyKey":
+	case "jobName", "jobCategory", "accountingId", "remoteCommand", "deadlineTime", "startTime", "payload", "idempotencyKey":
 		if v.Type != gjson.String {
 			return errors.New("not a string")
 		}
 	case "minSlots", "maxSlots", "minPhysMemory":
-		if v.Type != gjson.Number || v.Num < 1 || v.Num != float64(int(v.Num)) || v.Num > 1024 {
-			return errors.New("not a whole number from 1 to 1024")
+		if _, err := whole(v, 1, 1024); err != nil {
+			return err
 		}
+	case "submitAsHold", "priority":
 	default:
 		return errors.New("no attribute of a job template")
 	}
 	ok := true
+	var err error
 	switch name {
 	case "jobName":
 		if len(v.Str) > 256 {
@@ -128,15 +266,17 @@
 		if !visible(v.Str) || len(v.Str) > 256 {
 			return errors.New("not a word of 1 to 256 visible characters")
 		}
-		t.job.Idempotency = v.Str
+		t.job.Idempotency, t.same = v.Str, v.Str
 	case "payload":
 		t.job.Body = []byte(v.Str)
 	case "deadlineTime":
-		at, err := time.Parse(time.RFC3339Nano, v.Str)
-		if err != nil {
-			return errors.New("not a time as RFC 3339 has it")
-		}
-		t.until = at
+		t.until, err = moment(v.Str)
+	case "startTime":
+		t.start, err = moment(v.Str)
+	case "submitAsHold":
+		t.hold, err = boolean(v)
+	case "priority":
+		t.priority, err = whole(v, -mostPriority, mostPriority)
 	case "minSlots", "maxSlots":
 		if t.job.Slots > 1 && t.job.Slots != v.Num {
 			return errors.New("minSlots and maxSlots differ")
@@ -145,7 +285,28 @@
 	case "minPhysMemory":
 		t.job.Memory = v.Num
 	}
-	return nil
+	return err
+}
+
+func moment(text string) (time.Time, error) {
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return at, errors.New("not a time as RFC 3339 has it")
+	}
+	return at, nil
+}
+
+// member is the template of an array's member: the index takes the placeholder's place.
+func (t *template) member(index int) node.Job {
+	j, text := t.job, strconv.Itoa(index)
+	j.Target = strings.ReplaceAll(j.Target, placeholder, text)
+	if len(j.Body) > 0 {
+		j.Body = []byte(strings.ReplaceAll(string(j.Body), placeholder, text))
+	}
+	if j.Idempotency != "" {
+		j.Idempotency += "-" + text // one for each: boxes drop a repeat by it
+	}
+	return j
 }
 
 func visible(s string) bool {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -74,6 +74,7 @@
 	if next.Discovery == "" {
 		next.Discovery = c.Discovery
 	}
+	next.Limits.Pace = c.Limits.Pace // of the operators' file, which is read at the start
 	return next, nil
 }
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
@@ -18,8 +21,17 @@
 
 // File is what an operator sets beside the platform's configuration: what is off without it.
 type File struct {
+	// A node that is alone: what the platform would tell it, in the platform's names.
+	Node struct {
+		Name      string         `yaml:"name"`
+		Listen    string         `yaml:"listen"`
+		Discovery string         `yaml:"discovery"` // or an inventory
+		Limits    map[string]any `yaml:"limits"`    // sockets, memory_mb
+		Settings  map[string]any `yaml:"settings"`
+	} `yaml:"node"`
 	Batch struct {
 		Listen string `yaml:"listen"` // where batch clients connect; empty: no batch front
+		Dir    string `yaml:"dir"`    // where its jobs are on record, for a node without the replicated store; empty: nowhere
 	} `yaml:"batch"`
 	Inventory struct {
 		File string `yaml:"file"` // .csv or .yaml, in place of discovery; empty: discovery
@@ -63,11 +75,19 @@
 		}
 	}
 	// A file is named as it stands to the one that names it.
-	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir} {
+	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir, &f.Batch.Dir} {
 		if *path != "" && !filepath.IsAbs(*path) {
 			*path = filepath.Join(dir, *path)
 		}
 	}
+	if f.Alone() {
+		if err := loopback(f.Node.Listen); err != nil {
+			return nil, fmt.Errorf("line %d: node.listen: %w", lineOf(data, []string{"node", "listen"}), err)
+		}
+		if _, err := f.Config(); err != nil {
+			return nil, fmt.Errorf("line %d: node.%w", lineOf(data, []string{"node", "settings"}), err)
+		}
+	}
 	if f.Store.Dir != "" {
 		if err := loopback(f.Store.Listen); err != nil {
 			return nil, fmt.Errorf("store.listen: %w", err)
@@ -93,6 +113,20 @@
 	return nil
 }
 
+// Alone says whether the file names the node, and so stands for all that the platform would tell it.
+func (f *File) Alone() bool { return f.Node.Name != "" }
+
+// Config makes of the file's section node what the platform's JSON would have been, and reads it as that: settings have
+// one path, whoever gives them.
+func (f *File) Config() (*Config, error) {
+	data, err := json.Marshal(map[string]any{"name": f.Node.Name, "listen": f.Node.Listen, "discovery": f.Node.Discovery,
+		"seed": strconv.FormatUint(rand.Uint64(), 16), "limits": f.Node.Limits, "settings": f.Node.Settings})
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(data)
+}
+
 // lineOf finds the line on which a field stands in a file that can be read; the last one on its way that does.
 func lineOf(data []byte, path []string) int {
 	var doc yaml.Node
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strconv"
@@ -144,9 +145,46 @@
 	Fields []Field
 	Body   []byte
 	Close  bool
+	// Stream, if set, writes the body in place of Body, in chunks, for as long as the client reads. The connection ends
+	// with it.
+	Stream func(ctx context.Context, w io.Writer) error
 	Known  bool // not sent: the request was one of the front's own clients', and its connection is worth keeping
 }
 
+// stream sends a response whose body is written as it comes.
+func (w *Writer) stream(ctx context.Context, r *Response) error {
+	head := "HTTP/1.1 " + strconv.Itoa(r.Status) + " " + reason(r.Status) + "\r\n"
+	for _, f := range append(r.Fields[:len(r.Fields):len(r.Fields)], Field{"Transfer-Encoding", "chunked"}, Field{"Connection", "close"}) {
+		head += f.Name + ": " + f.Value + "\r\n"
+	}
+	if _, err := io.WriteString(w, head+"\r\n"); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := r.Stream(ctx, chunks{w}); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w, "0\r\n\r\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// chunks writes each piece as a chunk, and sends it at once.
+type chunks struct{ w *Writer }
+
+func (c chunks) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil // it would end the body
+	}
+	if _, err := fmt.Fprintf(c.w, "%x\r\n%s\r\n", len(p), p); err != nil {
+		return 0, err
+	}
+	return len(p), c.w.Flush()
+}
+
 // RetryAfter is the header that tells a client how long to stay away.
 func RetryAfter(d time.Duration) Field {
 	return Field{"Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64)}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -382,7 +382,7 @@
 				s.log.Debug("bad request", "err", err)
 				r := Text(bad.Status, "%s", bad.Text)
 				r.Close = true
-				s.write(c, w, &r)
+				s.write(ctx, c, w, &r)
 			}
 			return
 		}
@@ -406,7 +406,7 @@
 		r.Close = r.Close || m.Close || once || s.draining.Load()
 		p.Release()
 		s.busy.Add(-1)
-		ok := s.enter(c, answering) && s.write(c, w, &r)
+		ok := s.enter(c, answering) && s.write(ctx, c, w, &r)
 		s.touch()
 		if left, _ := c.Left(); ok && left > 0 || r.Known {
 			s.mu.Lock()
@@ -434,8 +434,14 @@
 }
 
 // write sends an answer, as slowly as its client reads it but for the least rate.
-func (s *Server) write(c *conn, w *Writer, r *Response) bool {
-	err := w.Response(r)
+func (s *Server) write(ctx context.Context, c *conn, w *Writer, r *Response) bool {
+	var err error
+	if r.Stream != nil {
+		r.Close = true
+		err = w.stream(ctx, r)
+	} else {
+		err = w.Response(r)
+	}
 	if slow := (*pace.Slow)(nil); errors.As(err, &slow) {
 		s.tally.Add(pace.ClientReads)
 		s.slow(pace.ClientCut, c, slow)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,18 @@
 	BatchBytes    int           // of their results
 	BatchWait     time.Duration // the longest wait for one
 	BatchDeadline time.Duration // the furthest deadline of one
+	BatchAhead    time.Duration // the furthest start time of one
+	BatchAgain    time.Duration // the least wait of one that was refused and waits here
+	BatchOut      int           // jobs that waited here and are with the core at a time
+	BatchWaiting  int           // items - jobs and arrays - that wait here
+	BatchArray    int           // members of an array
+	BatchEvents   int           // changes of state kept for clients that come back
+	BatchSessions int           // job sessions
+	BatchPage     int           // jobs in an answer, and
+	BatchLook     int           // looked at for it
+	BatchValues   int64         // jobs on record, those that have ended first to go,
+	BatchRecords  int64         // their bytes,
+	BatchAge      time.Duration // and their age
 
 	// The inventory and the store, off on the platform.
 	InventoryBytes int
@@ -127,6 +139,10 @@
 		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare, WorkerConns: workers,
 		IdleConns: 32, GiveUps: giveUps,
 		BatchConns: batch, BatchJobs: 4096, BatchBytes: 16 << 20, BatchWait: time.Minute, BatchDeadline: 15 * time.Minute,
+		BatchAhead: 30 * 24 * time.Hour, BatchAgain: 100 * time.Millisecond, BatchOut: 64, BatchWaiting: 10000, BatchArray: 1 << 20,
+		BatchEvents: 4096, BatchSessions: 256, BatchPage: 1000, BatchLook: 20000, BatchValues: 1 << 20, BatchRecords: 4 << 30,
+		BatchAge: 7 * 24 * time.Hour,
+
 		InventoryBytes: 1 << 20, InventoryRows: 4096, InventoryLook: 200 * time.Millisecond,
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second,
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +121,7 @@
 	data []byte
 }
 type countsTo chan Counts
+type machinesTo chan []Machine
 type leave time.Time
 
 // Submit hands in a job. Unless it fails, the client gets one answer, or Gone is called. It never blocks.
@@ -224,6 +227,20 @@
 	}
 }
 
+// Machines tells which executors are listed, by name, and what of this node is out there.
+func (c *Core) Machines(ctx context.Context) ([]Machine, error) {
+	to := make(machinesTo, 1)
+	c.post(to)
+	select {
+	case all := <-to:
+		return all, nil
+	case <-c.done:
+		return nil, context.Canceled
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Ready says whether the node can serve: it runs and its list names an executor that takes work.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
@@ -312,6 +329,17 @@
 				c.cut(j, leaves)
 			}
 		}
+	case machinesTo:
+		out := map[uint32]int{}
+		for _, a := range c.attempts {
+			out[a.worker]++
+		}
+		var all []Machine
+		for id, w := range c.workers {
+			all = append(all, Machine{w, out[id]})
+		}
+		slices.SortFunc(all, func(a, b Machine) int { return strings.Compare(a.Name, b.Name) })
+		ev <- all
 	case countsTo:
 		n := c.counts
 		n.Slow = c.slow.JSON()
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"quincereach/brain"
 	"quincereach/internal/limits"
+	"quincereach/internal/pace"
 	_ "quincereach/internal/seeds"
 )
 
@@ -399,3 +402,29 @@
 		t.Errorf("a job from before that was served: %+v", old.answers)
 	}
 }
+
+// Where the operators' file bounds the jobs that one customer may have open, one more is turned away at once, others are
+// not, and an end makes room.
+func TestCustomersShare(t *testing.T) {
+	h := newHost(t, box("s-1"))
+	h.c.lim.Pace.Requests = 2
+	h.c.tenants = make([]atomic.Int64, 2)
+	submit := func(id string, tenant int) (uint32, error) {
+		return h.c.Submit(Job{Trace: id, Class: 1, Tenant: tenant, Left: 5 * time.Second, Slots: 1}, &client{t: t})
+	}
+	for i, id := range []string{"a", "b"} {
+		if _, err := submit(id, 0); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	if _, err := submit("c", 0); !errors.Is(err, ErrShare) || h.c.Open() != 2 || h.c.Slow().Count(pace.ClientShare) != 1 {
+		t.Errorf("%v, %d open", err, h.c.Open())
+	}
+	if _, err := submit("d", 1); err != nil {
+		t.Errorf("another customer: %v", err)
+	}
+	h.run(6 * time.Second)
+	if _, err := submit("e", 0); err != nil || h.c.Open() != 1 {
+		t.Errorf("after their ends: %v, %d open", err, h.c.Open())
+	}
+}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -186,6 +186,12 @@
 // Peers sends messages to other nodes, best effort.
 type Peers interface{ Tell(to uint16, data []byte) }
 
+// Machine is an executor as the node sees it.
+type Machine struct {
+	Entry
+	Out int // attempts of this node that are out there
+}
+
 // Counts are what the node did since its start. Both fronts show the same ones.
 type Counts struct {
 	Taken, Served, Refused, Failed, Terminated, Gone int
--- /dev/null
+++ b/internal/standin/process.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is how a node is started for a measurement.
+type Process struct {
+	Program, Listen, Discovery string
+	MemoryMB, Sockets          int
+	File                       string // the operators' file's text, "" for none
+	Log                        string // a file for its log, "" for none
+}
+
+// Node is a node that was started for a measurement.
+type Node struct {
+	cmd  *exec.Cmd
+	dir  string
+	once sync.Once
+}
+
+// StartNode starts a node with Settings, and waits until it can serve.
+func StartNode(p Process) (*Node, error) {
+	dir, err := os.MkdirTemp("", "node")
+	if err != nil {
+		return nil, err
+	}
+	config := filepath.Join(dir, "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, p.Listen, p.Discovery, p.MemoryMB, p.Sockets, Settings)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	args := []string{"serve", "--log-level", "info"}
+	if p.File != "" {
+		file := filepath.Join(dir, "gatetack.yaml")
+		if err := os.WriteFile(file, []byte(p.File), 0o600); err != nil {
+			return nil, err
+		}
+		args = append(args, "--config", file)
+	}
+	n := &Node{cmd: exec.Command(p.Program, args...), dir: dir}
+	n.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config)
+	if p.Log != "" {
+		log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = log.Close() }()
+		n.cmd.Stderr = log
+	}
+	if err := n.cmd.Start(); err != nil {
+		return nil, err
+	}
+	for range 500 {
+		if m, err := Call(p.Listen, "GET", "/healthz", nil); err == nil && m.Status == 200 {
+			return n, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.Stop()
+	return nil, errors.New("the node does not become ready")
+}
+
+// Stop kills it.
+func (n *Node) Stop() {
+	n.once.Do(func() {
+		_ = n.cmd.Process.Signal(syscall.SIGKILL)
+		_ = n.cmd.Wait()
+		_ = os.RemoveAll(n.dir)
+	})
+}
+
+// Usage tells its memory in KB - what is its own, without pages mapped from files - and how many descriptors it has.
+func (n *Node) Usage() (kb, fds int) {
+	dir := fmt.Sprintf("/proc/%d", n.cmd.Process.Pid)
+	status, _ := os.ReadFile(dir + "/status")
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ = strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
+		}
+	}
+	entries, _ := os.ReadDir(dir + "/fd")
+	return kb, len(entries)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -263,11 +263,17 @@
 	node, repeat := b.node, b.how.Repeat
 	b.mu.Unlock()
 	for range repeat {
-		m, err := Call(node, "POST", "/callback", []byte(`{"id":"`+id+`","from":"`+b.Name+`",`+rest+`}`))
-		if err == nil {
-			b.mu.Lock()
-			b.callback = append(b.callback, m.Status)
-			b.mu.Unlock()
+		for range 10 { // each call is tried until it is answered, ten times at most
+			m, err := Call(node, "POST", "/callback", []byte(`{"id":"`+id+`","from":"`+b.Name+`",`+rest+`}`))
+			if err == nil {
+				b.mu.Lock()
+				b.callback = append(b.callback, m.Status)
+				b.mu.Unlock()
+				break
+			}
+			if !pause(b.ctx, 20*time.Millisecond) {
+				return
+			}
 		}
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,6 +31,7 @@
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/pace"
+	"quincereach/internal/records"
 )
 
 // Config names a member's place.
@@ -141,7 +142,16 @@
 
 // Put sets a value, and returns once most members have it.
 func (s *Store) Put(ctx context.Context, kind, key string, value []byte) error {
-	cmd, err := json.Marshal(command{Kind: kind, Key: key, Value: value})
+	return s.Write(ctx, records.Change{Kind: kind, Key: key, Value: value})
+}
+
+// Write makes all changes or none, as one entry of the log, and returns once most members have it.
+func (s *Store) Write(ctx context.Context, changes ...records.Change) error {
+	var all command
+	for _, c := range changes {
+		all.All = append(all.All, command{Kind: c.Kind, Key: c.Key, Value: c.Value, Gone: c.Value == nil})
+	}
+	cmd, err := json.Marshal(&all)
 	if err != nil {
 		return err
 	}
@@ -149,6 +159,26 @@
 	return err
 }
 
+// Page gives rows of a kind in the order of their keys, as the leader has them.
+func (s *Store) Page(ctx context.Context, kind, after string, limit int) ([]records.Row, error) {
+	if after == "" {
+		after = "\x00" // a command names a key
+	}
+	cmd, err := json.Marshal(command{Kind: kind, Key: after, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	m, err := s.ask(ctx, "/page", cmd)
+	if err != nil {
+		return nil, err
+	}
+	var rows []records.Row
+	if err := json.Unmarshal(m.Body, &rows); err != nil {
+		return nil, fmt.Errorf("store: a page: %w", err)
+	}
+	return rows, nil
+}
+
 // Get gives a value as it is now at the leader: an older one could say of a job that nothing of it was sent.
 func (s *Store) Get(ctx context.Context, kind, key string) (value []byte, found bool, err error) {
 	cmd, err := json.Marshal(command{Kind: kind, Key: key})
@@ -238,6 +268,19 @@
 			return http1.Text(500, "%v", err)
 		}
 		return http1.Response{Status: 200}
+	case "/page":
+		if err := s.raft.Barrier(s.lim.StoreCall).Error(); err != nil {
+			return http1.Text(503, "%v", err)
+		}
+		var c command
+		if err := c.read(body); err != nil {
+			return http1.Text(400, "%v", err)
+		}
+		out, err := json.Marshal(s.fsm.page(&c, s.lim.StoreBody/2))
+		if err != nil {
+			return http1.Text(500, "%v", err)
+		}
+		return http1.Response{Status: 200, Body: out}
 	case "/get":
 		// All that was written before is in once the barrier is, and only a leader gets one through.
 		if err := s.raft.Barrier(s.lim.StoreCall).Error(); err != nil {
@@ -260,14 +303,32 @@
 	Kind  string `json:"kind"`
 	Key   string `json:"key"`
 	Value []byte `json:"value,omitempty"`
+	Gone  bool   `json:"gone,omitempty"`  // the value is taken away
+	Limit int    `json:"limit,omitempty"` // of a page
+
+	All []command `json:"all,omitempty"` // changes that are made together
 }
 
 func (c *command) read(data []byte) error {
 	if !gjson.ValidBytes(data) {
 		return errors.New("not valid JSON")
 	}
-	v := gjson.ParseBytes(data)
+	return c.parse(gjson.ParseBytes(data))
+}
+
+func (c *command) parse(v gjson.Result) error {
+	if all := v.Get("all"); all.Exists() {
+		for _, x := range all.Array() {
+			var one command
+			if err := one.parse(x); err != nil {
+				return err
+			}
+			c.All = append(c.All, one)
+		}
+		return nil
+	}
 	c.Kind, c.Key = v.Get("kind").String(), v.Get("key").String()
+	c.Gone, c.Limit = v.Get("gone").Bool(), int(v.Get("limit").Int())
 	if c.Kind == "" || c.Key == "" {
 		return errors.New("no kind or no key")
 	}
@@ -310,10 +371,36 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.put(&c)
+	if len(c.All) == 0 {
+		f.put(&c)
+	}
+	for i := range c.All {
+		f.put(&c.All[i])
+	}
 	return nil
 }
 
+// page gives rows after a key, up to a number of them and of bytes.
+func (f *fsm) page(c *command, bytes int) []records.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := []records.Row{}
+	k := f.kinds[c.Kind]
+	if k == nil {
+		return rows
+	}
+	for _, key := range slices.Sorted(maps.Keys(k.of)) {
+		if key <= c.Key {
+			continue
+		}
+		if bytes -= len(k.of[key]); len(rows) >= c.Limit || bytes < 0 && len(rows) > 0 {
+			break
+		}
+		rows = append(rows, records.Row{Key: key, Value: k.of[key]})
+	}
+	return rows
+}
+
 func (f *fsm) put(c *command) {
 	k := f.kinds[c.Kind]
 	if k == nil {
@@ -321,6 +408,14 @@
 		f.kinds[c.Kind] = k
 	}
 	old, known := k.of[c.Key]
+	if c.Gone {
+		if known {
+			k.bytes -= len(old)
+			delete(k.of, c.Key)
+			k.order = slices.Delete(k.order, slices.Index(k.order, c.Key), slices.Index(k.order, c.Key)+1)
+		}
+		return
+	}
 	if !known {
 		k.order = append(k.order, c.Key)
 	}
--- /dev/null
+++ b/test/conform_test.go
@@ -0,0 +1,28 @@
+package test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"quincereach/internal/standin"
+)
+
+// The conformance suite passes against the built program, with jobs on record in a file of its own, and without.
+func TestConformance(t *testing.T) {
+	for _, dir := range []string{"", filepath.Join(t.TempDir(), "batch")} {
+		s := newSite(t, 4, 20*time.Millisecond)
+		for _, b := range s.boxes {
+			b.Set(func(h *standin.Behaviour) { h.Free = 16 })
+		}
+		if dir != "" {
+			s.extra = "  dir: " + dir + "\n"
+		}
+		s.start()
+		out, err := exec.Command(program, "conform", "--addr", s.batch, "--failed").CombinedOutput()
+		if err != nil {
+			t.Errorf("with a file %q: %v\n%s", dir, err, out)
+		}
+	}
+}
