--- a/cmd/gatetack/job.go
+++ b/cmd/gatetack/job.go
@@ -21,12 +21,13 @@
 
 // remote is what all commands that speak to a batch front share.
 type remote struct {
-	addr, session, output string
-	timeout               time.Duration
+	addr, session, output, keys string
+	timeout                     time.Duration
 }
 
 func (r *remote) flags(cmd *cobra.Command) {
 	cmd.PersistentFlags().StringVar(&r.addr, "addr", "127.0.0.1:8480", "where the node's batch front listens")
+	cmd.PersistentFlags().StringVar(&r.keys, "keys", "", "a folder of keys, where the batch front has them")
 	cmd.PersistentFlags().StringVar(&r.session, "session", "", "the job session; empty for the default one")
 	cmd.PersistentFlags().StringVarP(&r.output, "output", "o", "table", "table, json or yaml")
 	cmd.PersistentFlags().DurationVar(&r.timeout, "timeout", 0, "give up after so long; 0: never")
@@ -40,7 +41,16 @@
 	if r.timeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, r.timeout)
 	}
-	return drmaa2.New(r.addr, r.session), ctx, cancel, nil
+	c := drmaa2.New(r.addr, r.session)
+	ring, err := ringOf(r.keys)
+	if err != nil {
+		cancel()
+		return nil, nil, nil, err
+	}
+	if ring != nil {
+		c.WithTLS(ring.Client())
+	}
+	return c, ctx, cancel, nil
 }
 
 // run makes a command's function of one that has a client.
--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -18,6 +18,7 @@
 	"quincereach/internal/executor"
 	"quincereach/internal/http1"
 	"quincereach/internal/inventory"
+	"quincereach/internal/keys"
 	"quincereach/internal/node"
 	"quincereach/internal/pace"
 	"quincereach/internal/peer"
@@ -156,6 +157,13 @@
 		if err != nil {
 			return fmt.Errorf("batch front: %w", err)
 		}
+		if f.Batch.Keys != "" {
+			ring, err := keys.Open(f.Batch.Keys, func(err error) { log.Error("batch: new keys can not be used, the old ones stay", "err", err) })
+			if err != nil {
+				return err
+			}
+			ln = ring.Listen(ln)
+		}
 		jobs = batch.New(batch.Options{Core: core, Store: kept, Node: c.Name, Version: version, Life: life, Settings: c.Settings,
 			Names: c.Names, Limits: c.Limits, Most: most, Log: log})
 		lim := c.Limits
@@ -191,7 +199,14 @@
 	if f.Store.Dir == "" {
 		return nil, nil
 	}
-	return store.Open(store.Config{Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members, Join: f.Store.Join}, c.Limits, slow, log)
+	var ring *keys.Ring
+	if f.Store.Keys != "" {
+		var err error
+		if ring, err = keys.Open(f.Store.Keys, func(err error) { log.Error("store: new keys can not be used, the old ones stay", "err", err) }); err != nil {
+			return nil, err
+		}
+	}
+	return store.Open(store.Config{Keys: ring, Name: c.Name, Dir: f.Store.Dir, Listen: f.Store.Listen, Members: f.Store.Members, Join: f.Store.Join}, c.Limits, slow, log)
 }
 
 // quiet returns once nothing is open and nothing new has come for a while. Clients go on using the connections they
--- a/cmd/gatetack/store.go
+++ b/cmd/gatetack/store.go
@@ -15,6 +15,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/drmaa2"
+	"quincereach/internal/keys"
 	"quincereach/internal/limits"
 	"quincereach/internal/store"
 )
@@ -22,6 +23,7 @@
 // storeRemote is what commands that speak to a member of the store share.
 type storeRemote struct {
 	addr    string
+	keys    string
 	timeout time.Duration
 	lim     limits.Limits
 }
@@ -30,7 +32,11 @@
 func (r *storeRemote) call(ctx context.Context, verb, path string, body []byte) (gjson.Result, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	m, err := store.Call(ctx, r.addr, verb, "/v1/"+path, body, r.lim)
+	ring, err := ringOf(r.keys)
+	if err != nil {
+		return gjson.Result{}, nil, err
+	}
+	m, err := store.Call(ctx, r.addr, verb, "/v1/"+path, body, ring, r.lim)
 	if err != nil {
 		return gjson.Result{}, nil, err
 	}
@@ -51,6 +57,7 @@
 	r := &storeRemote{lim: limits.New(0, 0, 0, 0, 0)}
 	cmd := &cobra.Command{Use: "store", Short: "look at and change the replicated store, and its members"}
 	cmd.PersistentFlags().StringVar(&r.addr, "store-addr", "127.0.0.1:7480", "where a member of the store listens")
+	cmd.PersistentFlags().StringVar(&r.keys, "keys", "", "a folder of keys, where the store has them")
 	cmd.PersistentFlags().DurationVar(&r.timeout, "timeout", 30*time.Second, "give up after so long")
 	show := func(cmd *cobra.Command, body []byte) error {
 		var v any
@@ -144,6 +151,14 @@
 	return cmd
 }
 
+// ringOf opens a folder of keys; none is named where none are wanted.
+func ringOf(dir string) (*keys.Ring, error) {
+	if dir == "" {
+		return nil, nil
+	}
+	return keys.Open(dir, func(error) {})
+}
+
 func staleQuery(stale bool, sep string) string {
 	if stale {
 		return sep + "stale=1"
--- a/drmaa2/client.go
+++ b/drmaa2/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -157,6 +158,7 @@
 type Client struct {
 	addr, session, instance string
 	lim                     limits.Limits
+	keys                    *tls.Config
 
 	mu   sync.Mutex
 	idle []*conn
@@ -176,6 +178,21 @@
 	return &Client{addr: addr, session: session, lim: lim}
 }
 
+// WithTLS has the client connect by TLS. It must be called before the first call.
+func (c *Client) WithTLS(config *tls.Config) *Client {
+	c.keys = config
+	return c
+}
+
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	if c.keys == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", c.addr)
+	}
+	d := tls.Dialer{Config: c.keys}
+	return d.DialContext(ctx, "tcp", c.addr)
+}
+
 // Close closes the connections that are not in use.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -208,8 +225,7 @@
 	if x != nil {
 		return x, true, nil
 	}
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", c.addr)
+	nc, err := c.dial(ctx)
 	if err != nil {
 		return nil, false, fmt.Errorf("drmaa2: %w", err)
 	}
@@ -322,7 +338,7 @@
 	if _, err := c.do(ctx, "POST", path, in, &s); err != nil {
 		return nil, err
 	}
-	out := New(c.addr, name)
+	out := New(c.addr, name).WithTLS(c.keys)
 	out.instance = s.Instance
 	return out, nil
 }
@@ -478,8 +494,7 @@
 func (s *stopped) Error() string { return "stopped" }
 
 func (c *Client) stream(ctx context.Context, after *string, each func(Event) error) (got bool, err error) {
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", c.addr)
+	nc, err := c.dial(ctx)
 	if err != nil {
 		return false, err
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -31,6 +31,7 @@
 	} `yaml:"node"`
 	Batch struct {
 		Listen string `yaml:"listen"` // where batch clients connect; empty: no batch front
+		Keys   string `yaml:"keys"`   // a folder of keys: clients need one of the same authority's
 		Dir    string `yaml:"dir"`    // where its jobs are on record, for a node without the replicated store; empty: nowhere
 	} `yaml:"batch"`
 	Inventory struct {
@@ -40,6 +41,7 @@
 		Dir     string            `yaml:"dir"` // empty: no store
 		Listen  string            `yaml:"listen"`
 		Members map[string]string `yaml:"members"` // addresses by node name, this node's among them, of a store that begins
+		Keys    string            `yaml:"keys"`    // a folder of keys, by which members know one another; without it only loopback addresses are taken
 		Join    string            `yaml:"join"`    // a member of a store that is there, which this node is to join
 	} `yaml:"store"`
 	Pace pace.Policy `yaml:"pace"` // what is asked of slow peers; a figure that is left out stays as it is without the file
@@ -70,13 +72,13 @@
 		field, _, _ := strings.Cut(err.Error(), ":")
 		return nil, fmt.Errorf("line %d: pace.%w", lineOf(data, append([]string{"pace"}, strings.Split(field, ".")...)), err)
 	}
-	if f.Batch.Listen != "" {
+	if f.Batch.Listen != "" && f.Batch.Keys == "" {
 		if err := loopback(f.Batch.Listen); err != nil {
 			return nil, fmt.Errorf("batch.listen: %w", err)
 		}
 	}
 	// A file is named as it stands to the one that names it.
-	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir, &f.Batch.Dir} {
+	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir, &f.Batch.Dir, &f.Store.Keys, &f.Batch.Keys} {
 		if *path != "" && !filepath.IsAbs(*path) {
 			*path = filepath.Join(dir, *path)
 		}
@@ -89,7 +91,7 @@
 			return nil, fmt.Errorf("line %d: node.%w", lineOf(data, []string{"node", "settings"}), err)
 		}
 	}
-	if f.Store.Dir != "" {
+	if f.Store.Dir != "" && f.Store.Keys == "" {
 		if err := loopback(f.Store.Listen); err != nil {
 			return nil, fmt.Errorf("store.listen: %w", err)
 		}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,187 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// folder gives an authority's folder and one for each node.
+func folder(t *testing.T, names ...string) (ca string, nodes []string) {
+	t.Helper()
+	ca = filepath.Join(t.TempDir(), "ca")
+	if err := Init(ca, "Põhjakaart", 10*365*24*time.Hour, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		dir := filepath.Join(t.TempDir(), name)
+		if err := Issue(ca, dir, name, time.Hour, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, dir)
+	}
+	return ca, nodes
+}
+
+func open(t *testing.T, dir string) *Ring {
+	t.Helper()
+	r, err := Open(dir, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// serve echoes on a listener with a ring's keys.
+func serve(t *testing.T, r *Ring) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var g errgroup.Group
+	tl := r.Listen(ln)
+	g.Go(func() error {
+		for {
+			c, err := tl.Accept()
+			if err != nil {
+				return nil
+			}
+			g.Go(func() error { _, _ = io.Copy(c, c); return c.Close() })
+		}
+	})
+	t.Cleanup(func() { _ = ln.Close(); _ = g.Wait() })
+	return ln.Addr().String()
+}
+
+// talk sends a word and wants it back.
+func talk(addr string, c *tls.Config) error {
+	conn, err := tls.Dial("tcp", addr, c)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := conn.Write([]byte("word")); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(conn, make([]byte, 4))
+	return err
+}
+
+func TestMutual(t *testing.T) {
+	ca, nodes := folder(t, "n0", "n1")
+	server := open(t, nodes[0])
+	addr := serve(t, server)
+	client := open(t, nodes[1])
+	if err := talk(addr, client.Client()); err != nil {
+		t.Fatal(err)
+	}
+	// One with no certificate, one of another authority, one that has expired: refused, with a reason, and the next is served.
+	if err := talk(addr, &tls.Config{InsecureSkipVerify: true}); err == nil {
+		t.Error("without a certificate")
+	}
+	_, strangers := folder(t, "n1")
+	if err := talk(addr, open(t, strangers[0]).Client()); err == nil {
+		t.Error("of another authority")
+	}
+	expired := filepath.Join(t.TempDir(), "expired")
+	if err := Issue(ca, expired, "n1", time.Minute, time.Now().Add(-time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if err := talk(addr, open(t, expired).Client()); err == nil {
+		t.Error("an expired one")
+	}
+	if err := talk(serve(t, open(t, expired)), client.Client()); err == nil || !strings.Contains(err.Error(), "expired") {
+		t.Errorf("an expired server: %v", err)
+	}
+	if err := talk(serve(t, open(t, strangers[0])), client.Client()); err == nil {
+		t.Error("a server of another authority")
+	}
+	// Revoked: refused from the next connection on, on both sides.
+	shown, err := Show(nodes[1])
+	if err != nil || len(shown) != 2 || !shown[0].Authority || shown[1].Name != "n1" {
+		t.Fatalf("%+v %v", shown, err)
+	}
+	if err := Revoke(nodes[0], shown[1].Serial); err != nil {
+		t.Fatal(err)
+	}
+	if err := talk(addr, client.Client()); err == nil {
+		t.Error("a revoked one")
+	}
+	if err := talk(serve(t, client), server.Client()); !errors.Is(err, ErrRevoked) {
+		t.Errorf("a revoked server: %v", err)
+	}
+	// Renewed: served again, without a restart of either.
+	if err := Issue(ca, nodes[1], "n1", time.Hour, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if err := talk(addr, client.Client()); err != nil {
+		t.Errorf("a renewed one: %v", err)
+	}
+	if err := talk(addr, open(t, nodes[0]).Client()); err != nil {
+		t.Errorf("the next: %v", err)
+	}
+}
+
+// Files that can not be read, a key that others may read, a key that does not fit: refused at the start, and later the
+// last good keys stay in force, and it is told.
+func TestBadFiles(t *testing.T) {
+	ca, nodes := folder(t, "n0", "n1")
+	var told atomic.Int32
+	r, err := Open(nodes[0], func(error) { told.Add(1) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, client := serve(t, r), open(t, nodes[1])
+	for what, spoil := range map[string]func(dir string) error{
+		"a key that others may read": func(dir string) error { return os.Chmod(filepath.Join(dir, key), 0o644) },
+		"half a certificate":         func(dir string) error { return os.Truncate(filepath.Join(dir, cert), 100) },
+		"no authority":               func(dir string) error { return os.Remove(filepath.Join(dir, caCert)) },
+		"another's key": func(dir string) error {
+			data, err := os.ReadFile(filepath.Join(nodes[1], key))
+			return errors.Join(err, os.WriteFile(filepath.Join(dir, key), data, 0o600))
+		},
+		"a list of no numbers": func(dir string) error { return os.WriteFile(filepath.Join(dir, revoked), []byte("render1\n"), 0o644) },
+	} {
+		bad := filepath.Join(t.TempDir(), "bad")
+		if err := errors.Join(Issue(ca, bad, "n2", time.Hour, time.Now()), spoil(bad)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(bad, nil); err == nil {
+			t.Errorf("%s: opened", what)
+		}
+		before := told.Load()
+		if err := spoil(nodes[0]); err != nil {
+			t.Fatal(err)
+		}
+		if err := talk(addr, client.Client()); err != nil || told.Load() == before {
+			t.Errorf("%s: %v, told %v", what, err, told.Load() > before)
+		}
+		_ = os.Remove(filepath.Join(nodes[0], revoked))
+		if err := Issue(ca, nodes[0], "n0", time.Hour, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := Init(ca, "again", time.Hour, time.Now()); err == nil {
+		t.Error("an authority was made in another's place")
+	}
+	if err := Issue(ca, t.TempDir(), "n9", 100*365*24*time.Hour, time.Now()); err == nil {
+		t.Error("a certificate that outlives its authority")
+	}
+	if err := Revoke(ca, "no number"); err == nil {
+		t.Error("no number was revoked")
+	}
+	info, err := os.Stat(filepath.Join(ca, caKey))
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("the authority's key: %v %v", info.Mode(), err)
+	}
+}
--- a/internal/kv/codec.go
+++ b/internal/kv/codec.go
@@ -54,7 +54,7 @@
 	}
 }
 
-const snapshotForm = "gatetack-kv 1\n"
+const snapshotForm = "gatetack-kv 2\n"
 
 // header is a snapshot's first block.
 type header struct {
@@ -97,9 +97,30 @@
 			return err
 		}
 	}
+	var done []result
+	it := v.latest.Root().Iterator()
+	for k, id, ok := it.Next(); ok; k, id, ok = it.Next() {
+		r, _ := v.done.Get([]byte(id))
+		done = append(done, result{binary.BigEndian.Uint64(k), id, *r})
+	}
+	if len(done) > 0 {
+		if err := block(out, done); err != nil {
+			return err
+		}
+	}
+	if err := block(out, nil); err != nil {
+		return err
+	}
 	return out.Flush()
 }
 
+// result is that of a transaction that may come again.
+type result struct {
+	Index  uint64
+	ID     string
+	Result Result
+}
+
 // block writes one value with its length and checksum; nil is the empty one that ends a part.
 func block(w io.Writer, v any) error {
 	var body []byte
@@ -186,6 +207,19 @@
 			}
 		}
 	}
+	for {
+		var done []result
+		end, err := readBlock(in, &done)
+		if err != nil {
+			return nil, err
+		}
+		if end {
+			break
+		}
+		for _, r := range done {
+			s.remember(r.Index, r.ID, &r.Result)
+		}
+	}
 	s.entries, s.order, s.leases, s.history = entries.Commit(), order.Commit(), leases.Commit(), history.Commit()
 	if s.entries.Len() != h.Entries {
 		return nil, fmt.Errorf("kv: a snapshot with %d entries where it says %d", s.entries.Len(), h.Entries)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -40,8 +40,13 @@
 }
 
 // Txn is a transaction: all of its operations are made, or none. At is the leader's time in Unix milliseconds.
+//
+// A client that was not told what came of a transaction sends it again under the same ID, and is told what came of it the
+// first time: made twice, a value could stand again that another's write had replaced, and a key that was created would be
+// told as another's (Ongaro and Ousterhout, "In search of an understandable consensus algorithm", section 8). "" is no ID.
 type Txn struct {
 	At  int64
+	ID  string
 	Ops []Op
 }
 
@@ -83,6 +88,7 @@
 	Key     int // bytes of a table's name or a key
 	Value   int // bytes of a value
 	Ops     int // operations of a transaction
+	Done    int // latest transactions whose results are kept for those that come again
 }
 
 // State is what the log adds up to. Its methods are for one goroutine, but for those of Snapshot's result.
@@ -101,6 +107,8 @@
 	leases  *iradix.Tree[string]  // expires, table, key: table's entry
 	history *iradix.Tree[*Entry]  // table, key, version
 	tables  *iradix.Tree[*volume] // table
+	done    *iradix.Tree[*Result] // transaction's ID
+	latest  *iradix.Tree[string]  // version: ID
 }
 
 // volume is how much a table holds.
@@ -109,7 +117,7 @@
 // New makes an empty state.
 func New(b Bounds) *State {
 	return &State{bounds: b, view: view{entries: iradix.New[*Entry](), order: iradix.New[string](), leases: iradix.New[string](),
-		history: iradix.New[*Entry](), tables: iradix.New[*volume]()}}
+		history: iradix.New[*Entry](), tables: iradix.New[*volume](), done: iradix.New[*Result](), latest: iradix.New[string]()}}
 }
 
 // path of a key in a table: no name holds a zero byte.
@@ -157,6 +165,29 @@
 	s.index = index
 	s.now = max(s.now, t.At)
 	s.expire()
+	if t.ID == "" {
+		return s.apply(index, t)
+	}
+	if r, ok := s.done.Get([]byte(t.ID)); ok {
+		return *r
+	}
+	r := s.apply(index, t)
+	s.remember(index, t.ID, &r)
+	return r
+}
+
+// remember keeps a transaction's result, and lets the oldest go.
+func (s *State) remember(index uint64, id string, r *Result) {
+	s.done, _, _ = s.done.Insert([]byte(id), r)
+	s.latest, _, _ = s.latest.Insert(binary.BigEndian.AppendUint64(nil, index), id)
+	for s.done.Len() > s.bounds.Done {
+		k, old, _ := s.latest.Root().Minimum()
+		s.latest, _, _ = s.latest.Delete(k)
+		s.done, _, _ = s.done.Delete([]byte(old))
+	}
+}
+
+func (s *State) apply(index uint64, t *Txn) Result {
 	if err := s.check(t); err != nil {
 		return Result{Failed: -1, Err: err.Error()}
 	}
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -13,7 +13,13 @@
 	_ "quincereach/internal/seeds"
 )
 
-var bounds = Bounds{Values: 6, Bytes: 200, History: 3, Key: 20, Value: 60, Ops: 8}
+var bounds = Bounds{Values: 6, Bytes: 200, History: 3, Key: 20, Value: 60, Ops: 8, Done: 5}
+
+// made is a transaction with what came of it.
+type made struct {
+	txn    Txn
+	result Result
+}
 
 // model is a state as plain maps, for comparison.
 type model struct {
@@ -91,6 +97,7 @@
 		var kept *View
 		var keptBytes []byte
 		index := uint64(0)
+		var asked []made
 		for range rapid.IntRange(1, 40).Draw(t, "transactions") {
 			index += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
 			txn := &Txn{At: int64(rapid.IntRange(0, 100).Draw(t, "at"))}
@@ -117,7 +124,9 @@
 			if err := again.Unmarshal(data); err != nil {
 				t.Fatal(err)
 			}
+			again.ID = fmt.Sprint("id", index)
 			got := s.Apply(index, &again)
+			asked = append(asked, made{Txn{At: 0, ID: again.ID, Ops: again.Ops}, got})
 			failed, current := m.apply(index, txn)
 			if got.Err != "" || got.Failed != failed || failed >= 0 && got.Current != current {
 				t.Fatalf("%+v, want %d %d", got, failed, current)
@@ -125,6 +134,13 @@
 			if r := s.Apply(index, &again); r.OK() {
 				t.Fatal("a transaction was made twice")
 			}
+			if rapid.IntRange(0, 2).Draw(t, "again") == 0 && len(asked) > 0 { // one that came before comes again
+				x := asked[rapid.IntRange(max(0, len(asked)-bounds.Done), len(asked)-1).Draw(t, "which")]
+				index++
+				if r := s.Apply(index, &x.txn); r != x.result || len(s.Events()) != 0 {
+					t.Fatalf("%+v, the first time %+v, events %+v", r, x.result, s.Events())
+				}
+			}
 			same(t, s.Snapshot(), m)
 			if rapid.IntRange(0, 5).Draw(t, "keep") == 0 {
 				kept, keptBytes = s.Snapshot(), written(t, s.Snapshot())
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +17,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/internal/http1"
+	"quincereach/internal/keys"
 	"quincereach/internal/kv"
 	"quincereach/internal/limits"
 	"quincereach/internal/records"
@@ -44,6 +48,11 @@
 // Txn makes a transaction, and returns once most members have it. A result that is not OK says which condition did not
 // hold; an error says that it is not known whether it was made.
 func (s *Store) Txn(ctx context.Context, t *kv.Txn) (*kv.Result, error) {
+	if t.ID == "" { // it may have to be asked for again, and must not be made again
+		var raw [12]byte
+		_, _ = rand.Read(raw[:])
+		t.ID = hex.EncodeToString(raw[:])
+	}
 	data, err := t.Marshal()
 	if err != nil {
 		return nil, err
@@ -113,7 +122,7 @@
 		r := s.lead(path, body)
 		return answer(&http1.Message{Status: r.Status, Body: r.Body})
 	}
-	m, err := Call(ctx, string(addr), "POST", path, body, s.lim)
+	m, err := Call(ctx, string(addr), "POST", path, body, s.cfg.Keys, s.lim)
 	if err != nil {
 		return nil, err
 	}
@@ -127,10 +136,19 @@
 	return nil, fmt.Errorf("the leader says %d: %s", m.Status, m.Body)
 }
 
-// Call makes one call to a member, on a connection of its own.
-func Call(ctx context.Context, addr, verb, path string, body []byte, lim limits.Limits) (*http1.Message, error) {
-	var d net.Dialer
-	dialed, err := d.DialContext(ctx, "tcp", addr)
+// dial connects, by keys where there are any.
+func dial(ctx context.Context, addr string, ring *keys.Ring) (net.Conn, error) {
+	if ring == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	d := tls.Dialer{Config: ring.Client()}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Call makes one call to a member, on a connection of its own, by keys where there are any.
+func Call(ctx context.Context, addr, verb, path string, body []byte, ring *keys.Ring, lim limits.Limits) (*http1.Message, error) {
+	dialed, err := dial(ctx, addr, ring)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -17,7 +17,7 @@
 
 // bounds are those of the state: all members have the same.
 func bounds(lim limits.Limits) kv.Bounds {
-	return kv.Bounds{Values: lim.StoreValues, Bytes: lim.StoreBytes, History: 8, Key: 512, Value: lim.StoreBody, Ops: 256}
+	return kv.Bounds{Values: lim.StoreValues, Bytes: lim.StoreBytes, History: 8, Key: 512, Value: lim.StoreBody, Ops: 256, Done: 8192}
 }
 
 // fsm hands the log to the state machine, and keeps its latest changes for those who watch.
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -141,7 +141,7 @@
 			}
 		}
 		cctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
-		m, err := Call(cctx, to, "POST", "/v1/members", body, s.lim)
+		m, err := Call(cctx, to, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
 		cancel()
 		switch {
 		case err != nil:
--- a/internal/store/mux.go
+++ b/internal/store/mux.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/raft"
 	"golang.org/x/sync/errgroup"
 
+	"quincereach/internal/keys"
 	"quincereach/internal/limits"
 )
 
@@ -18,6 +19,7 @@
 // no request begins with.
 type mux struct {
 	net.Listener
+	keys  *keys.Ring
 	lim   limits.Limits
 	raft  chan net.Conn
 	calls *queue
@@ -27,9 +29,9 @@
 
 const raftMark = 0x01
 
-func newMux(ln net.Listener, lim limits.Limits) *mux {
+func newMux(ln net.Listener, ring *keys.Ring, lim limits.Limits) *mux {
 	done := make(chan struct{})
-	return &mux{Listener: ln, lim: lim, raft: make(chan net.Conn), done: done,
+	return &mux{Listener: ln, keys: ring, lim: lim, raft: make(chan net.Conn), done: done,
 		calls: &queue{addr: ln.Addr(), in: make(chan net.Conn), done: make(chan struct{})}}
 }
 
@@ -113,7 +115,9 @@
 
 // Dial opens a stream for raft.
 func (m *mux) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", string(addr), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	c, err := dial(ctx, string(addr), m.keys)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/operate.go
+++ b/internal/store/operate.go
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
 	defer cancel()
-	r, err := Call(ctx, string(addr), m.Method, m.Target, m.Body, s.lim)
+	r, err := Call(ctx, string(addr), m.Method, m.Target, m.Body, s.cfg.Keys, s.lim)
 	if err != nil {
 		return refusal(503, "the leader: %v", err)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"quincereach/internal/http1"
+	"quincereach/internal/keys"
 	"quincereach/internal/kv"
 	"quincereach/internal/limits"
 	"quincereach/internal/pace"
@@ -33,6 +34,7 @@
 	Dir     string
 	Listen  string
 	Members map[string]string // addresses by name, our own among them, of a store that begins
+	Keys    *keys.Ring        // by which members know one another; nil: by nothing
 	Join    string            // a member of a store that is there, which this one is to join; empty: it begins with Members
 }
 
@@ -67,8 +69,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
+	var under net.Listener = ln
+	if cfg.Keys != nil {
+		under = cfg.Keys.Listen(ln)
+	}
 	lim.Body = max(lim.StoreBody*2, 1<<20) // a call holds a transaction
-	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(ln, lim), dead: map[raft.ServerID]bool{}}
+	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(under, cfg.Keys, lim), dead: map[raft.ServerID]bool{}}
 	if err := s.open(); err != nil {
 		_ = ln.Close()
 		if s.bolt != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -17,6 +17,7 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
+	"quincereach/internal/keys"
 	"quincereach/internal/kv"
 	"quincereach/internal/standin"
 )
@@ -231,7 +232,7 @@
 // operate makes an operator's call at a member.
 func operate(t *testing.T, m *node, verb, path, body string) (int, gjson.Result) {
 	t.Helper()
-	r, err := Call(t.Context(), m.cfg.Listen, verb, "/v1/"+path, []byte(body), standin.Lim)
+	r, err := Call(t.Context(), m.cfg.Listen, verb, "/v1/"+path, []byte(body), m.cfg.Keys, standin.Lim)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -317,7 +318,7 @@
 	if status, v := operate(t, m, "GET", "status", ""); status != 200 || v.Get("state").String() != "leader" || v.Get("tables.job.0").Int() != 1 {
 		t.Errorf("%d %s", status, v.Raw)
 	}
-	backup, err := Call(t.Context(), m.cfg.Listen, "GET", "/v1/snapshot", nil, standin.Lim)
+	backup, err := Call(t.Context(), m.cfg.Listen, "GET", "/v1/snapshot", nil, m.cfg.Keys, standin.Lim)
 	if err != nil || backup.Status != 200 {
 		t.Fatal(backup, err)
 	}
@@ -367,3 +368,83 @@
 		t.Errorf("%v\n%s", err, report.String())
 	}
 }
+
+// Members with keys of one authority are a store; a peer without one, or with a revoked one, is told nothing and harms
+// nothing; keys are renewed on all members while it is written.
+func TestKeys(t *testing.T) {
+	ca := filepath.Join(t.TempDir(), "ca")
+	if err := keys.Init(ca, "test", 24*time.Hour, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	ports, err := standin.Ports(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addrs := map[string]string{"n0": ports[0], "n1": ports[1], "n2": ports[2]}
+	dirs := map[string]string{}
+	var all []*node
+	for name, addr := range addrs {
+		dirs[name] = filepath.Join(t.TempDir(), name)
+		if err := keys.Issue(ca, dirs[name], name, time.Hour, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		ring, err := keys.Open(dirs[name], func(error) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &node{cfg: Config{Name: name, Dir: t.TempDir(), Listen: addr, Members: addrs, Keys: ring}}
+		m.start(t)
+		t.Cleanup(func() { m.stop() })
+		all = append(all, m)
+	}
+	put(t, all[0], "k", "v")
+	if _, err := Call(t.Context(), ports[0], "GET", "/v1/status", nil, nil, standin.Lim); err == nil {
+		t.Error("an operator without a key was answered")
+	}
+	stranger := filepath.Join(t.TempDir(), "stranger")
+	if err := keys.Issue(ca, stranger, "stranger", time.Hour, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	ring, err := keys.Open(stranger, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := Call(t.Context(), ports[0], "GET", "/v1/status", nil, ring, standin.Lim); err != nil || m.Status != 200 {
+		t.Errorf("an operator with a key: %v %v", m, err)
+	}
+	shown, err := keys.Show(stranger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, dir := range dirs {
+		if err := keys.Revoke(dir, shown[1].Serial); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Call(t.Context(), ports[0], "GET", "/v1/status", nil, ring, standin.Lim); err == nil {
+		t.Error("a revoked operator was answered")
+	}
+	for name, dir := range dirs {
+		if err := keys.Issue(ca, dir, name, time.Hour, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		put(t, all[1], "renewed "+name, "v")
+	}
+	for _, m := range all { // each one's connections are made anew by the new keys
+		if !m.s.Leads() {
+			m.stop()
+			put(t, all[0].or(all[1], m), "while it is away", "v")
+			m.start(t)
+			want(t, m, "while it is away", "v")
+			break
+		}
+	}
+}
+
+// or is this member, or another where it is the one that is away.
+func (m *node) or(other, away *node) *node {
+	if m == away {
+		return other
+	}
+	return m
+}
