--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -55,7 +55,7 @@
 type Queue struct {
 	items    map[string]*item
 	sessions map[string]*session
-	starts   starts // those with a time to come
+	starts   *line // those with a time to come
 	turn     uint64
 	seq      uint64
 	out      int
@@ -66,7 +66,7 @@
 	items  int
 	out    int
 	served uint64 // the turn in which it was last served
-	ready  ready
+	ready  *line
 }
 
 type item struct {
@@ -82,7 +82,9 @@
 }
 
 // New makes an empty queue.
-func New() *Queue { return &Queue{items: map[string]*item{}, sessions: map[string]*session{}} }
+func New() *Queue {
+	return &Queue{items: map[string]*item{}, sessions: map[string]*session{}, starts: newStarts()}
+}
 
 // Add takes an item in, and says whether its name was free.
 func (q *Queue) Add(x Item, now time.Time) bool { return q.Restore(x, 0, nil, now) }
@@ -104,7 +106,7 @@
 func (q *Queue) session(name string) *session {
 	s := q.sessions[name]
 	if s == nil {
-		s = &session{}
+		s = &session{ready: newReady()}
 		q.sessions[name] = s
 	}
 	return s
@@ -133,35 +135,34 @@
 	later := it.at.After(now)
 	if ready := waits && !full && !later; ready != (it.heap >= 0) {
 		if ready {
-			heap.Push(&s.ready, it)
+			heap.Push(s.ready, it)
 		} else {
-			heap.Remove(&s.ready, it.heap)
+			heap.Remove(s.ready, it.heap)
 		}
 	}
 	if timed := waits && later; timed != (it.timed >= 0) {
 		if timed {
-			heap.Push(&q.starts, it)
+			heap.Push(q.starts, it)
 		} else {
-			heap.Remove(&q.starts, it.timed)
+			heap.Remove(q.starts, it.timed)
 		}
 	} else if timed {
-		heap.Fix(&q.starts, it.timed)
+		heap.Fix(q.starts, it.timed)
 	}
 }
 
 // Next gives up to room jobs that are to be handed to the core now, and when to ask again if nothing else happens; zero
 // for never.
 func (q *Queue) Next(now time.Time, room int) (refs []Ref, wake time.Time) {
-	for len(q.starts) > 0 && !q.starts[0].at.After(now) {
-		it := q.starts[0]
-		q.place(it, now)
+	for q.starts.Len() > 0 && !q.starts.items[0].at.After(now) {
+		q.place(q.starts.items[0], now)
 	}
 	for len(refs) < room {
 		s := q.pick()
 		if s == nil {
 			break
 		}
-		it := s.ready[0]
+		it := s.ready.items[0]
 		refs = append(refs, Ref{it.ID, it.take()})
 		q.turn++
 		s.served = q.turn
@@ -170,8 +171,8 @@
 		q.waiting--
 		q.place(it, now)
 	}
-	if len(q.starts) > 0 {
-		wake = q.starts[0].at
+	if q.starts.Len() > 0 {
+		wake = q.starts.items[0].at
 	}
 	return refs, wake
 }
@@ -180,13 +181,13 @@
 func (q *Queue) pick() *session {
 	var best *session
 	for _, s := range q.sessions {
-		if len(s.ready) == 0 {
+		if s.ready.Len() == 0 {
 			continue
 		}
 		// Two sessions were never served in the same turn but before their first: what then decides is whose first item
 		// came first, and not the order of a map.
 		if best == nil || s.out < best.out || s.out == best.out && (s.served < best.served ||
-			s.served == best.served && s.ready[0].seq < best.ready[0].seq) {
+			s.served == best.served && s.ready.items[0].seq < best.ready.items[0].seq) {
 			best = s
 		}
 	}
@@ -335,53 +336,45 @@
 	return it.next, append([]int(nil), it.again...), it.Held, true
 }
 
-// ready is a heap of a session's items, the next one first.
-type ready []*item
-
-func (r ready) Len() int { return len(r) }
-func (r ready) Less(i, k int) bool {
-	if r[i].Priority != r[k].Priority {
-		return r[i].Priority > r[k].Priority
-	}
-	return r[i].seq < r[k].seq
-}
-func (r ready) Swap(i, k int) {
-	r[i], r[k] = r[k], r[i]
-	r[i].heap, r[k].heap = i, k
-}
-func (r *ready) Push(x any) {
-	it := x.(*item)
-	it.heap = len(*r)
-	*r = append(*r, it)
+// line is a heap of items, the next one first. Each item knows its place in it, -1 while it is not there.
+type line struct {
+	items []*item
+	less  func(a, b *item) bool
+	place func(*item) *int
 }
-func (r *ready) Pop() any {
-	old := *r
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*r = old[:len(old)-1]
-	it.heap = -1
-	return it
+
+func newReady() *line {
+	return &line{less: func(a, b *item) bool {
+		if a.Priority != b.Priority {
+			return a.Priority > b.Priority
+		}
+		return a.seq < b.seq
+	}, place: func(it *item) *int { return &it.heap }}
 }
 
-// starts is a heap of items with a time to come, the earliest first.
-type starts []*item
+func newStarts() *line {
+	return &line{less: func(a, b *item) bool { return a.at.Before(b.at) }, place: func(it *item) *int { return &it.timed }}
+}
 
-func (s starts) Len() int           { return len(s) }
-func (s starts) Less(i, k int) bool { return s[i].at.Before(s[k].at) }
-func (s starts) Swap(i, k int) {
-	s[i], s[k] = s[k], s[i]
-	s[i].timed, s[k].timed = i, k
+func (l *line) Len() int           { return len(l.items) }
+func (l *line) Less(i, k int) bool { return l.less(l.items[i], l.items[k]) }
+func (l *line) Swap(i, k int) {
+	l.items[i], l.items[k] = l.items[k], l.items[i]
+	*l.place(l.items[i]), *l.place(l.items[k]) = i, k
 }
-func (s *starts) Push(x any) {
+
+// Push and Pop are package heap's.
+func (l *line) Push(x any) {
 	it := x.(*item)
-	it.timed = len(*s)
-	*s = append(*s, it)
+	*l.place(it) = len(l.items)
+	l.items = append(l.items, it)
 }
-func (s *starts) Pop() any {
-	old := *s
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*s = old[:len(old)-1]
-	it.timed = -1
+
+func (l *line) Pop() any {
+	n := len(l.items) - 1
+	it := l.items[n]
+	l.items[n] = nil
+	l.items = l.items[:n]
+	*l.place(it) = -1
 	return it
 }
