Refuse a batch submission in time where the store is only slow

Need: a store that is gone refused submissions, one that is slow held them for as long as it liked. An array's submission still waits.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -47,6 +47,7 @@
 
 // memory is a store that can fail.
 type memory struct {
+	slow   chan bool // a write waits for it
 	mu     sync.Mutex
 	values map[string][]byte
 	err    error
@@ -54,6 +55,9 @@
 }
 
 func (m *memory) Write(_ context.Context, changes ...records.Change) error {
+	if m.slow != nil {
+		<-m.slow
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.err != nil {
--- a/internal/batch/hard_test.go
+++ b/internal/batch/hard_test.go
@@ -356,3 +356,22 @@
 		t.Errorf("%d left: %s", n, v.Raw)
 	}
 }
+
+// A store that is only slow: the submission is refused in time, nothing reaches the core, and what is written after all is
+// taken away again.
+func TestSlowStore(t *testing.T) {
+	e, m := &engine{}, &memory{values: map[string][]byte{}}
+	f := front(e, m, time.Now())
+	f.lim.StoreCall = 30 * time.Millisecond
+	m.slow = make(chan bool)
+	status, v, r := call(f, "POST", "/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1))
+	if status != 503 || v.Get("error").String() != "TRY_LATER" || r.Fields[len(r.Fields)-1].Name != "Retry-After" {
+		t.Fatalf("%d %s", status, v.Raw)
+	}
+	m.slow <- true // the record is made after all,
+	m.slow <- true // and taken away
+	eventually(t, "nothing is on record", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return len(m.values) == 0 && len(m.log) == 1 })
+	if clients, _ := e.take(); len(clients) != 0 || f.queue.Waiting() != 0 {
+		t.Errorf("%d jobs reached the core, %d wait", len(clients), f.queue.Waiting())
+	}
+}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -188,7 +189,7 @@
 		return noSession(session), false
 	}
 	j.r.Handed = !j.queue
-	if err := f.put(ctx, j, nil, more...); err != nil {
+	if err := f.inTime(ctx, j, more); err != nil {
 		return tryLater("the job could not be recorded: " + err.Error()), false
 	}
 	f.events.add(&j.r)
@@ -214,6 +215,36 @@
 	return f.created(j), true
 }
 
+var errSlow = errors.New("the store is too slow")
+
+// inTime puts a new job on record, or refuses it once that takes too long. What is written after all is taken away again:
+// a job that was refused must not be found after a restart as one that was taken.
+func (f *Front) inTime(ctx context.Context, j *job, more []records.Change) error {
+	done := make(chan error, 1)
+	go func() { done <- f.put(context.WithoutCancel(ctx), j, nil, more...) }()
+	timer := time.NewTimer(f.lim.StoreCall)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-timer.C:
+	}
+	go func() {
+		if <-done != nil {
+			return
+		}
+		r := j.record()
+		undo := append(r.changes(), more...)
+		for i := range undo {
+			undo[i].Value = nil
+		}
+		if err := f.store.Write(context.WithoutCancel(ctx), undo...); err != nil {
+			f.log.Warn("the record of a job that was refused stays", "job", r.ID, "err", err)
+		}
+	}()
+	return errSlow
+}
+
 func (f *Front) created(j *job) http1.Response {
 	r := f.answer(201, j.record())
 	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/jobs/" + j.r.ID})
