Drop what the change wrote again: a visibility check, a look at a socket, a job's time, a dead count

Seen on reading the whole change once more: batch had its own copy of http1.Visible; http1.Paced and sock.Quiet each peeked at a socket; a batch job's time left was worked out in two places before the one call that needs it; http1.Server kept a count of unread answers that nobody read. Change: http1.Visible, sock.Readable and Front.give serve both sides; the count is gone. Behaviour and tests stay as they were. Measured: race tests of batch, http1 and executor, the conformance suite and the twenty slow peers. Left: the two query readings and two list loops of the batch front and the command line are alike but for their fields.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -322,15 +322,14 @@
 	}
 	in := j.in
 	in.Trace = trace()
-	class := node.Span(f.s.Classes[in.Class].Deadline)
-	if in.Left = class; !j.until.IsZero() {
-		in.Left = time.Until(j.until)
-	}
-	f.give(in, j)
+	_ = f.give(in, j) // refused, it waits again
 }
 
 // give submits to the core.
 func (f *Front) give(in node.Job, j *job) error {
+	if in.Left = node.Span(f.s.Classes[in.Class].Deadline); !j.until.IsZero() {
+		in.Left = time.Until(j.until)
+	}
 	if f.store != nil {
 		until := time.Now().Add(in.Left)
 		in.Before = func(executor string) error { return f.sending(j, executor, until) }
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -13,7 +13,6 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/internal/http1"
-	"quincereach/internal/node"
 	"quincereach/internal/records"
 	"quincereach/internal/release"
 )
@@ -202,10 +201,6 @@
 		f.wake()
 		return f.created(j), true
 	}
-	class := node.Span(f.s.Classes[t.job.Class].Deadline)
-	if j.in.Left = class; !t.until.IsZero() {
-		j.in.Left = time.Until(t.until)
-	}
 	f.mu.Lock()
 	f.keep(j)
 	f.mu.Unlock()
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/brain"
+	"quincereach/internal/http1"
 	"quincereach/internal/node"
 )
 
@@ -258,12 +259,12 @@
 		}
 	case "remoteCommand":
 		// It becomes a part of a request's first line: anything else there could be read as another request.
-		if !visible(v.Str) || len(v.Str) > f.lim.Line/2 || v.Str[0] != '/' {
+		if !http1.Visible(v.Str) || len(v.Str) > f.lim.Line/2 || v.Str[0] != '/' {
 			return errors.New("not a path")
 		}
 		t.job.Target = v.Str
 	case "idempotencyKey":
-		if !visible(v.Str) || len(v.Str) > 256 {
+		if !http1.Visible(v.Str) || len(v.Str) > 256 {
 			return errors.New("not a word of 1 to 256 visible characters")
 		}
 		t.job.Idempotency, t.same = v.Str, v.Str
@@ -308,12 +309,3 @@
 	}
 	return j
 }
-
-func visible(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] >= 0x7f {
-			return false
-		}
-	}
-	return s != ""
-}
--- a/internal/http1/paced.go
+++ b/internal/http1/paced.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"quincereach/internal/pace"
 	"quincereach/internal/sock"
 )
@@ -152,7 +150,8 @@
 	return err
 }
 
-// Ready waits until a read would return, without a buffer: a connection that waits holds none.
+// Ready waits until a read would return, without a buffer: a connection that waits holds none. It looks by itself before
+// it waits: the poller tells only of what comes from then on.
 func (p *Paced) Ready() error {
 	s, ok := p.Conn.(syscall.Conn)
 	if !ok {
@@ -160,7 +159,7 @@
 	}
 	raw, err := s.SyscallConn()
 	for err == nil {
-		if err = raw.Read(readable); err == nil || !timeout(err) {
+		if err = raw.Read(sock.Readable); err == nil || !timeout(err) {
 			return err
 		}
 		err = p.late(err)
@@ -168,14 +167,6 @@
 	return err
 }
 
-// readable looks whether a read would return. It looks by itself before it waits: the poller tells only of what comes
-// from then on.
-func readable(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err != unix.EAGAIN
-}
-
 // Write sends all of b, at the peer's pace.
 func (p *Paced) Write(b []byte) (int, error) {
 	done := 0
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -40,7 +40,6 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	standing int // of them, those that are not closed yet
-	unread   int // of them, those whose last answer its client's machine has not acknowledged
 	shares   *pace.Ledger[string]
 	last     time.Time // when a connection was last taken or a request last handled
 }
@@ -82,10 +81,7 @@
 
 // read marks that a connection's last answer is no longer followed.
 func (s *Server) read(c *conn) {
-	if c.unread {
-		c.unread = false
-		s.unread--
-	}
+	c.unread = false
 }
 
 // follow looks after answers that are finished here and not read there. They hold no job, no request's place and no
@@ -411,9 +407,8 @@
 		if left, _ := c.Left(); ok && left > 0 || r.Known {
 			s.mu.Lock()
 			c.known = c.known || r.Known
-			if left > 0 && c.phase != closed && !c.unread {
+			if left > 0 && c.phase != closed {
 				c.unread = true
-				s.unread++
 			}
 			s.mu.Unlock()
 		}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -67,14 +67,17 @@
 // Quiet says that the other side has neither closed a connection nor written to it.
 func Quiet(c net.Conn) bool {
 	alive := false
-	control(c, func(fd int) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		alive = err == unix.EAGAIN
-	})
+	control(c, func(fd int) { alive = !Readable(uintptr(fd)) })
 	return alive
 }
 
+// Readable looks whether a read would return, with bytes or the connection's end.
+func Readable(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err != unix.EAGAIN
+}
+
 func control(c net.Conn, f func(fd int)) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
