Listen at the operator's address: readyz, drain and activate; a drained node says no

Design: the drain state is two atomics in node.Core (drained; Serving = ready and not drained); the operator's front (internal/operator) is its own http1.Server on its own listener, one call a connection, answered at once, with a small budget where slow callers are the first closed. A follower applies the state to the clients' front every 20 ms: drained, answers end their connections and idle ones close.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,6 +21,7 @@
 	"quincereach/internal/inventory"
 	"quincereach/internal/keys"
 	"quincereach/internal/node"
+	"quincereach/internal/operator"
 	"quincereach/internal/pace"
 	"quincereach/internal/peer"
 	"quincereach/internal/platform"
@@ -149,8 +151,20 @@
 	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), core.Slow(), log)
 	g.Go(func() error { return core.Run(hard) })
 	g.Go(func() error { return lists.Run(hard) })
-	g.Go(func() error { return front.Serve(hard, ln) })
+	var taken atomic.Bool
+	g.Go(func() error { taken.Store(true); return front.Serve(hard, ln) })
 	fronts := []*http1.Server{front}
+	if c.Operator != "" {
+		oln, err := net.Listen("tcp", c.Operator)
+		if err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		lim := c.Limits
+		lim.ClientConns, lim.SpareConns, lim.Pace.PerPeer = lim.Operators, lim.Operators/4, false
+		calls := http1.NewServer(lim, operator.New(core, taken.Load, log), core.Slow(), log)
+		g.Go(func() error { return calls.Serve(hard, oln) })
+		g.Go(func() error { follow(ctx, core, front, c.Limits.Follow); return nil })
+	}
 	var jobs *batch.Front
 	if f.Batch.Listen != "" {
 		ln, err := net.Listen("tcp", f.Batch.Listen)
@@ -194,6 +208,27 @@
 	return err
 }
 
+// follow carries the core's drain state over to the clients' front until the node is told to leave, when quiet takes
+// over: while drained, each answer ends its connection and idle connections are closed, so that clients go elsewhere;
+// jobs under way are answered first.
+func follow(ctx context.Context, core *node.Core, front *http1.Server, every time.Duration) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if core.Drained() {
+			front.Drain()
+			front.CloseIdle()
+		} else {
+			front.Resume()
+		}
+	}
+}
+
 // openStore starts this node's member of the store, if the file names one.
 func openStore(c *config.Config, f *config.File, slow *pace.Tally, log *slog.Logger) (*store.Store, error) {
 	if f.Store.Dir == "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 // does not use: names, addresses and the platform's limits.
 type Config struct {
 	Name, Listen, Discovery string
+	Operator                string // the operator's address; none on older days
 	PeerListen, PeersAll    string
 	Peers                   []string
 	Seed                    uint64
@@ -50,7 +51,8 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery},
+		{"EDGE_OPERATOR", &c.Operator}} {
 		if text := getenv(v.name); text != "" {
 			*v.to = text
 		}
@@ -85,7 +87,7 @@
 		name string
 		same bool
 	}{
-		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"operator", c.Operator == next.Operator},
 		{"peers", c.PeerListen == next.PeerListen && c.PeersAll == next.PeersAll && slices.Equal(c.Peers, next.Peers)},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && reflect.DeepEqual(c.Names, next.Names)},
 		{"limits", c.Limits == next.Limits},
@@ -99,8 +101,8 @@
 
 // Check says whether the node can be reached, and can reach discovery unless an inventory stands in its place.
 func (c *Config) Check(f *File) error {
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if a.name == "discovery" && f.Inventory.File != "" {
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
+		if a.name == "discovery" && f.Inventory.File != "" || a.name == "operator" && a.addr == "" {
 			continue
 		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
@@ -118,7 +120,7 @@
 	root := gjson.ParseBytes(data)
 	c := &Config{
 		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
-		Discovery: root.Get("discovery").String(), PeerListen: root.Get("peer_listen").String(),
+		Discovery: root.Get("discovery").String(), Operator: root.Get("operator").String(), PeerListen: root.Get("peer_listen").String(),
 		PeersAll: root.Get("peers_all").String(), Seed: seed(root.Get("seed").String()),
 	}
 	for _, p := range root.Get("peers").Array() {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -60,6 +60,9 @@
 // served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Resume undoes Drain: answers keep their connections again.
+func (s *Server) Resume() { s.draining.Store(false) }
+
 // CloseIdle closes the connections that stand between requests.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,7 @@
 	WorkerConns int // connections to executors, open and opening
 	IdleConns   int // idle ones kept for each executor
 	GiveUps     int // connections used at a time to give up attempts
+	Operators   int // connections to the operator's address; past them the least worth is closed
 
 	// Queues.
 	Events  int // events waiting for the core
@@ -83,6 +84,7 @@
 	DrainSpare   time.Duration // after a drain was told, a send that is under way may still be written
 	AnswerEarly  time.Duration // before a client gives up, a request that is still out is answered
 	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
+	Follow       time.Duration // between looks at the drain state, at which idle connections of a drained node close
 	Quiet        time.Duration // at the end, nothing may come for so long before the node exits
 
 	// Slow peers.
@@ -137,7 +139,7 @@
 		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, ID: 256, Body: 64 << 10,
 		Bodies: memoryMB << 20 / 8, WatchLine: 1 << 20,
 		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare, WorkerConns: workers,
-		IdleConns: 32, GiveUps: giveUps,
+		IdleConns: 32, GiveUps: giveUps, Operators: 16,
 		BatchConns: batch, BatchJobs: 4096, BatchBytes: 16 << 20, BatchWait: time.Minute, BatchDeadline: 15 * time.Minute,
 		BatchAhead: 30 * 24 * time.Hour, BatchAgain: 100 * time.Millisecond, BatchOut: 64, BatchWaiting: 10000, BatchArray: 1 << 20,
 		BatchEvents: 4096, BatchSessions: 256, BatchPage: 1000, BatchLook: 20000, BatchValues: 1 << 20, BatchRecords: 4 << 30,
@@ -153,7 +155,8 @@
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, WatchStood: time.Second, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
-		Pace:  pace.Default(),
-		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
+		Follow: 20 * time.Millisecond,
+		Pace:   pace.Default(),
+		Cores:  1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -37,6 +37,7 @@
 	in      chan any
 	lastID  atomic.Uint32
 	ready   atomic.Bool
+	drained atomic.Bool // by the operator: clients are sent elsewhere, what was taken is answered
 	open    atomic.Int64
 	tenants []atomic.Int64 // open jobs by tenant, where the file bounds them
 	done    chan struct{}
@@ -244,6 +245,19 @@
 // Ready says whether the node can serve: it runs and its list names an executor that takes work.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
+// Drain marks the node as drained by its operator: it tells clients to go elsewhere, and goes on answering what it
+// took. It says whether the node was serving before; a second drain changes nothing.
+func (c *Core) Drain() bool { return !c.drained.Swap(true) }
+
+// Activate undoes a drain; on a node that was not drained it changes nothing. It says whether the node was drained.
+func (c *Core) Activate() bool { return c.drained.Swap(false) }
+
+// Drained says whether the operator has drained the node.
+func (c *Core) Drained() bool { return c.drained.Load() }
+
+// Serving says whether clients are welcome: the node can serve and is not drained.
+func (c *Core) Serving() bool { return c.Ready() && !c.Drained() }
+
 // Open is how many jobs are owed an answer.
 func (c *Core) Open() int { return int(c.open.Load()) }
 
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/standin"
+)
+
+type core struct{ drained atomic.Bool }
+
+func (c *core) Drain() bool    { return !c.drained.Swap(true) }
+func (c *core) Activate() bool { return c.drained.Swap(false) }
+func (c *core) Drained() bool  { return c.drained.Load() }
+
+// Each call is answered at once and closes its connection; drain and activate, repeated or out of order, leave the
+// state that the last one asked for; readyz says no until the clients' listener is served.
+func TestCalls(t *testing.T) {
+	c := &core{}
+	var taken atomic.Bool
+	f := New(c, taken.Load, standin.Quiet)
+	call := func(method, target string) http1.Response {
+		return f.Handle(context.Background(), &http1.Message{Method: method, Target: target})
+	}
+	for _, x := range []struct {
+		method, target string
+		status         int
+		drained        bool
+		body           string
+	}{
+		{"GET", "/v1/readyz", 503, false, "not taking"},
+		{"POST", "/v1/node/activate", 200, false, "active already"},
+		{"GET", "/v1/node/drain", 405, false, "POST"},
+		{"POST", "/v1/readyz", 405, false, "GET"},
+		{"POST", "/v1/node/drain?now=1", 200, true, "drained"},
+		{"POST", "/v1/node/drain", 200, true, "drained already"},
+		{"POST", "/v1/node/activate", 200, false, "active"},
+		{"GET", "/healthz", 404, false, "no call"},
+	} {
+		r := call(x.method, x.target)
+		if r.Status != x.status || !r.Close || c.Drained() != x.drained || !strings.Contains(string(r.Body), x.body) {
+			t.Errorf("%s %s: %d %q close %v, drained %v; want %d %q, drained %v", x.method, x.target, r.Status, r.Body,
+				r.Close, c.Drained(), x.status, x.body, x.drained)
+		}
+	}
+	taken.Store(true)
+	if r := call("GET", "/v1/readyz"); r.Status != 200 {
+		t.Errorf("readyz once clients are taken: %d %q", r.Status, r.Body)
+	}
+	c.Drain()
+	if r := call("GET", "/v1/readyz"); r.Status != 200 || !strings.Contains(string(r.Body), "drained") {
+		t.Errorf("readyz of a drained process that takes clients: %d %q", r.Status, r.Body)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,8 @@
 type Core interface {
 	Submit(node.Job, node.Client) (uint32, error)
 	Gone(id uint32)
-	Ready() bool
+	Serving() bool
+	Drained() bool
 	Counts(context.Context) (node.Counts, error)
 }
 
@@ -56,7 +57,10 @@
 		}
 		return http1.Response{Status: 204, Known: err == nil}
 	case path == "/healthz":
-		if !f.core.Ready() {
+		if f.core.Drained() {
+			return http1.Text(503, "drained by the operator")
+		}
+		if !f.core.Serving() {
 			return http1.Text(503, "no executor is known that takes work")
 		}
 		return http1.Text(200, "ok")
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -12,7 +12,10 @@
 )
 
 // core takes every job and refuses it at once.
-type core struct{ jobs []node.Job }
+type core struct {
+	jobs    []node.Job
+	drained bool
+}
 
 func (c *core) Submit(j node.Job, cl node.Client) (uint32, error) {
 	c.jobs = append(c.jobs, j)
@@ -20,7 +23,8 @@
 	return 1, nil
 }
 func (c *core) Gone(uint32)                                 {}
-func (c *core) Ready() bool                                 { return true }
+func (c *core) Serving() bool                               { return true }
+func (c *core) Drained() bool                               { return c.drained }
 func (c *core) Counts(context.Context) (node.Counts, error) { return node.Counts{}, nil }
 func (c *core) Callback([]byte) error                       { return nil }
 
@@ -69,3 +73,19 @@
 		t.Errorf("%+v", r.Fields)
 	}
 }
+
+// A drained node says no to the front's health checks, so that clients are sent elsewhere.
+func TestDrainedIsNotHealthy(t *testing.T) {
+	c := &core{}
+	f := New(c, c, node.Names{}, standin.Lim, time.Second, standin.Quiet)
+	health := func() int {
+		return f.Handle(context.Background(), &http1.Message{Method: "GET", Target: "/healthz"}).Status
+	}
+	if s := health(); s != 200 {
+		t.Fatalf("healthz of a node that serves: %d", s)
+	}
+	c.drained = true
+	if s := health(); s != 503 {
+		t.Errorf("healthz of a drained node: %d, want 503", s)
+	}
+}
