Take the clients' listening socket from EDGE_PASSED_SOCKET; at SIGTERM give it over

Design: with EDGE_PASSED_SOCKET the node serves the passed descriptor (a number, else 3) and never listens by itself; a descriptor that is not a listening socket is an error naming the variable. At SIGTERM it stops taking connections, so that the next process takes them all, answers close their connections and idle ones close, and jobs under way finish as before. Rejected: SO_REUSEPORT on a listener of its own, which the kernel may hand connections that the old one then drops.

--- /dev/null
+++ b/cmd/gatetack/listen_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strings"
+	"testing"
+
+	"quincereach/internal/config"
+	"quincereach/internal/standin"
+)
+
+// A passed listening socket is taken as it is, and connections to it reach the node; a descriptor that is no listening
+// socket, or not open, is an error at the start that names it, never a listener of its own.
+func TestPassedSocket(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	f, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ln, err := listen(&config.Config{Listen: held.Addr().String(), Passed: int(f.Fd())}, standin.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if ln.Addr().String() != held.Addr().String() {
+		t.Fatalf("listens at %s, the passed socket at %s", ln.Addr(), held.Addr())
+	}
+	go func() {
+		if c, err := net.Dial("tcp", held.Addr().String()); err == nil {
+			c.Close()
+		}
+	}()
+	if c, err := ln.Accept(); err != nil {
+		t.Fatalf("accept on the passed socket: %v", err)
+	} else {
+		c.Close()
+	}
+	plain, err := os.CreateTemp(t.TempDir(), "plain")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	for _, fd := range []int{int(plain.Fd()), 1 << 20} {
+		if ln, err := listen(&config.Config{Listen: "127.0.0.1:1", Passed: fd}, standin.Quiet); err == nil {
+			ln.Close()
+			t.Errorf("descriptor %d taken for a listening socket", fd)
+		} else if !strings.Contains(err.Error(), "EDGE_PASSED_SOCKET") {
+			t.Errorf("descriptor %d: %v does not name the variable", fd, err)
+		}
+	}
+}
--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -143,9 +143,9 @@
 		g.Go(func() error { return socket.Run(hard) })
 	}
 	core.Connect(exec, lists, peers)
-	ln, err := net.Listen("tcp", c.Listen)
+	ln, err := listen(c, log)
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		return err
 	}
 	most := node.Span(c.Settings.MaxRetryAfter)
 	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), core.Slow(), log)
@@ -195,7 +195,13 @@
 		case <-hard.Done():
 			return nil
 		}
-		log.Info("leaving", "open", core.Open())
+		log.Info("leaving", "open", core.Open(), "handover", c.Passed >= 0)
+		if c.Passed >= 0 {
+			// The socket is shared with the process that follows: it takes the new connections, and clients on
+			// this one's go there after their answers.
+			front.StopTaking()
+			front.Drain()
+		}
 		if jobs != nil {
 			jobs.Drain()
 			fronts[1].Drain()
@@ -208,6 +214,30 @@
 	return err
 }
 
+// listen takes the clients' listening socket: the one the platform passed, or a new one on the address.
+func listen(c *config.Config, log *slog.Logger) (net.Listener, error) {
+	if c.Passed < 0 {
+		ln, err := net.Listen("tcp", c.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listening: %w", err)
+		}
+		return ln, nil
+	}
+	f := os.NewFile(uintptr(c.Passed), "EDGE_PASSED_SOCKET")
+	if f == nil {
+		return nil, fmt.Errorf("EDGE_PASSED_SOCKET: descriptor %d is not open; expected the clients' listening socket", c.Passed)
+	}
+	defer f.Close() // FileListener holds a copy of its own
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_PASSED_SOCKET: descriptor %d: %w; expected the clients' listening socket", c.Passed, err)
+	}
+	if got := ln.Addr().String(); got != c.Listen {
+		log.Warn("the passed socket listens elsewhere than listen says", "passed", got, "listen", c.Listen)
+	}
+	return ln, nil
+}
+
 // follow carries the core's drain state over to the clients' front until the node is told to leave, when quiet takes
 // over: while drained, each answer ends its connection and idle connections are closed, so that clients go elsewhere;
 // jobs under way are answered first.
@@ -260,7 +290,7 @@
 		}
 		last, busy := told, 0
 		for i, s := range fronts {
-			if left || i > 0 && time.Since(told) >= c.Limits.Quiet {
+			if left || i == 0 && c.Passed >= 0 || i > 0 && time.Since(told) >= c.Limits.Quiet {
 				s.CloseIdle()
 			}
 			busy += s.Conns()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,9 @@
 type Config struct {
 	Name, Listen, Discovery string
 	Operator                string // the operator's address; none on older days
+	// Passed is the descriptor of the clients' listening socket that the platform holds and hands to every process of
+	// the node, from EDGE_PASSED_SOCKET; -1 where none is passed and the node listens by itself.
+	Passed int
 	PeerListen, PeersAll    string
 	Peers                   []string
 	Seed                    uint64
@@ -48,6 +51,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Passed, err = passed(getenv("EDGE_PASSED_SOCKET")); err != nil {
+		return nil, err
+	}
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -121,7 +127,7 @@
 	c := &Config{
 		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
 		Discovery: root.Get("discovery").String(), Operator: root.Get("operator").String(), PeerListen: root.Get("peer_listen").String(),
-		PeersAll: root.Get("peers_all").String(), Seed: seed(root.Get("seed").String()),
+		PeersAll: root.Get("peers_all").String(), Seed: seed(root.Get("seed").String()), Passed: -1,
 	}
 	for _, p := range root.Get("peers").Array() {
 		c.Peers = append(c.Peers, p.String())
@@ -164,6 +170,26 @@
 	return c, nil
 }
 
+// passedFD is the descriptor that the platform passes the clients' listening socket as.
+const passedFD = 3
+
+// passed reads EDGE_PASSED_SOCKET: a descriptor's number, or any other name for the socket, which the platform passes
+// as descriptor 3. Empty: none is passed.
+func passed(text string) (int, error) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return -1, nil
+	}
+	n, err := strconv.Atoi(text)
+	switch {
+	case err != nil:
+		return passedFD, nil
+	case n < passedFD:
+		return 0, fmt.Errorf("EDGE_PASSED_SOCKET: descriptor %d is a standard stream; expected 3 or above", n)
+	}
+	return n, nil
+}
+
 func list(text string) []string {
 	if text == "" {
 		return nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -151,3 +151,15 @@
 		t.Error(err)
 	}
 }
+
+// EDGE_PASSED_SOCKET names a descriptor, or the socket that comes as descriptor 3; a standard stream is no socket.
+func TestPassed(t *testing.T) {
+	for text, want := range map[string]int{"": -1, "3": 3, " 7 ": 7, "clients": 3} {
+		if got, err := passed(text); err != nil || got != want {
+			t.Errorf("%q: %d %v, want %d", text, got, err, want)
+		}
+	}
+	if _, err := passed("1"); err == nil {
+		t.Error("standard output taken for the passed socket")
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -33,6 +33,8 @@
 	h        Handler
 	log      *slog.Logger
 	draining atomic.Bool
+	stopped  atomic.Bool // no connection is taken any more
+	ln       atomic.Pointer[net.Listener]
 	busy     atomic.Int64 // requests being handled
 	bodies   atomic.Int64 // bytes of bodies that are held
 	tally    *pace.Tally
@@ -60,6 +62,17 @@
 // served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// StopTaking closes the listener and takes no more connections; those it has are served on. Where the listening socket
+// is shared with a process that follows this one, that process takes what comes from now on.
+func (s *Server) StopTaking() {
+	if s.stopped.Swap(true) {
+		return
+	}
+	if ln := s.ln.Load(); ln != nil {
+		_ = (*ln).Close()
+	}
+}
+
 // Resume undoes Drain: answers keep their connections again.
 func (s *Server) Resume() { s.draining.Store(false) }
 
@@ -252,15 +265,22 @@
 // Serve takes connections until the context ends, then closes all of them.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
+	s.ln.Store(&ln)
+	if s.stopped.Load() {
+		_ = ln.Close()
+	}
 	g.Go(func() error {
 		<-ctx.Done()
+		if s.stopped.Load() {
+			return nil
+		}
 		return ln.Close()
 	})
 	g.Go(func() error { s.follow(ctx); return nil })
 	g.Go(func() error {
 		for {
 			c, err := ln.Accept()
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || err != nil && s.stopped.Load() {
 				return nil
 			}
 			if err != nil {
