Share the peers' UDP port between a process and the one that replaces it

Design: the peer socket sets SO_REUSEPORT, so both processes stand on the port while they overlap and the kernel deals out datagrams. Rejected: starting without peers when the port is taken, which leaves the new process deaf for good.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,9 +8,11 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"quincereach/brain"
 	"quincereach/internal/limits"
@@ -57,9 +59,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	if s.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+	// While a process replaces this one, both stand on the same address for some seconds: the port is shared, and
+	// the kernel deals out the datagrams between them.
+	shared := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var opt error
+		err := raw.Control(func(fd uintptr) { opt = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return errors.Join(err, opt)
+	}}
+	pc, err := shared.ListenPacket(context.Background(), "udp", at.String())
+	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	s.conn = pc.(*net.UDPConn)
 	return s, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,3 +90,18 @@
 		t.Error(err)
 	}
 }
+
+// While a process replaces this one, both listen on the same address: the second may not fail for the first.
+func TestTwoProcessesOnOneAddress(t *testing.T) {
+	first, err := Listen("127.0.0.1:0", nil, "", standin.Lim, &sink{got: map[uint32]string{}}, standin.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.conn.Close()
+	at := first.conn.LocalAddr().String()
+	second, err := Listen(at, nil, "", standin.Lim, &sink{got: map[uint32]string{}}, standin.Quiet)
+	if err != nil {
+		t.Fatalf("a second socket on %s: %v", at, err)
+	}
+	_ = second.conn.Close()
+}
