Carry callbacks of the old process's attempts over to it through TMPDIR at an upgrade

Ruled out: the kill (the old one still ran, t/o 0) and the front (0 requests ended at the door). Design: the executor says ErrNotOurs of a callback it has no attempt for; with a passed socket, such a callback is left as a file in $TMPDIR/gatetack-handover when another process of the node stands there (p<pid> markers, gone pids dropped), and each process takes every 20 ms what the other left.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -17,6 +19,7 @@
 	"quincereach/internal/config"
 	"quincereach/internal/discovery"
 	"quincereach/internal/executor"
+	"quincereach/internal/handover"
 	"quincereach/internal/http1"
 	"quincereach/internal/inventory"
 	"quincereach/internal/keys"
@@ -148,7 +151,19 @@
 		return err
 	}
 	most := node.Span(c.Settings.MaxRetryAfter)
-	front := http1.NewServer(c.Limits, platform.New(core, exec, c.Names, c.Limits, most, log), core.Slow(), log)
+	var calls platform.Callbacks = exec
+	if c.Passed >= 0 {
+		relay, err := handover.Open(filepath.Join(os.TempDir(), "gatetack-handover"), c.Limits.Follow, c.Limits.Stay, log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = relay.Close() }()
+		calls = relayed{exec, relay}
+		g.Go(func() error {
+			return relay.Run(hard, func(body []byte) bool { return !errors.Is(exec.Callback(body), executor.ErrNotOurs) })
+		})
+	}
+	front := http1.NewServer(c.Limits, platform.New(core, calls, c.Names, c.Limits, most, log), core.Slow(), log)
 	g.Go(func() error { return core.Run(hard) })
 	g.Go(func() error { return lists.Run(hard) })
 	var taken atomic.Bool
@@ -214,6 +229,22 @@
 	return err
 }
 
+// relayed takes callbacks for the executors of this process, and leaves those of attempts it does not know for the
+// other process of the node, if one stands beside it: while one replaces the other, they all come to the new one.
+type relayed struct {
+	exec  *executor.Client
+	relay *handover.Relay
+}
+
+func (r relayed) Callback(body []byte) error {
+	err := r.exec.Callback(body)
+	if errors.Is(err, executor.ErrNotOurs) {
+		r.relay.Pass(body)
+		return nil
+	}
+	return err
+}
+
 // listen takes the clients' listening socket: the one the platform passed, or a new one on the address.
 func listen(c *config.Config, log *slog.Logger) (net.Listener, error) {
 	if c.Passed < 0 {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -440,8 +440,13 @@
 	})
 }
 
+// ErrNotOurs is the answer to a callback of an attempt that this process does not know: stale, or of another process
+// of the node that stands on the same socket.
+var ErrNotOurs = errors.New("executor: a callback of an attempt that is not this process's")
+
 // Callback takes what an executor tells of a job. The call is answered alike whether it fits a live attempt or
-// not: it may be a repeat, or be about an attempt that is over.
+// not: it may be a repeat, or be about an attempt that is over. ErrNotOurs says that no attempt here has its id and
+// executor.
 func (c *Client) Callback(body []byte) error {
 	if !gjson.ValidBytes(body) {
 		return errors.New("a callback that is not JSON")
@@ -452,7 +457,7 @@
 	t := c.byName[key]
 	c.mu.Unlock()
 	if t == nil {
-		return nil
+		return ErrNotOurs
 	}
 	t.mu.Lock()
 	written := t.written
