Answer stale callbacks as known again where no process stands beside this one

Ruled out: the operator's follower and the handover relay, which start only with an operator's address or a passed socket. Change: callbacks always pass through one wrapper that turns ErrNotOurs into the old answer, and hands it to the relay only where there is one.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -151,14 +151,14 @@
 		return err
 	}
 	most := node.Span(c.Settings.MaxRetryAfter)
-	var calls platform.Callbacks = exec
+	calls := relayed{exec: exec}
 	if c.Passed >= 0 {
 		relay, err := handover.Open(filepath.Join(os.TempDir(), "gatetack-handover"), c.Limits.Follow, c.Limits.Stay, log)
 		if err != nil {
 			return err
 		}
 		defer func() { _ = relay.Close() }()
-		calls = relayed{exec, relay}
+		calls.relay = relay
 		g.Go(func() error {
 			return relay.Run(hard, func(body []byte) bool { return !errors.Is(exec.Callback(body), executor.ErrNotOurs) })
 		})
@@ -230,7 +230,8 @@
 }
 
 // relayed takes callbacks for the executors of this process, and leaves those of attempts it does not know for the
-// other process of the node, if one stands beside it: while one replaces the other, they all come to the new one.
+// other process of the node, if one stands beside it: while one replaces the other, they all come to the new one. A
+// callback that is not this process's is answered as any other: it may be a repeat, or of an attempt that is over.
 type relayed struct {
 	exec  *executor.Client
 	relay *handover.Relay
@@ -239,7 +240,9 @@
 func (r relayed) Callback(body []byte) error {
 	err := r.exec.Callback(body)
 	if errors.Is(err, executor.ErrNotOurs) {
-		r.relay.Pass(body)
+		if r.relay != nil {
+			r.relay.Pass(body)
+		}
 		return nil
 	}
 	return err
