--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,14 +27,14 @@
 	Operator                string // the operator's address; none on older days
 	// Passed is the descriptor of the clients' listening socket that the platform holds and hands to every process of
 	// the node, from EDGE_PASSED_SOCKET; -1 where none is passed and the node listens by itself.
-	Passed int
-	PeerListen, PeersAll    string
-	Peers                   []string
-	Seed                    uint64
-	Known                   node.List
-	Settings                brain.Settings
-	Names                   node.Names
-	Limits                  limits.Limits
+	Passed               int
+	PeerListen, PeersAll string
+	Peers                []string
+	Seed                 uint64
+	Known                node.List
+	Settings             brain.Settings
+	Names                node.Names
+	Limits               limits.Limits
 }
 
 // FromEnv reads EDGE_CONFIG and lets the other variables stand for what it lacks.
