Drop a derived Serving from the core, a map made per call, a needless close guard

Serving was Ready and not Drained, and its one caller, /healthz, asks Drained just before, so it stood for Ready; the operator's front made its map of paths and methods anew for every call; Serve's closer skipped a listener that StopTaking had closed, though Serve already passes over net.ErrClosed. Behaviour is the same.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -271,10 +271,7 @@
 	}
 	g.Go(func() error {
 		<-ctx.Done()
-		if s.stopped.Load() {
-			return nil
-		}
-		return ln.Close()
+		return ln.Close() // net.ErrClosed where StopTaking closed it first
 	})
 	g.Go(func() error { s.follow(ctx); return nil })
 	g.Go(func() error {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -255,9 +255,6 @@
 // Drained says whether the operator has drained the node.
 func (c *Core) Drained() bool { return c.drained.Load() }
 
-// Serving says whether clients are welcome: the node can serve and is not drained.
-func (c *Core) Serving() bool { return c.Ready() && !c.Drained() }
-
 // Open is how many jobs are owed an answer.
 func (c *Core) Open() int { return int(c.open.Load()) }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -37,9 +37,12 @@
 	return r
 }
 
+// methods gives each call's method by its path.
+var methods = map[string]string{"/v1/readyz": "GET", "/v1/node/drain": "POST", "/v1/node/activate": "POST"}
+
 func (f *Front) answer(m *http1.Message) http1.Response {
 	path := m.Path()
-	want := map[string]string{"/v1/readyz": "GET", "/v1/node/drain": "POST", "/v1/node/activate": "POST"}[path]
+	want := methods[path]
 	switch {
 	case want == "":
 		return http1.Text(404, "no call is named %q: GET /v1/readyz, POST /v1/node/drain, POST /v1/node/activate", path)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,7 @@
 type Core interface {
 	Submit(node.Job, node.Client) (uint32, error)
 	Gone(id uint32)
-	Serving() bool
+	Ready() bool
 	Drained() bool
 	Counts(context.Context) (node.Counts, error)
 }
@@ -60,7 +60,7 @@
 		if f.core.Drained() {
 			return http1.Text(503, "drained by the operator")
 		}
-		if !f.core.Serving() {
+		if !f.core.Ready() {
 			return http1.Text(503, "no executor is known that takes work")
 		}
 		return http1.Text(200, "ok")
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -23,7 +23,7 @@
 	return 1, nil
 }
 func (c *core) Gone(uint32)                                 {}
-func (c *core) Serving() bool                               { return true }
+func (c *core) Ready() bool                                 { return true }
 func (c *core) Drained() bool                               { return c.drained }
 func (c *core) Counts(context.Context) (node.Counts, error) { return node.Counts{}, nil }
 func (c *core) Callback([]byte) error                       { return nil }
