Take an unhinted job's aim from the work that carries worth where worth goes by work

The aim of a job without a hint was that of a job of half its class's mean (brain.go, request): right where each job counts alike, wrong where worth goes by work, for then most of the worth is in jobs as much longer than the mean, whose aim is later by twice their run. Change: with worth by work the aim is that of a job of the mean over unhintedWork (in a heavy tail the median of the work lies as far over the mean as the median of the jobs lies under it). No other setting is touched.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 	shareSlack   = 1.3   // part of its quota that a tenant has at this node, of its usual rate
 	shareMemory  = 15000 // ms over which the usual rate is taken: shorter follows a flood
 	shareDepth   = 2000  // ms of the quota that may come at once
-	unhintedWork = 0.5   // of its class's mean, what a job without a hint is taken to need for its aim
+	unhintedWork = 0.5   // of its class's mean, what half of jobs stay under; half the work is over its inverse
 	hubFresh     = 1     // waits for the hub that its answer may be old for another job, and from how many
 	hubAgain     = 2     // on jobs that wait for room ask again
 	relax        = 0.5   // how fast reports fade, in runs weighted by what they hold: faster evens out
@@ -139,17 +139,17 @@
 	j.class = min(int(e.Class), len(d.s.Classes)-1)
 	j.tenant = min(int(e.Tenant), len(d.tenants)-1)
 	c, st := &d.s.Classes[j.class], &d.classes[j.class]
-	j.slots = 1
+	j.slots, j.memory = e.sizes()
 	likely := e.Work
-	if e.Slots > 0 && e.Slots < 1e6 {
-		j.slots = e.Slots
-	}
 	if e.Flags&FlagWork != 0 && e.Work > 0 && !math.IsInf(e.Work, 0) {
 		j.work = e.Work
 		st.work += (j.work - st.work) * 0.02
 	} else {
-		// Most jobs are shorter than a heavy-tailed mean, and a short one's aim comes soon.
-		j.work, likely = st.work, unhintedWork*st.work
+		// Most jobs are shorter than a heavy-tailed mean, and a short one's aim comes soon. Where worth goes
+		// by work, most of it lies in jobs as much longer than the mean, and their aim comes as much later.
+		if j.work, likely = st.work, unhintedWork*st.work; d.s.WorthByWork {
+			likely = st.work / unhintedWork
+		}
 	}
 	d.widest = max(d.widest, j.slots)
 	st.slots += (j.slots - st.slots) * 0.02
@@ -158,9 +158,6 @@
 		left = 0
 	}
 	j.deadline = d.now + left
-	if e.Memory > 0 && e.Memory < 1e6 {
-		j.memory = e.Memory
-	}
 	age := 0.0
 	if e.Flags&FlagRepeat != 0 {
 		age = max(0, c.Deadline-left) // a repeat's aim runs from the client's first try
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -497,6 +497,24 @@
 	}
 }
 
+// Where worth goes by work, a job without a hint may wait for as long as one of those that carry the worth could:
+// else half of a burst's worth is put out of the queue as too late while it would still be in time.
+func TestUnhintedAimFollowsTheWorthByWork(t *testing.T) {
+	held := func(byWork bool) float64 {
+		s := base()
+		s.WorthByWork = byWork
+		r := newRig(t, s, ready(7, 0))
+		e := request(1, 0, 0, 1)
+		e.Flags, e.Work = 0, 0
+		r.step(e)
+		j := r.d.jobs[1]
+		return j.aimAt - j.work/r.d.meanSpeed() - r.now
+	}
+	if each, work := held(false), held(true); work <= each {
+		t.Errorf("held for up to %v ms with worth by work, %v with worth by request: want longer", work, each)
+	}
+}
+
 // A wide job worth more gets the tokens of several waiting ones that borrow and are worth less (recife rough-2).
 func TestWorthyJobEvictsBorrowers(t *testing.T) {
 	s := base()
--- a/brain/state.go
+++ b/brain/state.go
@@ -54,6 +54,18 @@
 	homesOf    int       // the list they were drawn from
 }
 
+// sizes are a request's slots and memory; odd numbers count as the least.
+func (e *Event) sizes() (slots, memory float64) {
+	slots = 1
+	if e.Slots > 0 && e.Slots < 1e6 {
+		slots = e.Slots
+	}
+	if e.Memory > 0 && e.Memory < 1e6 {
+		memory = e.Memory
+	}
+	return slots, memory
+}
+
 type ending struct{ sent, at, slots float64 }
 
 // worker is what this node knows of one worker. What placement reads of each worker it looks at comes first and
