--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 	shareSlack   = 1.3   // part of its quota that a tenant has at this node, of its usual rate
 	shareMemory  = 15000 // ms over which the usual rate is taken: shorter follows a flood
 	shareDepth   = 2000  // ms of the quota that may come at once
-	unhintedWork = 0.5   // of its class's mean, what half of jobs stay under; half the work is over its inverse
+	unhintedWork = 0.5   // of its class's mean, what half of all jobs stay under; by work, its inverse
 	hubFresh     = 1     // waits for the hub that its answer may be old for another job, and from how many
 	hubAgain     = 2     // on jobs that wait for room ask again
 	relax        = 0.5   // how fast reports fade, in runs weighted by what they hold: faster evens out
