Count a worker's errors for all its classes; wide jobs do not overdraw cold workers

A class was kept away by itself (learn.go, fared), and one success cleared its strikes, so each of three such classes was lost there again and again, at both nodes. Where two classes share a fleet, one of them repeatable, that costs little: it worked by luck. Repeatable jobs go on showing how it fares. A cold worker's budget could be overdrawn by the whole of a wide job (coldOpen): its further slots now need credit. Ruled out: ending early after SIGTERM (the node's next start comes at the same time); clients' connections closed by the node (they are not; for 1 s neither node may take a new connection, and a quarter of that window fails at the door).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -67,6 +67,8 @@
 	ejectFirst   = 2     // first ejection, in connect time-outs; doubles each time
 	ejectMost    = 5     // doublings at most
 	classAway    = 16    // likewise for a class that fails at a worker: a trial may lose a job for good
+	flakyPrior   = 2     // jobs' worth of all classes' errors mixed into one class's
+	flakyFor     = 40    // connect time-outs in which errors fade: shorter tries a bad one sooner
 	speedKeep    = 0.98  // memory of the speed averages
 	speedShrink  = 6     // jobs' worth of the kind's speed mixed into a worker's own
 	askSpread    = 0.003 // of the time to ask within, for each node: span of the first asks, at least
@@ -139,7 +141,8 @@
 	j.class = min(int(e.Class), len(d.s.Classes)-1)
 	j.tenant = min(int(e.Tenant), len(d.tenants)-1)
 	c, st := &d.s.Classes[j.class], &d.classes[j.class]
-	j.slots, j.memory = e.sizes()
+	slots, memory, left := e.sane()
+	j.slots, j.memory = slots, memory
 	likely := e.Work
 	if e.Flags&FlagWork != 0 && e.Work > 0 && !math.IsInf(e.Work, 0) {
 		j.work = e.Work
@@ -153,14 +156,10 @@
 	}
 	d.widest = max(d.widest, j.slots)
 	st.slots += (j.slots - st.slots) * 0.02
-	left := e.TimeLeft
-	if !(left >= 0) {
-		left = 0
-	}
 	j.deadline = d.now + left
 	age := 0.0
-	if e.Flags&FlagRepeat != 0 {
-		age = max(0, c.Deadline-left) // a repeat's aim runs from the client's first try
+	if e.Flags&FlagRepeat != 0 { // its aim runs from the client's first try
+		age = max(0, c.Deadline-left)
 	}
 	j.aimAt = min(d.now-age+c.Aim+c.Stretch*likely+(j.work-likely)/d.meanSpeed(), j.deadline)
 	d.jobs[j.id] = j
@@ -439,7 +438,7 @@
 	}
 	w.looked = d.looks
 	d.seen = append(d.seen, w)
-	if w.room = d.room(w); w.room >= 1 && d.coldOpen(w) {
+	if w.room = d.room(w); w.room >= 1 && d.coldOpen(w, 0) {
 		d.open = append(d.open, w)
 	}
 }
@@ -463,16 +462,17 @@
 		d.look()
 		from = d.open
 	}
-	slack, kind := max(j.aimAt-d.now, 1), d.s.Classes[j.class].Kind
+	c, slack := &d.s.Classes[j.class], max(j.aimAt-d.now, 1)
 	for _, w := range from {
 		spare := w.room - j.slots
 		if spare < -1e-6 {
 			continue
 		}
-		if kind >= 0 && w.kind != kind || !d.usable(w) || !d.maySend(j, w) || d.fails(j, w) {
+		if c.Kind >= 0 && w.kind != c.Kind || !d.usable(w) || !d.maySend(j, w) || d.fails(j, w) {
 			continue
 		}
-		if (w.silent || d.now < w.lateUntil && !d.panicking) && d.s.Classes[j.class].Effect == Unsafe {
+		odds := d.lostFor(j, w)
+		if odds > errorEject || (w.silent || d.now < w.lateUntil && !d.panicking) && c.Effect == Unsafe {
 			continue // it may well be lost there
 		}
 		if w.tellsMemory && j.memory > w.memory+1e-6 && w.own > 0 {
@@ -480,7 +480,7 @@
 		}
 		run := j.work / d.speed(w)
 		loss := crowdLoss/(1+spare) + slowLoss*min(max(0, run/slack-0.5), 1) + holdLoss*run*mean/j.work
-		loss += w.errs + tieLoss*d.random()
+		loss += w.errs + odds + tieLoss*d.random()
 		if w.zone != d.s.Zone {
 			loss += d.s.Fees.CrossZone
 		}
@@ -529,8 +529,9 @@
 		if !d.usable(w) || w.silent || w.waits > 0 && d.s.TellsStart || d.now < w.fullUntil || d.fails(j, w) {
 			continue
 		}
-		kind := d.s.Classes[j.class].Kind
-		if kind >= 0 && w.kind != kind || w.own > 0 && w.own+j.slots > d.ourPart()*n+0.5 || !d.maySend(j, w) {
+		c, part := &d.s.Classes[j.class], d.ourPart()*n+0.5
+		if c.Kind >= 0 && w.kind != c.Kind || d.lostFor(j, w) > errorEject || !d.maySend(j, w) ||
+			w.own > 0 && w.own+j.slots > part {
 			continue
 		}
 		if best == nil || w.own < best.own || w.own == best.own && w.room > best.room {
@@ -670,7 +671,8 @@
 	if (j.out > 0 || j.mayHaveRun) && !d.repeatable(j, w) {
 		return false
 	}
-	return d.coldOpen(w)
+	// Credit may be overdrawn by one slot's work, for all jobs cost some, not by a wide job's further slots.
+	return d.coldOpen(w, (j.slots-1)*j.work/d.kindSpeed(w.kind))
 }
 
 // repeatable says whether a job that is out, or may have run, may go to w as well.
@@ -723,7 +725,7 @@
 
 // coldOpen says whether our part of a cold worker's budget lets a job of ours go there. One of many nodes has
 // less than a job of it, and pays it off after one, from a random debt at first: all send the sum together.
-func (d *Dispatcher) coldOpen(w *worker) bool {
+func (d *Dispatcher) coldOpen(w *worker, more float64) bool {
 	share := d.coldShare(w)
 	if share >= 1 {
 		return true
@@ -737,7 +739,7 @@
 		w.coldCredit = min(most, w.coldCredit-max(0, d.held-most)) // else all keep a turn, and use it at once
 	}
 	w.coldAt = d.now
-	return w.coldCredit > 0
+	return w.coldCredit > min(more, coldKnown*most)
 }
 
 // ourPart is our part of what all nodes may do together: half of it even, half by our part of the traffic
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -597,7 +597,7 @@
 	}
 	r.now += 60000
 	r.step()
-	if run(2, served); r.d.byID[1].fails[2] != (failing{}) {
+	if run(2, served); r.d.byID[1].fails[2].strikes != 0 || r.d.byID[1].fails[2].until != 0 {
 		t.Errorf("served again: %+v", r.d.byID[1].fails[2])
 	}
 	everywhere := func(uint32) Outcome { return Errored }
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -218,14 +218,21 @@
 // tells of free slots. So classes are told apart. One 'full' beside free slots can come of a late report.
 func (d *Dispatcher) fared(j *job, w *worker, e *Event) {
 	f := &w.fails[j.class]
+	if e.Outcome == Served || e.Outcome == Errored {
+		f.all.add(d, e.Outcome == Errored)
+		w.all.add(d, e.Outcome == Errored)
+	}
 	switch {
 	case e.Outcome == Served:
-		*f = failing{}
+		if j.attempts[e.Attempt].sent >= f.at { // else it shows nothing of what came since
+			f.strikes, f.until = 0, 0
+		}
 		return
 	case e.Outcome != Errored && !(e.Outcome == Full && d.tellsRoom(e.Report, j.slots)) || d.now < f.until:
 		return // or sent before the last one failed
 	}
 	f.strikes++
+	f.at = d.now
 	if e.Outcome == Full && f.strikes == 1 {
 		return
 	}
@@ -235,6 +242,37 @@
 	d.log("class %d fails at worker %d, kept away until %.0f", j.class, w.id, f.until)
 }
 
+// tally counts jobs that ended and those of them that erred, and forgets.
+type tally struct{ n, errs, at float64 }
+
+// now is a tally as faded by now.
+func (t *tally) now(d *Dispatcher) (n, errs float64) {
+	f := math.Exp((t.at - d.now) / (flakyFor * max(d.s.ConnectTimeout, d.s.Step)))
+	return t.n * f, t.errs * f
+}
+
+func (t *tally) add(d *Dispatcher, erred bool) {
+	t.n, t.errs = t.now(d)
+	t.n++
+	if t.at = d.now; erred {
+		t.errs++
+	}
+}
+
+// lostFor is the chance that a job errs at a worker, for one that is lost with it: others are tried again, and so it is
+// they that show when a worker has mended. A worker can err for a part of its jobs, whichever they
+// are, and serve the next: an error kept away its class alone, until the next success, so that each class in turn lost
+// jobs there that can not be repeated, and lost them again. What other classes fared there counts until a class has
+// fared often enough itself.
+func (d *Dispatcher) lostFor(j *job, w *worker) float64 {
+	all, errs := w.all.now(d)
+	if errs < 0.01 || d.s.Classes[j.class].Effect != Unsafe || d.panicking || d.classes[j.class].failing {
+		return 0
+	}
+	own, ownErrs := w.fails[j.class].all.now(d)
+	return (ownErrs + flakyPrior*errs/(all+flakyPrior)) / (own + flakyPrior)
+}
+
 // tellsRoom says whether a report tells of free slots for a job, and of nothing that queues for them.
 func (d *Dispatcher) tellsRoom(values []float32, slots float64) bool {
 	room := false
--- a/brain/state.go
+++ b/brain/state.go
@@ -54,8 +54,8 @@
 	homesOf    int       // the list they were drawn from
 }
 
-// sizes are a request's slots and memory; odd numbers count as the least.
-func (e *Event) sizes() (slots, memory float64) {
+// sane are a request's slots, memory and time left; odd numbers count as the least.
+func (e *Event) sane() (slots, memory, left float64) {
 	slots = 1
 	if e.Slots > 0 && e.Slots < 1e6 {
 		slots = e.Slots
@@ -63,7 +63,10 @@
 	if e.Memory > 0 && e.Memory < 1e6 {
 		memory = e.Memory
 	}
-	return slots, memory
+	if e.TimeLeft >= 0 {
+		left = e.TimeLeft
+	}
+	return slots, memory, left
 }
 
 type ending struct{ sent, at, slots float64 }
@@ -103,6 +106,7 @@
 	time      float64
 	errs      float64
 	fails     []failing // by class
+	all       tally     // of all classes
 	opening   int       // attempts out on connections opened for them
 	idle      []float64 // idle connections: since when
 	outs      []*job    // one entry for each attempt out
@@ -143,6 +147,8 @@
 type failing struct {
 	strikes int     // failures running
 	until   float64 // nothing of the class goes there before
+	at      float64 // when it failed last
+	all     tally
 }
 
 type kindStat struct{ work, time, slots, scale float64 }
@@ -527,6 +533,7 @@
 			w.free, w.reported, w.soft, w.errs, w.strikes, w.badUntil = 0, 0, softStart, 0, 0, 0
 			w.linkFails, w.linkUntil, w.lateAt, w.lateUntil, w.hidden = 0, 0, 0, 0, 0
 			clear(w.fails)
+			w.all = tally{}
 			for kind := uint16(firstMark); kind <= noConns; kind++ {
 				delete(d.hub.marks, w.tag|kind)
 			}
@@ -535,7 +542,7 @@
 		w.zone, w.kind, w.cell = int(r.Zone), int(r.Kind), r.Cell
 		w.group = d.groupOf(r.Kind, r.Zone)
 		w.cond, w.born, w.row = r.Condition, r.Born, *r
-		d.coldOpen(w) // from now on, not from our next job
+		d.coldOpen(w, 0) // from now on, not from our next job
 		changed = true
 	}
 	if !changed {
