Leave a worker alone that turns jobs away twice though its reports tell of room

Where reports come by probe each that tells of free slots ended the back-off at once (learn.go, report); where they come with answers the class's own back-off took its place, so it worked by luck. Change: after a second 'full' running a report of room does not end the back-off. Figures: the test's worker got 157 sends in 4 s, now under 20.

--- a/brain/flaky_test.go
+++ b/brain/flaky_test.go
@@ -85,3 +85,29 @@
 		t.Errorf("credit overdrawn by %.0f ms by jobs of four slots, %.0f by those of one", four, one)
 	}
 }
+
+// A worker that drains turns all away while its reports go on telling of free slots, until the list says so: where
+// reports come by probe, each of them put an end to its back-off, and every job went there first.
+func TestDrainingWorkerThatTellsOfRoomIsLeftAlone(t *testing.T) {
+	s := base()
+	s.Telemetry, s.MayProbe, s.TellsStart = ReportProbes, true, false
+	r := newRig(t, s, ready(1, 1))
+	w := r.d.byID[1]
+	sends := 0
+	for i := range 200 { // 4 s
+		var events []Event
+		if i%5 == 0 {
+			events = append(events, Event{Kind: EvProbed, Worker: 1, Outcome: Served, Report: []float32{4 + float32(i)*1e-4}})
+		}
+		events = append(events, request(uint32(i+1), 0, 0, 1))
+		for _, a := range r.after(20, events...) {
+			if a.Kind == ActSend {
+				sends++
+				r.step(outcome(a.Job, uint16(len(r.d.jobs[a.Job].attempts)-1), 1, Full))
+			}
+		}
+	}
+	if w.fullRun < 2 || sends > 20 {
+		t.Errorf("%d sends in 4 s to a worker that turns all away, want 20 at most", sends)
+	}
+}
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -117,7 +117,9 @@
 	g, fade := w.group, max(0, 1-(d.now-w.group.at)/d.usualFor())
 	g.sum, g.n, g.at = g.sum*fade+theirs, g.n*fade+1, d.now
 	d.heardAt = d.now
-	if w.free >= 1 {
+	// Room that a report tells ends a wait after one 'full', which a late report may have led to. A worker that turns
+	// away the next as well, beside free slots, drains and was not listed so yet: it is left alone for as long as ever.
+	if w.free >= 1 && w.fullRun < 2 {
 		w.fullUntil = 0
 	}
 	d.dirty = true
