Put classes, tenants, attempts and prices in force at SIGHUP; open jobs keep their rules

Change: brain.Dispatcher.Retune takes over classes, tenants, attempts, prices and worths; a class keeps its place while a job of it can be open, one whose rules are new gets a place of its own (node.Rules.Retune, with no I/O), and a dropped class is still taken for 3 s. A file short of a key that the one in force has, or with a deadline or attempts not over 0, is refused by file, field and expectation. Rejected: a second module beside the first for the open jobs (two that count the same boxes' slots overfill them), and a start anew of the core (open jobs and all that was learned would go).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -137,7 +137,7 @@
 	} else {
 		j = &job{}
 	}
-	j.id, j.key, j.arrived = e.Job, e.Key, d.now
+	j.id, j.key, j.arrived, j.most = e.Job, e.Key, d.now, d.s.MaxAttempts
 	j.class = min(int(e.Class), len(d.s.Classes)-1)
 	j.tenant = min(int(e.Tenant), len(d.tenants)-1)
 	c, st := &d.s.Classes[j.class], &d.classes[j.class]
@@ -659,7 +659,7 @@
 // maySend is the one gate that every send passes: the request's state, what of it may have run, drains, and
 // a cold worker's budget.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
-	over := j.done || len(j.attempts) >= d.s.MaxAttempts || d.now >= j.deadline
+	over := j.done || len(j.attempts) >= j.most || d.now >= j.deadline
 	if over || w.cond != Ready || j.out > 0 && !d.s.MayDuplicate {
 		return false
 	}
@@ -852,7 +852,7 @@
 		return
 	}
 	c := &d.s.Classes[j.class]
-	spent := len(j.attempts) >= d.s.MaxAttempts || d.now >= j.deadline-d.margin()
+	spent := len(j.attempts) >= j.most || d.now >= j.deadline-d.margin()
 	if j.mayHaveRun {
 		spent = spent || c.Effect == Unsafe || c.Effect == Keyed && d.now-j.ranSince >= c.Window-d.margin()
 	}
--- a/brain/settings.go
+++ b/brain/settings.go
@@ -6,6 +6,55 @@
 	"math"
 )
 
+// Retune takes over new classes, tenants, attempts, prices and worths while jobs are open; all else that the settings say
+// stays as New had it. A class or tenant keeps its place for as long as it stands, and new ones come behind the last, or
+// in the place of one of which nothing is open. From names, for the place of a class whose rules are new, the place whose
+// jobs tell what its jobs need; others begin with nothing learned. Jobs that are open keep the rules they came under: their
+// class may not change, and their attempts stay as many. An error names what can not be taken over, and changes nothing.
+func (d *Dispatcher) Retune(s Settings, from map[int]int) error {
+	next := d.s
+	next.Classes, next.Tenants = s.Classes, s.Tenants
+	next.MaxAttempts, next.MaxRetryAfter, next.Fees = s.MaxAttempts, s.MaxRetryAfter, s.Fees
+	next.OverShareWorth, next.WorthByWork = s.OverShareWorth, s.WorthByWork
+	if err := next.check(); err != nil {
+		return err
+	}
+	switch {
+	case len(next.Classes) < len(d.s.Classes) || len(next.Classes) > math.MaxUint8:
+		return fmt.Errorf("brain: %d classes in place of %d: places are kept, and %d at most", len(next.Classes), len(d.s.Classes), math.MaxUint8)
+	case len(next.Tenants) < len(d.s.Tenants) || len(next.Tenants) > math.MaxUint16 || len(d.s.Tenants) == 0 && len(next.Tenants) > 0:
+		return fmt.Errorf("brain: %d tenants in place of %d: places are kept", len(next.Tenants), len(d.s.Tenants))
+	}
+	for _, j := range d.jobs {
+		if next.Classes[j.class] != d.s.Classes[j.class] {
+			return fmt.Errorf("brain: class %d has open jobs, whose rules may not change", j.class)
+		}
+	}
+	classes := make([]classStat, len(next.Classes))
+	for i, c := range next.Classes {
+		same := i < len(d.s.Classes) && c == d.s.Classes[i]
+		if same {
+			classes[i] = d.classes[i]
+			continue
+		}
+		classes[i] = newClass(c)
+		if k, ok := from[i]; ok && k >= 0 && k < len(d.classes) {
+			classes[i] = d.classes[k]
+		}
+		for _, w := range d.byID {
+			if i < len(w.fails) {
+				w.fails[i] = failing{}
+			} else {
+				w.fails = append(w.fails, failing{})
+			}
+		}
+	}
+	d.s, d.classes = next, classes
+	d.share(next.Tenants)
+	d.dirty = true
+	return nil
+}
+
 // check names the first setting that no Dispatcher can work with.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -34,6 +34,7 @@
 	memory   float64
 	work     float64 // ms on a worker of speed 1
 	arrived  float64
+	most     int     // attempts, by the settings when it came
 	aimAt    float64 // full worth until then
 	deadline float64
 	attempts []attempt
@@ -434,6 +435,36 @@
 	}
 }
 
+// newClass is what is held of a class before its jobs are seen: an aim is the best hint at the work it was set for.
+func newClass(c Class) classStat { return classStat{work: max(1, c.Aim), slots: 1} }
+
+// share takes over the tenants' shares. What was learned of those that are there already stays.
+func (d *Dispatcher) share(tenants []Tenant) {
+	sum := 0.0
+	d.quota = 0
+	for _, t := range tenants {
+		sum += t.Portion
+		d.quota += max(0, t.Quota)
+	}
+	for i := len(d.tenants); i < max(1, len(tenants)); i++ {
+		t := tenant{lastSeen: math.Inf(-1)}
+		if len(tenants) > 0 {
+			t.usual, t.bucket = tenants[i].Quota/2, tenants[i].Quota*shareDepth/1000
+		}
+		d.tenants = append(d.tenants, t)
+	}
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.portion = 1 / float64(len(d.tenants))
+		if sum > 0 {
+			t.portion = tenants[i].Portion / sum
+		}
+		if len(tenants) > 0 {
+			t.quota = tenants[i].Quota
+		}
+	}
+}
+
 // New makes a Dispatcher for one life of a node. Absent settings: no tenants means one; portions that are
 // all zero are taken as equal; an error names any setting that cannot be used.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
@@ -444,32 +475,13 @@
 		byTag: map[uint16]*worker{}, widest: 1, keyCount: map[uint64]float64{},
 		period: firstPeriod, lag: s.ConnectTimeout / 10, logLeft: maxLogs,
 		age: ageShare * firstPeriod, ageBest: 1}
-	d.tenants = make([]tenant, max(1, len(s.Tenants)))
-	sum := 0.0
-	for _, t := range s.Tenants {
-		sum += t.Portion
-	}
-	for _, t := range s.Tenants {
-		d.quota += max(0, t.Quota)
-	}
+	d.share(s.Tenants)
 	d.rate = d.quota / float64(s.Balancers)
-	for i := range d.tenants {
-		d.tenants[i] = tenant{portion: 1 / float64(len(d.tenants)), lastSeen: math.Inf(-1)}
-		if sum > 0 {
-			d.tenants[i].portion = s.Tenants[i].Portion / sum
-		}
-		if len(s.Tenants) > 0 {
-			t := &d.tenants[i]
-			t.quota = s.Tenants[i].Quota
-			t.usual, t.bucket = t.quota/2, t.quota*shareDepth/1000
-		}
-	}
 	d.classes = make([]classStat, len(s.Classes))
 	for i, c := range s.Classes {
-		// Until jobs are seen, an aim is the best hint at the work it was set for.
 		d.run += max(1, c.Aim) / float64(len(s.Classes))
 		d.held = d.run
-		d.classes[i] = classStat{work: max(1, c.Aim), slots: 1}
+		d.classes[i] = newClass(c)
 	}
 	if d.telling = d.howToTell(); s.MayTell {
 		d.peers = make([]peer, s.Balancers)
--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -60,9 +60,11 @@
 
 func (noPeers) Tell(uint16, []byte) {}
 
-// reload reads the platform's configuration each time its file was replaced and moves to the discovery it names. It
-// goes on while the node leaves; a file that can not be used changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, move func(string), log *slog.Logger) {
+// reload reads the platform's configuration each time its file was replaced: it puts its classes, tenants, attempts, prices
+// and worths in force and moves to the discovery it names. It goes on while the node leaves; a file that can not be used
+// changes nothing. Stay grows with the longest deadline, since the node may be killed that much later.
+func reload(ctx context.Context, hup <-chan os.Signal, c config.Config, f *config.File, core *node.Core, move func(string),
+	stay *atomic.Int64, log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
@@ -77,6 +79,10 @@
 		if err == nil {
 			err = next.Check(f)
 		}
+		retuned := err == nil && c.Retuned(next)
+		if retuned {
+			err = core.Retune(ctx, next.Settings, next.Names, c.Limits.Retired)
+		}
 		if err != nil {
 			log.Error("reload: the configuration can not be used, the old one stays", "err", err)
 			continue
@@ -84,8 +90,9 @@
 		if stays := c.Stays(next); len(stays) > 0 {
 			log.Warn("reload: holds from the next start on", "changed", stays)
 		}
-		log.Info("reload", "discovery", next.Discovery, "was", c.Discovery)
-		c.Discovery = next.Discovery
+		log.Info("reload", "discovery", next.Discovery, "was", c.Discovery, "retuned", retuned, "classes", next.Names.Classes)
+		stay.Store(max(stay.Load(), int64(next.Limits.Stay)))
+		c.Follow(next)
 		move(next.Discovery)
 	}
 }
@@ -126,7 +133,10 @@
 		kept = own
 	}
 	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, core.Slow(), log)
-	g.Go(func() error { reload(hard, hup, c, f, source.Move, log); return nil })
+	var stay atomic.Int64
+	stay.Store(int64(c.Limits.Stay))
+	first := *c
+	g.Go(func() error { reload(hard, hup, first, f, core, source.Move, &stay, log); return nil })
 	var lists interface {
 		node.Lists
 		Run(context.Context) error
@@ -150,7 +160,6 @@
 	if err != nil {
 		return err
 	}
-	most := node.Span(c.Settings.MaxRetryAfter)
 	calls := relayed{exec: exec}
 	if c.Passed >= 0 {
 		relay, err := handover.Open(filepath.Join(os.TempDir(), "gatetack-handover"), c.Limits.Follow, c.Limits.Stay, log)
@@ -163,7 +172,7 @@
 			return relay.Run(hard, func(body []byte) bool { return !errors.Is(exec.Callback(body), executor.ErrNotOurs) })
 		})
 	}
-	front := http1.NewServer(c.Limits, platform.New(core, calls, c.Names, c.Limits, most, log), core.Slow(), log)
+	front := http1.NewServer(c.Limits, platform.New(core, calls, c.Limits, log), core.Slow(), log)
 	g.Go(func() error { return core.Run(hard) })
 	g.Go(func() error { return lists.Run(hard) })
 	var taken atomic.Bool
@@ -193,8 +202,7 @@
 			}
 			ln = ring.Listen(ln)
 		}
-		jobs = batch.New(batch.Options{Core: core, Store: kept, Node: c.Name, Version: version, Life: life, Settings: c.Settings,
-			Names: c.Names, Limits: c.Limits, Most: most, Log: log})
+		jobs = batch.New(batch.Options{Core: core, Store: kept, Node: c.Name, Version: version, Life: life, Limits: c.Limits, Log: log})
 		lim := c.Limits
 		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
 		server := http1.NewServer(lim, jobs, core.Slow(), log)
@@ -221,7 +229,7 @@
 			jobs.Drain()
 			fronts[1].Drain()
 		}
-		quiet(hard, core, fronts, jobs, c)
+		quiet(hard, core, fronts, jobs, c, &stay)
 		return nil
 	})
 	err = g.Wait()
@@ -312,7 +320,7 @@
 // have for as long as those stand, and new ones go elsewhere or nowhere: so the platform's front serves on until the
 // node may be killed, and only then are answers given early and connections closed between requests. (Closing them
 // at once lost all requests of a client that has one node, from the signal to the node's next start.)
-func quiet(ctx context.Context, core *node.Core, fronts []*http1.Server, jobs *batch.Front, c *config.Config) {
+func quiet(ctx context.Context, core *node.Core, fronts []*http1.Server, jobs *batch.Front, c *config.Config, stay *atomic.Int64) {
 	told, left := time.Now(), false
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
@@ -332,7 +340,7 @@
 				last = at
 			}
 		}
-		if !left && time.Since(told) >= c.Limits.Stay {
+		if !left && time.Since(told) >= time.Duration(stay.Load()) {
 			left = true
 			fronts[0].Drain()
 			core.Leave(told)
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -28,6 +28,7 @@
 	Terminate(ctx context.Context, id uint32) error
 	Counts(context.Context) (node.Counts, error)
 	Machines(context.Context) ([]node.Machine, error)
+	Rules() *node.Rules
 }
 
 // Prefix of all paths of this front.
@@ -35,26 +36,20 @@
 
 // Options are what a front is made of.
 type Options struct {
-	Core     Core
-	Store    records.Store // nil: nothing outlives the node
-	Node     string
-	Version  string
-	Life     time.Time
-	Settings brain.Settings
-	Names    node.Names
-	Limits   limits.Limits
-	Most     time.Duration // that a client may be told to stay away
-	Log      *slog.Logger
+	Core    Core
+	Store   records.Store // nil: nothing outlives the node
+	Node    string
+	Version string
+	Life    time.Time
+	Limits  limits.Limits
+	Log     *slog.Logger
 }
 
 // Front answers batch clients.
 type Front struct {
 	core    Core
 	store   records.Store
-	s       brain.Settings
-	names   node.Names
 	lim     limits.Limits
-	most    time.Duration
 	log     *slog.Logger
 	version string
 	ids     ids
@@ -81,7 +76,7 @@
 
 // New makes a front for one life of a node.
 func New(o Options) *Front {
-	f := &Front{core: o.Core, store: o.Store, s: o.Settings, names: o.Names, lim: o.Limits, most: o.Most, log: o.Log,
+	f := &Front{core: o.Core, store: o.Store, lim: o.Limits, log: o.Log,
 		version: o.Version, ids: ids{node: o.Node, life: o.Life.UnixMilli()}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
 		kick: make(chan struct{}, 1), jobs: map[string]*job{}, queue: release.New(), waits: map[string]*job{},
 		arrays: map[string]*array{}, sessions: map[string]*session{}, same: map[string]*job{},
@@ -94,6 +89,13 @@
 	return f
 }
 
+func (f *Front) names() *node.Names { return &f.core.Rules().Names }
+
+func (f *Front) class(i int) *brain.Class { return &f.core.Rules().Settings.Classes[i] }
+
+// most is how long a client may be told to stay away.
+func (f *Front) most() time.Duration { return node.Span(f.core.Rules().Settings.MaxRetryAfter) }
+
 // Drain refuses new submissions from now on, and hands nothing more to the core. All else is still answered.
 func (f *Front) Drain() { f.stop.Store(true) }
 
@@ -327,7 +329,7 @@
 
 // give submits to the core.
 func (f *Front) give(in node.Job, j *job) error {
-	if in.Left = node.Span(f.s.Classes[in.Class].Deadline); !j.until.IsZero() {
+	if in.Left = node.Span(f.class(in.Class).Deadline); !j.until.IsZero() {
 		in.Left = time.Until(j.until)
 	}
 	if f.store != nil {
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -43,6 +43,10 @@
 func (c *core) Machines(context.Context) ([]node.Machine, error) {
 	return []node.Machine{{Entry: node.Entry{Name: "s-1", Status: "ready", Zone: "tartu"}, Out: 2}, {Entry: node.Entry{Name: "s-2", Status: "draining"}}}, nil
 }
+func (c *core) Rules() *node.Rules {
+	return &node.Rules{Names: names, Settings: brain.Settings{MaxRetryAfter: 2000,
+		Classes: []brain.Class{{Deadline: 7500, Effect: brain.Unsafe}, {Deadline: 25000, Effect: brain.Keyed}}}}
+}
 func (c *core) Counts(context.Context) (node.Counts, error) { return node.Counts{}, nil }
 
 // memory is a store that can fail.
@@ -96,9 +100,7 @@
 
 // front makes one that has read what is on record.
 func front(c Core, s records.Store, life time.Time) *Front {
-	set := brain.Settings{Classes: []brain.Class{{Deadline: 7500, Effect: brain.Unsafe}, {Deadline: 25000, Effect: brain.Keyed}}}
-	f := New(Options{Core: c, Store: s, Node: "n0", Version: "test", Life: life, Settings: set, Names: names, Limits: standin.Lim,
-		Most: 2 * time.Second, Log: standin.Quiet})
+	f := New(Options{Core: c, Store: s, Node: "n0", Version: "test", Life: life, Limits: standin.Lim, Log: standin.Quiet})
 	if s != nil {
 		if err := f.load(context.Background()); err == nil {
 			close(f.loaded)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -162,7 +162,7 @@
 			r.State, r.SubState, r.ExitStatus, r.Result, r.Size = Done, "", &zero, &text, len(text)
 		case node.Refused:
 			r.SubState = subRefused
-			r.RetryMS = node.Round(a.RetryAfter, j.f.most).Milliseconds()
+			r.RetryMS = node.Round(a.RetryAfter, j.f.most()).Milliseconds()
 		case node.Failed:
 			r.SubState = subFailed
 		case node.Terminated:
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,7 +40,7 @@
 
 // categories are the classes (JobSession::jobCategories).
 func (f *Front) categories() http1.Response {
-	return reply(200, map[string]any{"jobCategories": f.names.Classes})
+	return reply(200, map[string]any{"jobCategories": slices.DeleteFunc(slices.Clone(f.names().Classes), func(name string) bool { return name == "" })})
 }
 
 var effects = map[brain.Effect]string{brain.Safe: "free", brain.Keyed: "guarded", brain.Unsafe: "single_shot"}
@@ -63,8 +64,11 @@
 	}
 	f.mu.Unlock()
 	list := []map[string]any{}
-	for i, name := range f.names.Classes {
-		c := &f.s.Classes[i]
+	for i, name := range f.names().Classes {
+		if name == "" {
+			continue
+		}
+		c := f.class(i)
 		list = append(list, map[string]any{"name": name, "deadlineMs": c.Deadline, "aimMs": c.Aim, "worth": c.Worth,
 			"effect": effects[c.Effect], "waiting": waiting[name], "running": running[name]})
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -99,9 +99,9 @@
 func (f *Front) newJob(session string, t *template, now time.Time) *job {
 	j := &job{f: f, in: t.job, until: t.until, hash: t.hash, changed: make(chan struct{}), ready: make(chan struct{}),
 		queue: t.waits(now), r: Record{ID: f.ids.next(), State: Queued, SubState: subHeld, Name: t.name, Session: session,
-			Category: f.names.Classes[t.job.Class], Priority: t.priority, Submitted: now, Start: t.start, Deadline: t.until}}
-	if len(f.names.Tenants) > 0 {
-		j.r.Account = f.names.Tenants[t.job.Tenant]
+			Category: f.names().Classes[t.job.Class], Priority: t.priority, Submitted: now, Start: t.start, Deadline: t.until}}
+	if len(f.names().Tenants) > 0 {
+		j.r.Account = f.names().Tenants[t.job.Tenant]
 	}
 	switch {
 	case t.hold:
@@ -297,9 +297,9 @@
 	if bad != nil {
 		return refuse(bad)
 	}
-	x.ID, x.Name, x.Category, x.Priority = f.ids.next(), t.name, f.names.Classes[t.job.Class], t.priority
-	if len(f.names.Tenants) > 0 {
-		x.Account = f.names.Tenants[t.job.Tenant]
+	x.ID, x.Name, x.Category, x.Priority = f.ids.next(), t.name, f.names().Classes[t.job.Class], t.priority
+	if len(f.names().Tenants) > 0 {
+		x.Account = f.names().Tenants[t.job.Tenant]
 	}
 	x.Submitted, x.Start, x.Deadline, x.Held, x.Jobs, x.Next, x.Template = now, t.start, t.until, t.hold, item.Size(), x.Begin, t.raw
 	t.job.Method, t.job.Idempotency = "POST", trace()+trace()
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -140,14 +140,14 @@
 	if t.job.Class < 0 {
 		return nil, invalid("jobCategory", "missing: it names the class")
 	}
-	class := &f.s.Classes[t.job.Class]
+	class := f.class(t.job.Class)
 	if t.job.Tenant < 0 {
-		if len(f.names.Tenants) > 0 {
+		if len(f.names().Tenants) > 0 {
 			return nil, invalid("accountingId", "missing: it names the tenant")
 		}
 		t.job.Tenant = 0
 	}
-	path := "/" + f.names.Classes[t.job.Class]
+	path := "/" + f.names().Classes[t.job.Class]
 	if t.job.Target == "" {
 		t.job.Target = path
 	} else if rest, ok := strings.CutPrefix(t.job.Target, path); !ok || rest != "" && rest[0] != '/' && rest[0] != '?' {
@@ -250,11 +250,11 @@
 		}
 		t.name = v.Str
 	case "jobCategory":
-		if t.job.Class, ok = f.names.Class(v.Str); !ok {
+		if t.job.Class, ok = f.names().Class(v.Str); !ok {
 			return errors.New("names no class")
 		}
 	case "accountingId":
-		if t.job.Tenant, ok = f.names.Tenant(v.Str); !ok {
+		if t.job.Tenant, ok = f.names().Tenant(v.Str); !ok {
 			return errors.New("names no tenant")
 		}
 	case "remoteCommand":
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"reflect"
@@ -35,6 +36,8 @@
 	Settings             brain.Settings
 	Names                node.Names
 	Limits               limits.Limits
+
+	doc gjson.Result // the file as it was read
 }
 
 // FromEnv reads EDGE_CONFIG and lets the other variables stand for what it lacks.
@@ -67,8 +70,8 @@
 }
 
 // Again reads the configuration once more after its file was replaced. Discovery is where the new file has it: the
-// EDGE_DISCOVERY of the start is as old as the file that it came with, and an address that the file does not name
-// stays.
+// EDGE_DISCOVERY of the start is as old as the file that it came with. A file that is short of a key that the one in force
+// has was cut or written in part, and is refused: what would stand for the key is not what anybody chose.
 func (c *Config) Again(getenv func(string) string) (*Config, error) {
 	next, err := FromEnv(func(name string) string {
 		if name == "EDGE_DISCOVERY" {
@@ -80,12 +83,67 @@
 		return nil, err
 	}
 	if next.Discovery == "" {
-		next.Discovery = c.Discovery
+		next.Discovery = c.Discovery // where the start's file named none either
+	}
+	if path := lacks(c.doc, next.doc, ""); path != "" {
+		return nil, fmt.Errorf("%s: %s: absent, expected as in the file that is in force", getenv("EDGE_CONFIG"), path)
 	}
 	next.Limits.Pace = c.Limits.Pace // of the operators' file, which is read at the start
 	return next, nil
 }
 
+// varies are keys that a file may have or not from one start to the next.
+var varies = []string{"known", "seed", "peers"}
+
+// lacks gives the path of the first key that an older document has and a newer one has not, empty for none. Of a list of
+// objects each item must have the keys that all items had before.
+func lacks(old, next gjson.Result, path string) string {
+	switch {
+	case old.IsObject():
+		if !next.IsObject() {
+			return path
+		}
+		has := next.Map()
+		at := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+		for key, was := range old.Map() {
+			if path == "" && slices.Contains(varies, key) || was.Type == gjson.Null {
+				continue
+			}
+			is, ok := has[key]
+			if !ok || is.Type == gjson.Null {
+				return at(key)
+			}
+			if p := lacks(was, is, at(key)); p != "" {
+				return p
+			}
+		}
+	case old.IsArray():
+		if !next.IsArray() {
+			return path
+		}
+		var common []string
+		for i, item := range old.Array() {
+			if !item.IsObject() {
+				return ""
+			}
+			keys := slices.Collect(maps.Keys(item.Map()))
+			if i == 0 {
+				common = keys
+			}
+			common = slices.DeleteFunc(common, func(key string) bool { return !slices.Contains(keys, key) })
+		}
+		for i, item := range next.Array() {
+			has := item.Map()
+			for _, key := range common {
+				if _, ok := has[key]; !ok {
+					return fmt.Sprintf("%s.%d.%s", path, i, key)
+				}
+			}
+		}
+	}
+	return ""
+}
+
 // Stays names what differs in a configuration that was read again and holds only from the next start on.
 func (c *Config) Stays(next *Config) []string {
 	var out []string
@@ -95,7 +153,7 @@
 	}{
 		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"operator", c.Operator == next.Operator},
 		{"peers", c.PeerListen == next.PeerListen && c.PeersAll == next.PeersAll && slices.Equal(c.Peers, next.Peers)},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && reflect.DeepEqual(c.Names, next.Names)},
+		{"settings other than classes, tenants, attempts, prices and worths", reflect.DeepEqual(fixed(c), fixed(next))},
 		{"limits", c.Limits == next.Limits},
 	} {
 		if !x.same {
@@ -105,6 +163,25 @@
 	return out
 }
 
+// Follow takes over from a configuration that was read again and put in force what then holds: what Stays names holds as
+// it was.
+func (c *Config) Follow(next *Config) {
+	c.Discovery, c.Settings, c.Names, c.doc = next.Discovery, next.Settings, next.Names, next.doc
+}
+
+// fixed is what a retune leaves alone, see brain.Dispatcher.Retune.
+func fixed(c *Config) any {
+	s := c.Settings
+	s.Classes, s.Tenants, s.MaxAttempts, s.MaxRetryAfter, s.Fees = nil, nil, 0, 0, brain.Fees{}
+	s.OverShareWorth, s.WorthByWork = 0, false
+	return []any{s, c.Names.Zones, c.Names.Kinds, c.Names.Fields}
+}
+
+// Retuned says whether a configuration that was read again has other classes, tenants, attempts, prices or worths.
+func (c *Config) Retuned(next *Config) bool {
+	return !reflect.DeepEqual(c.Settings, next.Settings) || !reflect.DeepEqual(c.Names, next.Names)
+}
+
 // Check says whether the node can be reached, and can reach discovery unless an inventory stands in its place.
 func (c *Config) Check(f *File) error {
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
@@ -127,7 +204,7 @@
 	c := &Config{
 		Name: root.Get("name").String(), Listen: root.Get("listen").String(),
 		Discovery: root.Get("discovery").String(), Operator: root.Get("operator").String(), PeerListen: root.Get("peer_listen").String(),
-		PeersAll: root.Get("peers_all").String(), Seed: seed(root.Get("seed").String()), Passed: -1,
+		PeersAll: root.Get("peers_all").String(), doc: root, Seed: seed(root.Get("seed").String()), Passed: -1,
 	}
 	for _, p := range root.Get("peers").Array() {
 		c.Peers = append(c.Peers, p.String())
@@ -160,8 +237,12 @@
 	c.Limits = limits.New(int(root.Get("limits.sockets").Int()), int(root.Get("limits.memory_mb").Int()),
 		node.Span(c.Settings.ConnectTimeout), node.Span(c.Settings.ConnIdle), node.Span(c.Settings.DrainGrace))
 	longest := 0.0
-	for _, class := range c.Settings.Classes {
+	for i, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
+		key := "requestClasses." + strconv.Itoa(i) + ".deadline"
+		if _, told := pairs[key]; told && class.Deadline <= 0 {
+			return nil, fmt.Errorf("settings.%s: %v, expected milliseconds over 0", key, class.Deadline)
+		}
 	}
 	c.Limits.Longest(node.Span(longest))
 	if n, err := strconv.ParseFloat(pairs["limits.maxOpen"], 64); err == nil && n >= 1 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -75,12 +75,37 @@
 		t.Errorf("%v %+v", err, next)
 	}
 	put(strings.Replace(moved, `"aim":400.0`, `"aim":500.0`, 1))
-	if next, err = c.Again(getenv); err != nil || !reflect.DeepEqual(c.Stays(next), []string{"settings"}) {
+	if next, err = c.Again(getenv); err != nil || len(c.Stays(next)) != 0 || !c.Retuned(next) {
 		t.Errorf("%v %v", err, c.Stays(next))
 	}
-	put(strings.Replace(sample, `"discovery":"127.0.0.1:8500",`, "", 1))
-	if next, err = c.Again(getenv); err != nil || next.Discovery != c.Discovery {
-		t.Errorf("%v %+v", err, next)
+	put(strings.Replace(moved, `"step":4.0`, `"step":5.0`, 1))
+	if next, err = c.Again(getenv); err != nil || len(c.Stays(next)) != 1 {
+		t.Errorf("%v %v", err, c.Stays(next))
+	}
+	c.Follow(next)
+	// A file that is short of a key, or of what a key must be, says so by the file, the field and what was expected.
+	for _, x := range []struct{ old, new, want string }{
+		{`"discovery":"127.0.0.1:8500",`, "", "discovery: absent"},
+		{`"maxAttempts":3,`, "", "settings.limits.maxAttempts: absent"},
+		{`"maxAttempts":3`, `"maxAttempts":0`, "limits.maxAttempts: 0 is under 1"},
+		{`"maxAttempts":3`, `"maxAttempts":null`, "settings.limits.maxAttempts: absent"},
+		{`"aim":1500.0,`, "", "settings.requestClasses.1.aim: absent"},
+		{`"aim":1500.0`, `"deadline":0,"aim":1500.0`, "settings.requestClasses.1.deadline: 0, expected"},
+		{`"aim":1500.0`, `"deadline":-5,"aim":1500.0`, "settings.requestClasses.1.deadline: -5, expected"},
+		{`"tenants":[`, `"tenants":{},"was":[`, "settings.tenants"},
+		{`"portion":0.3,`, "", "settings.tenants.0.portion: absent"},
+		{sample, "", "not valid JSON"},
+		{sample, "{}", "settings: absent"},
+	} {
+		put(strings.Replace(sample, x.old, x.new, 1))
+		if _, err := c.Again(getenv); err == nil || !strings.Contains(err.Error(), x.want) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v, want %q", x.old, err, x.want)
+		}
+	}
+	more := `{"name":"draft","aim":90.0,"effect":"free"},`
+	put(strings.Replace(sample, `{"name":"tile-charge"`, more+`{"name":"tile-charge"`, 1))
+	if next, err = c.Again(getenv); err != nil || len(next.Names.Classes) != 3 {
+		t.Errorf("a class more: %v", err)
 	}
 	put(moved[:200])
 	if _, err = c.Again(getenv); err == nil {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -85,6 +85,7 @@
 	AnswerEarly  time.Duration // before a client gives up, a request that is still out is answered
 	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
 	Follow       time.Duration // between looks at the drain state, at which idle connections of a drained node close
+	Retired      time.Duration // after a retune, jobs of a class that it dropped are still taken
 	Quiet        time.Duration // at the end, nothing may come for so long before the node exits
 
 	// Slow peers.
@@ -155,8 +156,8 @@
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, WatchStood: time.Second, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
-		Follow: 20 * time.Millisecond,
-		Pace:   pace.Default(),
-		Cores:  1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
+		Follow: 20 * time.Millisecond, Retired: 3 * time.Second,
+		Pace:  pace.Default(),
+		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -27,7 +27,7 @@
 type Core struct {
 	lim   limits.Limits
 	s     brain.Settings
-	names Names
+	names Names // of zones and kinds, which stay; those of classes and tenants are in rules
 	d     *brain.Dispatcher
 	log   *slog.Logger
 	exec  Executors
@@ -36,6 +36,7 @@
 
 	in      chan any
 	lastID  atomic.Uint32
+	rules   atomic.Pointer[Rules]
 	ready   atomic.Bool
 	drained atomic.Bool // by the operator: clients are sent elsewhere, what was taken is answered
 	open    atomic.Int64
@@ -91,6 +92,7 @@
 	c := &Core{now: time.Now, lim: lim, s: s, names: names, d: d, log: log, in: make(chan any, lim.Events), done: make(chan struct{}),
 		start: now, startMS: float64(now.UnixMicro()) / 1000, jobs: map[uint32]*job{}, traces: map[string]*job{},
 		attempts: map[uint64]*attempt{}, workers: map[uint32]Entry{}}
+	c.rules.Store(&Rules{s, names})
 	c.tenants = make([]atomic.Int64, len(names.Tenants))
 	known.Form = brain.ListCached
 	c.in <- known
@@ -124,6 +126,11 @@
 type countsTo chan Counts
 type machinesTo chan []Machine
 type leave time.Time
+type retune struct {
+	rules *Rules
+	from  map[int]int
+	to    chan error
+}
 
 // Submit hands in a job. Unless it fails, the client gets one answer, or Gone is called. It never blocks.
 func (c *Core) Submit(in Job, client Client) (uint32, error) {
@@ -242,6 +249,28 @@
 	}
 }
 
+// Rules are those in force. A place in them stands for the same class or tenant for as long as a job of it can be open.
+func (c *Core) Rules() *Rules { return c.rules.Load() }
+
+// Retune puts settings read anew in force: new jobs come under them, open ones keep the rules they came under. Late is how
+// long jobs of a class that is no longer named are still taken. After an error all is as it was. Calls must not overlap.
+func (c *Core) Retune(ctx context.Context, s brain.Settings, names Names, late time.Duration) error {
+	next, from, err := c.Rules().Retune(s, names, c.now(), late)
+	if err != nil {
+		return err
+	}
+	to := make(chan error, 1)
+	c.post(retune{next, from, to})
+	select {
+	case err := <-to:
+		return err
+	case <-c.done:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Ready says whether the node can serve: it runs and its list names an executor that takes work.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
@@ -340,6 +369,17 @@
 				c.cut(j, leaves)
 			}
 		}
+	case retune:
+		// What came before it is the module's to decide by the old rules.
+		if len(c.batch) > 0 {
+			c.step(now)
+		}
+		err := c.d.Retune(ev.rules.Settings, ev.from)
+		if err == nil {
+			c.s = ev.rules.Settings
+			c.rules.Store(ev.rules)
+		}
+		ev.to <- err
 	case machinesTo:
 		out := map[uint32]int{}
 		for _, a := range c.attempts {
--- /dev/null
+++ b/internal/node/rules_test.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quincereach/brain"
+	_ "quincereach/internal/seeds"
+)
+
+func rulesOf(classes map[string]brain.Class, order ...string) (brain.Settings, Names) {
+	s := brain.Settings{Balancers: 1, MaxAttempts: 3, FallMultiple: 2}
+	var n Names
+	for _, name := range order {
+		s.Classes, n.Classes = append(s.Classes, classes[name]), append(n.Classes, name)
+	}
+	return s, n
+}
+
+// A class keeps its place while its rules stay; one that is new, or whose rules are, gets a place of its own, and what its
+// name stood for is still taken for a while. A place is used again only once nothing of it can be open.
+func TestRetuneKeepsPlaces(t *testing.T) {
+	classes := map[string]brain.Class{"a": {Deadline: 1000, Effect: brain.Unsafe}, "b": {Deadline: 2000}, "c": {Deadline: 500}}
+	s, n := rulesOf(classes, "a", "b")
+	now := time.Now()
+	r := &Rules{s, n}
+	s, n = rulesOf(classes, "c", "b")
+	r, from, err := r.Retune(s, n, now, time.Minute)
+	if err != nil || !reflect.DeepEqual(r.Names.Classes, []string{"", "b", "c"}) || len(from) != 0 {
+		t.Fatalf("%v %v %+v", err, from, r)
+	}
+	if i, ok := r.Names.Class("a"); !ok || i != 0 {
+		t.Errorf("the class that was dropped just now is taken: %v %v", i, ok)
+	}
+	if _, ok := r.Names.Class(""); ok {
+		t.Error("a place without a name is found by no name")
+	}
+	classes["b"] = brain.Class{Deadline: 2000, Effect: brain.Unsafe}
+	s, n = rulesOf(classes, "c", "b")
+	if r, from, err = r.Retune(s, n, now.Add(time.Second), time.Minute); err != nil || !reflect.DeepEqual(from, map[int]int{3: 1}) {
+		t.Fatalf("%v %v %+v", err, from, r)
+	}
+	if i, _ := r.Names.Class("b"); i != 3 || r.Settings.Classes[1].Effect != brain.Safe || r.Settings.Classes[3].Effect != brain.Unsafe {
+		t.Errorf("b is at %d of %+v", i, r.Settings.Classes)
+	}
+	// A minute and the deadline after it was dropped, a's place is free; b's old one is not for a second more.
+	classes["d"] = brain.Class{Deadline: 70}
+	s, n = rulesOf(classes, "c", "b", "d")
+	if r, _, err = r.Retune(s, n, now.Add(62*time.Second+time.Millisecond), time.Minute); err != nil || r.Names.Classes[0] != "d" || len(r.Names.Classes) != 4 {
+		t.Errorf("%v %+v", err, r)
+	}
+	n.Classes[1] = "c"
+	if _, _, err = r.Retune(s, n, now, 0); err == nil {
+		t.Error("a name that stands twice is taken")
+	}
+}
+
+// Whatever is read, one after another: a place never changes its rules while a job that was taken under them can be open,
+// and each class that a file names is found with that file's rules.
+func TestRetuneNeverChangesAnOpenPlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() (brain.Settings, Names) {
+			classes, order := map[string]brain.Class{}, []string{}
+			for _, name := range []string{"a", "b", "c", "d"} {
+				if len(order) == 0 || rapid.Bool().Draw(t, "has "+name) {
+					order = append(order, name)
+					classes[name] = brain.Class{Deadline: float64(rapid.IntRange(1, 3).Draw(t, "deadline")) * 1000,
+						Effect: brain.Effect(rapid.IntRange(0, 2).Draw(t, "effect"))}
+				}
+			}
+			return rulesOf(classes, order...)
+		}
+		s, n := draw()
+		r, now := &Rules{s, n}, time.Now()
+		type open struct {
+			class int
+			rules brain.Class
+			until time.Time
+		}
+		var jobs []open
+		for range rapid.IntRange(1, 12).Draw(t, "files") {
+			// A job at each place that a client can reach, at the last moment at which it can.
+			next := now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			for i, name := range r.Names.Classes {
+				if c := r.Settings.Classes[i]; name != "" {
+					jobs = append(jobs, open{i, c, next.Add(Span(c.Deadline))})
+				}
+			}
+			for _, x := range r.Names.Retired {
+				if c := r.Settings.Classes[x.Class]; x.Name != "" && now.Before(x.Until) {
+					jobs = append(jobs, open{x.Class, c, x.Until.Add(Span(c.Deadline))})
+				}
+			}
+			now = next
+			s, n = draw()
+			then, _, err := r.Retune(s, n, now, 500*time.Millisecond)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i, name := range n.Classes {
+				if at, ok := then.Names.Class(name); !ok || then.Settings.Classes[at] != s.Classes[i] {
+					t.Fatalf("%s is at %d, %v, with %+v, want %+v", name, at, ok, then.Settings.Classes, s.Classes[i])
+				}
+			}
+			for _, j := range jobs {
+				if now.Before(j.until) && then.Settings.Classes[j.class] != j.rules {
+					t.Fatalf("class %d changed while a job of it was open", j.class)
+				}
+			}
+			r = then
+		}
+	})
+}
+
+// A retune reaches the module, where open jobs keep their rules; one that the module can not take changes nothing.
+func TestCoreRetunes(t *testing.T) {
+	s, n := rulesOf(map[string]brain.Class{"a": {Deadline: 1000}}, "a")
+	c, err := New(s, 1, List{}, n, lim, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{told: map[string]string{}}
+	c.Connect(h, h, h)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	next, names := rulesOf(map[string]brain.Class{"a": {Deadline: 1000}, "b": {Deadline: 10}}, "b", "a")
+	next.MaxAttempts = 1
+	if err := c.Retune(ctx, next, names, time.Second); err != nil || c.Rules().Settings.MaxAttempts != 1 {
+		t.Errorf("%v %+v", err, c.Rules())
+	}
+	if i, ok := c.Rules().Names.Class("b"); !ok || i != 1 {
+		t.Errorf("b is at %d", i)
+	}
+	was := c.Rules()
+	next.MaxAttempts = 0
+	if err := c.Retune(ctx, next, names, time.Second); err == nil || c.Rules() != was {
+		t.Errorf("%v %+v", err, c.Rules())
+	}
+	stop()
+	<-done
+}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -16,10 +16,26 @@
 )
 
 // Names are the names that the settings give to the positions the decision module counts by.
-type Names struct{ Classes, Tenants, Zones, Kinds, Fields []string }
+type Names struct {
+	Classes, Tenants, Zones, Kinds, Fields []string // a class's place that is no longer named has none
 
-// Class finds a class by its name.
-func (n *Names) Class(name string) (int, bool) { i := slices.Index(n.Classes, name); return i, i >= 0 }
+	Retired []Retired
+}
+
+// Class finds a class by its name: one that is named now, or that was until shortly before now.
+func (n *Names) Class(name string) (int, bool) {
+	if name == "" {
+		return -1, false
+	}
+	if i := slices.Index(n.Classes, name); i >= 0 {
+		return i, true
+	}
+	i := slices.IndexFunc(n.Retired, func(x Retired) bool { return x.Name == name && time.Now().Before(x.Until) })
+	if i < 0 {
+		return -1, false
+	}
+	return n.Retired[i].Class, true
+}
 
 // Tenant finds a tenant by its name.
 func (n *Names) Tenant(name string) (int, bool) { i := slices.Index(n.Tenants, name); return i, i >= 0 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,7 @@
 	Gone(id uint32)
 	Ready() bool
 	Drained() bool
+	Rules() *node.Rules
 	Counts(context.Context) (node.Counts, error)
 }
 
@@ -32,15 +33,13 @@
 type Front struct {
 	core  Core
 	calls Callbacks
-	names node.Names
 	lim   limits.Limits
-	most  time.Duration // that a client may be told to stay away
 	log   *slog.Logger
 }
 
 // New makes a front.
-func New(core Core, calls Callbacks, names node.Names, lim limits.Limits, maxRetryAfter time.Duration, log *slog.Logger) *Front {
-	return &Front{core: core, calls: calls, names: names, lim: lim, most: maxRetryAfter, log: log}
+func New(core Core, calls Callbacks, lim limits.Limits, log *slog.Logger) *Front {
+	return &Front{core: core, calls: calls, lim: lim, log: log}
 }
 
 // Handle answers one request.
@@ -72,14 +71,15 @@
 		return http1.Response{Status: 200, Fields: []http1.Field{{Name: "Content-Type", Value: "application/json"}}, Body: n.JSON()}
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, ok := f.names.Class(name)
+	names := &f.core.Rules().Names
+	class, ok := names.Class(name)
 	if !ok {
 		return http1.Text(404, "no class is named %q", name)
 	}
 	if m.Method != "POST" {
 		return http1.Text(405, "jobs come by POST")
 	}
-	j, err := f.job(m, class)
+	j, err := f.job(m, class, names)
 	if err != nil {
 		return http1.Text(400, "%v", err)
 	}
@@ -108,7 +108,7 @@
 func (w waiter) Answer(a node.Answer) { w <- a }
 
 // job reads a request's headers.
-func (f *Front) job(m *http1.Message, class int) (node.Job, error) {
+func (f *Front) job(m *http1.Message, class int, names *node.Names) (node.Job, error) {
 	j := node.Job{Class: class, Trace: m.Get("X-Trace-Id"), Idempotency: m.Get("Idempotency-Key"), Method: m.Method,
 		Target: m.Target, Body: m.Body, Repeat: m.Get("X-Second-Try") == "1", Slots: 1}
 	// An id is passed on as it came. One that a box could not read would end the connection there, and be taken for
@@ -124,9 +124,9 @@
 		return j, errors.New("X-Expires-In-Ms is not a whole number of milliseconds")
 	}
 	j.Left = time.Duration(ms) * time.Millisecond
-	if len(f.names.Tenants) > 0 {
+	if len(names.Tenants) > 0 {
 		var ok bool
-		if j.Tenant, ok = f.names.Tenant(m.Get("X-Customer")); !ok {
+		if j.Tenant, ok = names.Tenant(m.Get("X-Customer")); !ok {
 			return j, errors.New("X-Customer names no tenant")
 		}
 	}
@@ -169,7 +169,7 @@
 		return http1.Response{Status: 200, Body: a.Result}
 	case node.Refused:
 		r := http1.Text(503, "%s", a.Why)
-		if wait := node.Round(a.RetryAfter, f.most); wait > 0 {
+		if wait := node.Round(a.RetryAfter, node.Span(f.core.Rules().Settings.MaxRetryAfter)); wait > 0 {
 			r.Fields = append(r.Fields, http1.RetryAfter(wait))
 		}
 		return r
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"quincereach/brain"
 	"quincereach/internal/http1"
 	"quincereach/internal/node"
 	"quincereach/internal/standin"
@@ -22,9 +23,13 @@
 	cl.Answer(node.Answer{End: node.Refused, RetryAfter: 1500 * time.Millisecond, Why: "no room"})
 	return 1, nil
 }
-func (c *core) Gone(uint32)                                 {}
-func (c *core) Ready() bool                                 { return true }
-func (c *core) Drained() bool                               { return c.drained }
+func (c *core) Gone(uint32)   {}
+func (c *core) Ready() bool   { return true }
+func (c *core) Drained() bool { return c.drained }
+func (c *core) Rules() *node.Rules {
+	return &node.Rules{Settings: brain.Settings{MaxRetryAfter: 1000},
+		Names: node.Names{Classes: []string{"tile-charge"}, Tenants: []string{"maavaade"}}}
+}
 func (c *core) Counts(context.Context) (node.Counts, error) { return node.Counts{}, nil }
 func (c *core) Callback([]byte) error                       { return nil }
 
@@ -32,7 +37,7 @@
 // does, and a refusal tells when to come back, within the settings' bound.
 func TestWhatIsAJob(t *testing.T) {
 	c := &core{}
-	f := New(c, c, node.Names{Classes: []string{"tile-charge"}, Tenants: []string{"maavaade"}}, standin.Lim, time.Second, standin.Quiet)
+	f := New(c, c, standin.Lim, standin.Quiet)
 	ask := func(method, target string, change map[string]string) http1.Response {
 		m := &http1.Message{Method: method, Target: target}
 		for name, value := range map[string]string{"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Customer": "maavaade", "X-Expires-In-Ms": "7500"} {
@@ -77,7 +82,7 @@
 // A drained node says no to the front's health checks, so that clients are sent elsewhere.
 func TestDrainedIsNotHealthy(t *testing.T) {
 	c := &core{}
-	f := New(c, c, node.Names{}, standin.Lim, time.Second, standin.Quiet)
+	f := New(c, c, standin.Lim, standin.Quiet)
 	health := func() int {
 		return f.Handle(context.Background(), &http1.Message{Method: "GET", Target: "/healthz"}).Status
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -126,6 +126,7 @@
 	Result int           // bytes that a result is filled up to
 	Free   int           // free slots that it always tells of
 	Full   bool          // turn all away
+	Fail   bool          // run each job and tell that it failed
 	Early  bool          // all callbacks before the 202
 	Mute   bool          // take jobs, run them and tell nothing
 	Repeat int           // how often each callback is made
@@ -251,6 +252,10 @@
 		return
 	}
 	b.tell(id, `"state":"running","share":0.9`)
+	if how.Fail {
+		b.tell(id, `"state":"failed"`)
+		return
+	}
 	result := "tile of " + id
 	if n := how.Result - len(result); n > 0 {
 		result += strings.Repeat(".", n)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -149,6 +149,12 @@
 	return strings.Contains(string(all), text)
 }
 
+// lines counts the lines of the program's log that hold a text.
+func (s *site) lines(text string) int {
+	all, _ := os.ReadFile(s.log.Name())
+	return strings.Count(string(all), text)
+}
+
 // kill ends the program at once, as a lost machine does.
 func (s *site) kill() {
 	_ = s.process.Process.Kill()
