--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -132,7 +132,7 @@
 		}()
 		kept = own
 	}
-	source := discovery.New(c.Discovery, c.Known.Index, c.Limits, core, core.Slow(), log)
+	source := discovery.New(c.Discovery, c.Known.Index, !c.Settings.Ask, c.Limits, core, core.Slow(), log)
 	var stay atomic.Int64
 	stay.Store(int64(c.Limits.Stay))
 	first := *c
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,6 +29,7 @@
 // Client speaks to discovery.
 type Client struct {
 	lim   limits.Limits
+	push  bool // changes come unasked: the carrier follows them from its start on, whatever the module asks for
 	sink  Sink
 	slow  *pace.Tally
 	log   *slog.Logger
@@ -54,9 +55,11 @@
 
 type call struct{ watch, on bool }
 
-// New makes a client that knows the list up to a version.
-func New(addr string, index uint64, lim limits.Limits, sink Sink, slow *pace.Tally, log *slog.Logger) *Client {
-	c := &Client{lim: lim, sink: sink, slow: slow, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
+// New makes a client that knows the list up to a version. Pushed says that the settings have lists come unasked: then the
+// address is that of an agent on the node's own machine, which tells what it was sent to whoever watches, at no cost, and
+// the module asks for nothing. A watch on it is kept from the start on.
+func New(addr string, index uint64, pushed bool, lim limits.Limits, sink Sink, slow *pace.Tally, log *slog.Logger) *Client {
+	c := &Client{lim: lim, push: pushed, sink: sink, slow: slow, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
 	c.index.Store(index)
 	return c
 }
@@ -109,7 +112,16 @@
 		wctx, cancel := context.WithCancel(ctx)
 		done := make(chan struct{})
 		stop, ended = cancel, done
-		watch.Go(func() error { defer close(done); c.watch(wctx); return nil })
+		watch.Go(func() error {
+			defer close(done)
+			for c.watch(wctx); c.push && again(wctx, c.lim.PushAgain); c.watch(wctx) {
+			}
+			return nil
+		})
+	}
+	if c.push {
+		wanted = true
+		begin()
 	}
 	for {
 		select {
@@ -127,6 +139,7 @@
 			}
 		case k := <-c.calls:
 			switch {
+			case k.watch && c.push: // it is followed as it is
 			case k.watch && k.on:
 				wanted = true
 				begin()
@@ -143,8 +156,21 @@
 	}
 }
 
+// again waits before a watch on the agent is begun anew; false once it is no longer wanted.
+func again(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (c *Client) failed(what string, err error) {
 	c.log.Info("discovery", "call", what, "err", err)
+	if c.push {
+		return // who did not ask is told of no failure: the old list stands
+	}
 	c.sink.List(node.List{Form: brain.ListFailed})
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(list.Addr, 7, lim, s, nil, standin.Quiet)
+	c := New(list.Addr, 7, false, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
 	t.Cleanup(func() { cancel(); _ = g.Wait() })
 	return c, s, list, box
@@ -101,7 +101,7 @@
 			})
 		}
 	})
-	c := New(ln.Addr().String(), 0, lim, s, nil, standin.Quiet)
+	c := New(ln.Addr().String(), 0, false, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
 	c.Watch(true)
 	standin.Until(t, "three lists", func() bool { return len(s.All()) == 3 })
@@ -197,7 +197,7 @@
 			return ln.Close()
 		})
 		s := &standin.Lists{}
-		c := New(ln.Addr().String(), 0, standin.Lim, s, nil, standin.Quiet)
+		c := New(ln.Addr().String(), 0, false, standin.Lim, s, nil, standin.Quiet)
 		g.Go(func() error { return c.Run(ctx) })
 		c.Watch(true)
 		standin.Until(t, name, func() bool { return len(s.All()) > 0 })
@@ -235,7 +235,7 @@
 		}
 	})
 	s := &standin.Lists{}
-	c := New(ln.Addr().String(), 0, lim, s, nil, standin.Quiet)
+	c := New(ln.Addr().String(), 0, false, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
 	c.Watch(true)
 	standin.Until(t, "the failure", func() bool { return len(s.All()) == 1 && s.All()[0].Form == brain.ListFailed })
--- /dev/null
+++ b/internal/discovery/push_test.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"quincereach/brain"
+	"quincereach/internal/standin"
+)
+
+// Where lists are pushed nobody asks for them: the carrier follows the agent from the start on, goes on after the agent was
+// gone, and tells of no failure, for the module did not ask. (On a deployment of this kind the node went by the list of its
+// start for as long as it ran, and no test had settings in which nobody asks.)
+func TestPushedListIsFollowedUnasked(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	agent, away := context.WithCancel(ctx)
+	var g errgroup.Group
+	defer func() { cancel(); _ = g.Wait() }()
+	list, err := standin.NewList(agent, &g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	box := &standin.Box{Name: "s-1", Addr: "127.0.0.1:1"}
+	list.Put(box, "ready")
+	lim := standin.Lim
+	lim.PushAgain = 5 * time.Millisecond
+	s := &standin.Lists{}
+	c := New(list.Addr, 0, true, lim, s, nil, standin.Quiet)
+	g.Go(func() error { return c.Run(ctx) })
+	standin.Until(t, "the list comes unasked", func() bool { return len(s.All()) == 1 })
+	list.Put(box, "draining")
+	standin.Until(t, "a change comes", func() bool { return len(s.All()) == 2 })
+	c.Watch(true) // what the module may ask for changes nothing
+	away()
+	next, err := standin.NewList(ctx, &g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(30 * time.Millisecond) // while nothing listens there
+	next.Put(box, "gone")
+	c.Move(next.Addr)
+	standin.Until(t, "the next agent is followed", func() bool { return len(s.All()) >= 3 })
+	for _, l := range s.All() {
+		if l.Form == brain.ListFailed {
+			t.Error("a failure was told of a list that nobody asked for")
+		}
+	}
+	if list.Watches() != 1 {
+		t.Errorf("%d watches on the first agent, want one", list.Watches())
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -81,6 +81,7 @@
 	ListCall     time.Duration // from a call to discovery to its first line
 	WatchSilent  time.Duration // between lines of a watch, which come every 2 s, after which it has failed
 	WatchStood   time.Duration // a watch that ends after so long is begun anew at once
+	PushAgain    time.Duration // between watches on the agent of a pushed list, which cost it nothing
 	DrainSpare   time.Duration // after a drain was told, a send that is under way may still be written
 	AnswerEarly  time.Duration // before a client gives up, a request that is still out is answered
 	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
@@ -154,7 +155,7 @@
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
-		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, WatchStood: time.Second, DrainSpare: drainGrace / 2,
+		ListCall: 2500 * time.Millisecond, WatchSilent: 3200 * time.Millisecond, WatchStood: time.Second, PushAgain: 100 * time.Millisecond, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
 		Follow: 20 * time.Millisecond, Retired: 3 * time.Second,
 		Pace:  pace.Default(),
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -129,12 +129,18 @@
 	Fail   bool          // run each job and tell that it failed
 	Early  bool          // all callbacks before the 202
 	Mute   bool          // take jobs, run them and tell nothing
+	Untold bool          // tell of no starts and no progress
+	Bare   bool          // say nothing of its load where a job ends
+	Still  time.Time     // answer and begin nothing before
 	Repeat int           // how often each callback is made
 }
 
 // Box stands in for a render box: it takes jobs, runs each for a while and calls back.
 type Box struct {
 	Name, Addr string
+	Zone, Type string // as the list has them; tallinn and type-a where nothing is said
+	Group      int
+	Born       time.Time // of its last start, where the list tells it
 
 	mu       sync.Mutex
 	node     string // where callbacks go
@@ -197,9 +203,17 @@
 		b.mu.Unlock()
 		return http1.Response{Status: 204}
 	}
-	id := m.Get("X-Trace-Id")
 	b.mu.Lock()
 	how := b.how
+	b.mu.Unlock()
+	pause(b.ctx, time.Until(how.Still))
+	if m.Method == "GET" && m.Target == "/load" {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return http1.Response{Status: 200, Body: []byte(b.load(how))}
+	}
+	id := m.Get("X-Trace-Id")
+	b.mu.Lock()
 	if !how.Full {
 		b.starts = append(b.starts, Start{id, m.Target, string(m.Body), m.Get("Idempotency-Key"), time.Now()})
 	}
@@ -240,7 +254,7 @@
 		close(b.room)
 		b.room = make(chan struct{})
 	}()
-	if !how.Mute {
+	if !how.Mute && !how.Untold {
 		b.tell(id, `"state":"started"`)
 	}
 	select {
@@ -251,7 +265,9 @@
 	if how.Mute {
 		return
 	}
-	b.tell(id, `"state":"running","share":0.9`)
+	if !how.Untold {
+		b.tell(id, `"state":"running","share":0.9`)
+	}
 	if how.Fail {
 		b.tell(id, `"state":"failed"`)
 		return
@@ -260,7 +276,16 @@
 	if n := how.Result - len(result); n > 0 {
 		result += strings.Repeat(".", n)
 	}
-	b.tell(id, `"state":"done","result":"`+result+`","load":{"queue":0,"x0":`+strconv.Itoa(how.Free)+`}`)
+	load := ""
+	if !how.Bare {
+		load = `,"load":{"queue":0,"x0":` + strconv.Itoa(how.Free) + `}`
+	}
+	b.tell(id, `"state":"done","result":"`+result+`"`+load)
+}
+
+// load is what a probe is told; the lock is held.
+func (b *Box) load(how Behaviour) string {
+	return `{"queue":0,"qps":` + strconv.Itoa(len(b.starts)) + `,"x0":` + strconv.Itoa(max(0, how.Free-b.running)) + `}`
 }
 
 func (b *Box) tell(id, rest string) {
@@ -333,8 +358,15 @@
 
 // Row is a box in discovery's form.
 func Row(b *Box, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"tallinn","type":"type-a","group":1,"status":%q,`+
-		`"weight":1.0,"since_ms":0}`, b.Name, b.Addr, status)
+	zone, kind, group, born := "tallinn", "type-a", 1, int64(0)
+	if b.Zone != "" {
+		zone, kind, group = b.Zone, b.Type, b.Group
+	}
+	if !b.Born.IsZero() {
+		born = b.Born.UnixMilli()
+	}
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":%d,"status":%q,`+
+		`"weight":1.0,"since_ms":%d}`, b.Name, b.Addr, zone, kind, group, status, born)
 }
 
 // Mute keeps watches open and silent, as a machine that was cut off does.
--- /dev/null
+++ b/test/deployments_test.go
@@ -0,0 +1,374 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/standin"
+)
+
+// class is one class of a deployment of our own making.
+type class struct {
+	name, effect, scope string
+	deadline            int // ms
+	widths              []int
+}
+
+// deployment is settings that span, together with the others of the table, what the protocol allows.
+type deployment struct {
+	name      string
+	classes   []class
+	zones     []string
+	lists     string // subscribe or automatic
+	reports   string // piggyback, pull or silent
+	fields    string
+	told      bool // starts and progress
+	peers     bool
+	attempts  int
+	copies    bool
+	cancel    bool
+	byWork    bool
+	grace     int // ms
+	retries   bool
+	connected int // connIdle, ms
+}
+
+var deployments = []deployment{
+	{name: "reports in answers, lists asked for, one zone, a keyed class", lists: "subscribe", reports: "piggyback", fields: `"pending","x0"`,
+		told: true, attempts: 3, copies: true, cancel: true, grace: 500, retries: true, connected: 60000, zones: []string{"east"},
+		classes: []class{{"bill", "single_shot", "", 3000, []int{1}}, {"draw", "guarded", "cell", 5000, []int{1}}}},
+	{name: "reports by probe, pushed lists, nothing told, wide jobs, three that never run twice", lists: "automatic", reports: "pull",
+		fields: `"pending","served_ps","x0"`, attempts: 6, copies: true, cancel: true, byWork: true, grace: 3000, retries: true,
+		connected: 30000, zones: []string{"north", "south"},
+		classes: []class{{"look", "free", "", 2000, []int{1}}, {"book", "single_shot", "", 3000, []int{1, 1, 2, 4}},
+			{"enrol", "single_shot", "", 5000, []int{1, 2, 4}}, {"remind", "single_shot", "", 2000, []int{1, 2}}}},
+	{name: "no reports, one attempt, no copies, no cancel, four zones", lists: "automatic", reports: "silent", attempts: 1, grace: 1000,
+		connected: 2000, zones: []string{"a", "b", "c", "d"},
+		classes: []class{{"read", "free", "", 2000, []int{1}}, {"write", "single_shot", "", 3000, []int{1, 2}}}},
+	{name: "messages between nodes, keyed by zone and anywhere", lists: "subscribe", reports: "piggyback", fields: `"busy_reqs","cpu_share"`,
+		told: true, peers: true, attempts: 4, copies: true, cancel: true, grace: 500, retries: true, connected: 5000,
+		zones: []string{"x", "y"}, classes: []class{{"zonal", "guarded", "zone", 3000, []int{1}}, {"anywhere", "guarded", "all", 3000, []int{1, 2}},
+			{"once", "single_shot", "", 3000, []int{1}}}},
+	{name: "starts told and no progress, weights live, one class that may not be copied", lists: "subscribe", reports: "pull", fields: `"x0"`,
+		told: true, attempts: 2, cancel: false, grace: 800, retries: false, connected: 60000, zones: []string{"p", "q", "r"},
+		classes: []class{{"only", "guarded", "cell", 3000, []int{1, 2}}}},
+}
+
+const (
+	window      = 20000 // ms in which repeats of keyed jobs are dropped
+	coldFrom    = 0.3
+	warmWithin  = 4000
+	fall        = 1000
+	multiple    = 2.5
+	boxSlots    = 4
+	jobTime     = 60 * time.Millisecond
+	ruleSlack   = 50 * time.Millisecond // of the protocol, on every limit of time
+	restartSlop = 50 * time.Millisecond
+	clientSlack = time.Second // a client of this test may be slow to see its answer on a busy machine
+)
+
+func (d *deployment) settings() string {
+	quote := func(names []string) string { return `"` + strings.Join(names, `","`) + `"` }
+	var classes, minus, stretch []string
+	for _, c := range d.classes {
+		scope := c.scope
+		if scope == "" {
+			scope = "all"
+		}
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim":%d,"deadline":%d,"worth":5.0,"effect":%q,"dedupScope":%q,"window":%d}`,
+			c.name, jobTime.Milliseconds(), c.deadline, c.effect, scope, window))
+		minus, stretch = append(minus, "-1"), append(stretch, "2.0")
+	}
+	balancers, worth, progress := 1, "request", 0
+	if d.peers {
+		balancers = 2
+	}
+	if d.byWork {
+		worth = "work"
+	}
+	if d.told {
+		progress = 200
+	}
+	return fmt.Sprintf(`{"me":0,"balancers":%d,"zone":0,"zones":[%s],"kinds":["k1","k2"],"step":4.0,"discovery":%q,"weights":"nominal",
+"workload":"jobs","worthBy":%q,"overShareWorth":0.2,"telemetry":{"how":%q,"fields":[%s]},
+"familyInfo":{"classKind":[%s],"classStretch":[%s],"reportX0":"free slots","tellsStart":%v,"progress":%d},
+"limits":{"cancelling":%v,"connIdle":%d,"connectTimeout":250.0,"maxAttempts":%d,"maxOpen":20000,"maxRetryAfter":1000.0,
+ "mayDuplicate":%v,"multiplex":1,"peers":%v,"probing":%v,"retryAfter":%v},
+"invariants":{"answerSlack":16.0,"askWithin":5000.0,"coldFrom":%v,"drainGrace":%d,"fall":%d,"fallMultiple":%v,"warmWithin":%d},
+"fees":{"crossZone":0.1,"probe":0.002},"requestClasses":[%s],"tenants":[{"name":"pohjakaart","portion":1.0,"quotaRps":100.0}]}`,
+		balancers, quote(d.zones), d.lists, worth, d.reports, d.fields, strings.Join(minus, ","), strings.Join(stretch, ","), d.told, progress,
+		d.cancel, d.connected, d.attempts, d.copies, d.peers, d.reports == "pull", d.retries, coldFrom, d.grace, fall, multiple, warmWithin,
+		strings.Join(classes, ","))
+}
+
+// place gives a box its zone and rack: racks of two boxes.
+func (d *deployment) place(b *standin.Box, i int) {
+	b.Zone, b.Type, b.Group = d.zones[i%len(d.zones)], "k1", i/2
+	b.Set(func(how *standin.Behaviour) {
+		how.Free, how.Slots, how.Untold, how.Bare = boxSlots, boxSlots, !d.told, d.reports != "piggyback"
+	})
+}
+
+// mortal is a box that can be made to die as a process does: its connections break and new ones are refused.
+func mortal(t *testing.T, s *site, name string) (*standin.Box, context.CancelFunc) {
+	t.Helper()
+	ctx, kill := context.WithCancel(s.ctx)
+	b, err := standin.NewBox(ctx, s.g, name, s.listen, jobTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b, kill
+}
+
+type handed struct {
+	class  *class
+	id     string
+	slots  int
+	status int // 0: no whole answer came
+	begun  time.Time
+	ended  time.Time
+}
+
+// TestDeployments plays the same day under settings that differ in all that a deployment may differ in: an executor stands
+// still, one dies, the list moves, one drains that only the new list tells of, one comes cold while all others turn jobs
+// away, and the node is killed and starts anew. Each job has one answer but for those that were open at the kill; nothing
+// that must not start twice does; nothing new goes to the drained one; the cold one is not pushed over.
+func TestDeployments(t *testing.T) {
+	for i := range deployments {
+		d := &deployments[i]
+		t.Run(d.name, func(t *testing.T) { d.play(t, int64(i+1)) })
+	}
+}
+
+func (d *deployment) play(t *testing.T, seed int64) {
+	s := newSite(t, 0, 0)
+	s.rules = d.settings()
+	var kills []context.CancelFunc
+	for i := range 6 {
+		b, kill := mortal(t, s, fmt.Sprintf("s-%08x", i+1))
+		d.place(b, i)
+		s.boxes, kills = append(s.boxes, b), append(kills, kill)
+		s.list.Put(b, "ready")
+	}
+	next, err := standin.NewList(s.ctx, s.g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.start()
+
+	var mu sync.Mutex
+	var jobs []*handed
+	var answered atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for c := range 6 {
+		clients.Go(func() {
+			rng := rand.New(rand.NewSource(seed*100 + int64(c)))
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(5+rng.Intn(20)) * time.Millisecond):
+				}
+				j := &handed{class: &d.classes[rng.Intn(len(d.classes))], id: fmt.Sprintf("%04x%04x%08x", seed, c, n), begun: time.Now()}
+				j.slots = 1
+				if w := j.class.widths; len(w) > 0 {
+					j.slots = w[rng.Intn(len(w))]
+				}
+				m, err := standin.Call(s.listen, "POST", "/"+j.class.name+"/x", []byte("body"), header("X-Trace-Id", j.id),
+					header("X-Customer", "pohjakaart"), header("X-Expires-In-Ms", strconv.Itoa(j.class.deadline)),
+					header("Idempotency-Key", "key-"+j.id), header("X-Props", "slots="+strconv.Itoa(j.slots)))
+				j.ended = time.Now()
+				wait := time.Duration(0)
+				if err == nil {
+					j.status = m.Status
+					answered.Add(1)
+					if m.Status == 503 {
+						wait = comeBack(m)
+					}
+				} else {
+					wait = 20 * time.Millisecond
+				}
+				mu.Lock()
+				jobs = append(jobs, j)
+				mu.Unlock()
+				time.Sleep(wait)
+			}
+		})
+	}
+	after := func(n int64, what string) {
+		t.Helper()
+		from := answered.Load()
+		s.until(what, func() bool { return answered.Load() >= from+n })
+	}
+	after(60, "a first load is answered")
+	s.boxes[1].Set(func(how *standin.Behaviour) { how.Still = time.Now().Add(400 * time.Millisecond) })
+	after(30, "jobs are answered beside a box that stands still")
+	kills[2]()
+	after(30, "jobs are answered beside a box that died")
+
+	for i, b := range s.boxes {
+		if i != 2 {
+			next.Put(b, "ready")
+		}
+	}
+	s.configure(next.Addr, s.rules)
+	if err := s.process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	s.until("the list that moved is watched", func() bool { return next.Watches() > 0 })
+	drained := s.boxes[0]
+	next.Put(drained, "draining")
+	told := time.Now()
+	after(30, "jobs are answered beside a drain")
+
+	cold, _ := mortal(t, s, "s-000000c0")
+	cold.Born = time.Now()
+	d.place(cold, 6)
+	for _, b := range s.boxes[1:] {
+		b.Set(func(how *standin.Behaviour) { how.Full = true })
+	}
+	s.boxes = append(s.boxes, cold)
+	next.Put(cold, "ready")
+	if d.attempts > 1 {
+		s.until("the cold box is used", func() bool { return len(cold.Starts()) > 3 })
+		time.Sleep(fall * time.Millisecond)
+	}
+	for _, b := range s.boxes[1:] {
+		b.Set(func(how *standin.Behaviour) { how.Full = false })
+	}
+	after(30, "jobs are answered once the others take work again")
+
+	killed := time.Now()
+	s.kill()
+	s.list = next
+	s.start()
+	up := time.Now()
+	after(60, "jobs are answered after the node's next start")
+	close(stop)
+	clients.Wait()
+	if err := s.term(); err != nil {
+		t.Errorf("leaving: %v", err)
+	}
+
+	starts := s.starts()
+	served := 0
+	for _, j := range jobs {
+		j := j
+		if j.status == 0 && !(j.begun.Before(up.Add(restartSlop)) && j.ended.After(killed.Add(-restartSlop))) {
+			t.Errorf("job %s of %s had no answer", j.id, j.class.name)
+		}
+		if late := j.ended.Sub(j.begun) - time.Duration(j.class.deadline)*time.Millisecond; late > clientSlack {
+			t.Errorf("job %s of %s was answered %v after its client gave up", j.id, j.class.name, late)
+		}
+		if j.status == 200 {
+			served++
+			if len(starts[j.id]) == 0 {
+				t.Errorf("job %s of %s was served and started nowhere", j.id, j.class.name)
+			}
+		}
+		d.repeats(t, s, j)
+	}
+	if served < len(jobs)/3 {
+		t.Errorf("%d of %d jobs were served", served, len(jobs))
+	}
+	for _, x := range drained.Starts() {
+		if late := x.At.Sub(told) - time.Duration(d.grace)*time.Millisecond; late > ruleSlack {
+			t.Errorf("job %s started at a box %v past the drain's grace", x.ID, late)
+		}
+	}
+	width := map[string]int{}
+	for _, j := range jobs {
+		width[j.id] = j.slots
+	}
+	pushed(t, cold, width)
+}
+
+// repeats checks that a job started as often, and where, as its class allows.
+func (d *deployment) repeats(t *testing.T, s *site, j *handed) {
+	t.Helper()
+	var at []*standin.Box
+	first := time.Time{}
+	for _, b := range s.boxes {
+		for _, x := range b.Starts() {
+			if x.ID != j.id {
+				continue
+			}
+			at = append(at, b)
+			if first.IsZero() || x.At.Before(first) {
+				first = x.At
+			}
+		}
+	}
+	switch {
+	case len(at) > d.attempts:
+		t.Errorf("job %s of %s started %d times, %d attempts are allowed", j.id, j.class.name, len(at), d.attempts)
+	case j.class.effect == "single_shot" && len(at) > 1:
+		t.Errorf("job %s of %s, which must never run twice, started %d times", j.id, j.class.name, len(at))
+	case j.class.effect == "guarded":
+		for _, b := range at {
+			if j.class.scope == "zone" && b.Zone != at[0].Zone || j.class.scope == "cell" && b.Group != at[0].Group {
+				t.Errorf("job %s of %s started at %s and at %s, past its group", j.id, j.class.name, at[0].Name, b.Name)
+			}
+		}
+	}
+}
+
+// pushed checks the budget of a box that came cold: what was sent to it in any window against what it could do then.
+func pushed(t *testing.T, cold *standin.Box, width map[string]int) {
+	t.Helper()
+	all := cold.Starts()
+	for i := range all {
+		sum := 0.0
+		for k := i; k >= 0 && all[i].At.Sub(all[k].At) <= fall*time.Millisecond; k-- {
+			sum += float64(max(1, width[all[k].ID])) * float64(jobTime.Milliseconds())
+		}
+		age := float64(all[i].At.Sub(cold.Born).Milliseconds())
+		share := min(1, coldFrom+(1-coldFrom)*age/warmWithin)
+		if most := multiple * share * boxSlots * fall; sum > most {
+			t.Errorf("%.0f ms of work came to a cold box within %d ms, %.0f push it over", sum, fall, most)
+			return
+		}
+	}
+}
+
+func comeBack(m *http1.Message) time.Duration {
+	seconds, err := strconv.ParseFloat(m.Get("Retry-After"), 64)
+	if err != nil {
+		return 30 * time.Millisecond
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// The conformance suite of the batch front passes under each deployment's settings.
+func TestConformanceOfDeployments(t *testing.T) {
+	for i := range deployments {
+		d := &deployments[i]
+		t.Run(d.name, func(t *testing.T) {
+			s := newSite(t, 0, 0)
+			s.rules = d.settings()
+			for i := range 4 {
+				b, _ := mortal(t, s, fmt.Sprintf("s-%08x", i+1))
+				d.place(b, i)
+				b.Set(func(how *standin.Behaviour) { how.Run, how.Free, how.Slots = 20*time.Millisecond, 16, 0 })
+				s.boxes = append(s.boxes, b)
+				s.list.Put(b, "ready")
+			}
+			s.start()
+			out, err := exec.Command(program, "conform", "--addr", s.batch, "--failed").CombinedOutput()
+			if err != nil {
+				t.Errorf("%v\n%s", err, out)
+			}
+		})
+	}
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -52,6 +52,7 @@
 	listen  string
 	batch   string
 	store   string
+	rules   string // the node's settings, where they are not the usual ones
 	extra   string // lines of the operator's file
 	sockets int    // granted to the node, with the memory, where a test needs less than usual
 	memory  int    // in MB
@@ -119,7 +120,10 @@
 // start runs the program until it serves.
 func (s *site) start() {
 	s.t.Helper()
-	config := s.configure(s.list.Addr, settings)
+	if s.rules == "" {
+		s.rules = settings
+	}
+	config := s.configure(s.list.Addr, s.rules)
 	file := filepath.Join(s.dir, "gatetack.yaml")
 	if err := os.WriteFile(file, []byte("batch:\n  listen: "+s.batch+"\n"+s.extra), 0o600); err != nil {
 		s.t.Fatal(err)
