Do not hold a job's error at every worker against the workers

Change: a second error of a job lifts the first one's blame and lays none; if a third worker serves it, both are blamed. The test's six workers lost the class before, none now.

--- a/brain/flaky_test.go
+++ b/brain/flaky_test.go
@@ -111,3 +111,46 @@
 		t.Errorf("%d sends in 4 s to a worker that turns all away, want 20 at most", sends)
 	}
 }
+
+// A bad request that errs wherever it goes is not held against the workers that it was tried at: it put its class out at as
+// many as its attempts allow (abuja-booking's rude day, six). Errors of a job that a third worker then serves are.
+func TestJobThatErrsEverywhereIsNotTheWorkers(t *testing.T) {
+	s := base()
+	s.MaxAttempts = 6
+	var rows []Row
+	for id := uint32(1); id <= 8; id++ {
+		rows = append(rows, ready(id, 0))
+	}
+	kept := func(good int) (away int, odds float64) { // the attempt that is served
+		r := newRig(t, s, rows...)
+		out := r.step(request(1, 0, 0, 1))
+		for n := uint16(0); n < 6; n++ {
+			sends := find(out, ActSend, 1)
+			if len(sends) != 1 {
+				break
+			}
+			o := Errored
+			if int(n) == good {
+				o = Served
+			}
+			out = r.after(20, outcome(1, n, sends[0].Worker, o, 4+float32(n)*1e-4))
+		}
+		unsafe := &job{class: 2}
+		for _, w := range r.d.workers {
+			if d := r.d; d.now < w.fails[0].until {
+				away++
+			}
+			odds = max(odds, r.d.lostFor(unsafe, w))
+		}
+		return away, odds
+	}
+	if away, odds := kept(99); away != 0 || odds > 0 {
+		t.Errorf("after a job that erred at all six, its class is away from %d workers, odds %.2f", away, odds)
+	}
+	if away, _ := kept(1); away != 1 {
+		t.Errorf("after a job that erred at one and was served at the next, its class is away from %d workers, want that one", away)
+	}
+	if away, _ := kept(2); away != 2 {
+		t.Errorf("after a job that erred at two and was served at a third, its class is away from %d workers, want those two", away)
+	}
+}
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -218,30 +218,71 @@
 // fared takes in how a job of a class ended at a worker. A worker can fail one class at once and serve another well,
 // so that its errors do not add up to an ejection while it looks roomy and draws more; or turn one class away while it
 // tells of free slots. So classes are told apart. One 'full' beside free slots can come of a late report.
+// A job that errs at a second worker too may be one that errs wherever it goes: then the first is not to blame either,
+// or one bad request that may be tried six times puts its class out at six workers. It was theirs if a third serves it.
 func (d *Dispatcher) fared(j *job, w *worker, e *Event) {
-	f := &w.fails[j.class]
-	if e.Outcome == Served || e.Outcome == Errored {
-		f.all.add(d, e.Outcome == Errored)
-		w.all.add(d, e.Outcome == Errored)
+	f, a, erred := &w.fails[j.class], &j.attempts[e.Attempt], 0
+	for i := range j.attempts {
+		if j.attempts[i].erred {
+			erred++
+		}
 	}
 	switch {
 	case e.Outcome == Served:
-		if j.attempts[e.Attempt].sent >= f.at { // else it shows nothing of what came since
+		f.all.add(d, false)
+		w.all.add(d, false)
+		if a.sent >= f.at { // else it shows nothing of what came since
 			f.strikes, f.until = 0, 0
 		}
-		return
-	case e.Outcome != Errored && !(e.Outcome == Full && d.tellsRoom(e.Report, j.slots)) || d.now < f.until:
-		return // or sent before the last one failed
+		for i := range j.attempts {
+			if erred > 1 && j.attempts[i].erred {
+				d.blame(j.attempts[i].w, j.class, Errored)
+			}
+		}
+	case e.Outcome == Errored:
+		a.erred = true
+		if erred == 0 {
+			d.blame(w, j.class, Errored)
+		} else if erred == 1 {
+			for i := range j.attempts {
+				if x := &j.attempts[i]; x.erred && x != a {
+					x.w.fails[j.class].lift(d)
+					x.w.all.lift(d)
+				}
+			}
+		}
+	case e.Outcome == Full && d.tellsRoom(e.Report, j.slots):
+		d.blame(w, j.class, Full)
+	}
+}
+
+// lift takes one error back.
+func (f *failing) lift(d *Dispatcher) {
+	f.all.lift(d)
+	if f.strikes = max(0, f.strikes-1); f.strikes == 0 {
+		f.until = 0
+	}
+}
+
+// blame holds a job's end against a worker, for its class.
+func (d *Dispatcher) blame(w *worker, class int, o Outcome) {
+	f := &w.fails[class]
+	if o == Errored {
+		f.all.add(d, true)
+		w.all.add(d, true)
+	}
+	if d.now < f.until {
+		return // it was sent before the last one failed
 	}
 	f.strikes++
 	f.at = d.now
-	if e.Outcome == Full && f.strikes == 1 {
+	if o == Full && f.strikes == 1 {
 		return
 	}
 	base := classAway * max(d.s.ConnectTimeout, d.s.Step)
 	f.until = d.now + base*float64(int(1)<<min(f.strikes-1, ejectMost))*(0.75+0.5*d.random())
-	d.find(w, firstMark+j.class)
-	d.log("class %d fails at worker %d, kept away until %.0f", j.class, w.id, f.until)
+	d.find(w, firstMark+class)
+	d.log("class %d fails at worker %d, kept away until %.0f", class, w.id, f.until)
 }
 
 // tally counts jobs that ended and those of them that erred, and forgets.
@@ -253,6 +294,12 @@
 	return t.n * f, t.errs * f
 }
 
+// lift takes an error back.
+func (t *tally) lift(d *Dispatcher) {
+	n, errs := t.now(d)
+	t.n, t.errs, t.at = max(0, n-1), max(0, errs-1), d.now
+}
+
 func (t *tally) add(d *Dispatcher, erred bool) {
 	t.n, t.errs = t.now(d)
 	t.n++
--- a/brain/state.go
+++ b/brain/state.go
@@ -21,6 +21,7 @@
 	opened   bool // on a new connection
 	resolved bool
 	lost     bool // out when its worker fell silent, or late, and not heard of since
+	erred    bool // it ended in an error
 	late     bool // its worker owes a sign that it has taken the job
 }
 
