--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -33,7 +33,7 @@
 		{good, "version", "gatetack 0.3.0", false},
 		{good, "check-config", "2 classes, 2 tenants", false},
 		{good, "check-config --config " + file, "batch front on 127.0.0.1:8480", false},
-		{good, "check-config --config ../deploy/standalone.yaml", "2 classes, 2 tenants", false},
+		{good, "check-config --config ../deploy/standalone.yaml", "2 classes, 4 tenants", false},
 		{good, "check-config --config ../deploy/standalone-booking.yaml", "3 classes, 2 tenants", false},
 		{good, "check-config --config " + spoiled, "batch.listen", true},
 		{good, "check-config --config " + rows, "line 2: status", true},
