One owner at a time for each node's jobs on record: epochs, fences, takeover by another node

Change, thin path: internal/duty decides (no I/O, clock or goroutine) who owns the jobs of which life of a node, under which epoch, when a claim may be made, who is next (rendezvous hashing); internal/owner keeps the lease, claims in one transaction (duty's epoch, former owner's lease gone, own lease standing) and fences every write by the epoch in the same transaction; the batch front adopts and drops partitions, and passes calls about a job to the node that has it, one hop, also while that stands still. A send is on record under the epoch before its first byte, so a late owner's fails and nothing goes out. Rejected: leases alone (a stopped process believes in its own), a lock held by the leader's memory (gone with it), the node name as owner (a name started twice), giving a duty back when a node returns (flaps): it begins a partition of its own.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -25,6 +25,7 @@
 	"quincereach/internal/keys"
 	"quincereach/internal/node"
 	"quincereach/internal/operator"
+	"quincereach/internal/owner"
 	"quincereach/internal/pace"
 	"quincereach/internal/peer"
 	"quincereach/internal/platform"
@@ -190,23 +191,36 @@
 		g.Go(func() error { follow(ctx, core, front, c.Limits.Follow); return nil })
 	}
 	var jobs *batch.Front
+	var duties *owner.Owner
 	if f.Batch.Listen != "" {
+		var ring *keys.Ring
 		ln, err := net.Listen("tcp", f.Batch.Listen)
 		if err != nil {
 			return fmt.Errorf("batch front: %w", err)
 		}
 		if f.Batch.Keys != "" {
-			ring, err := keys.Open(f.Batch.Keys, func(err error) { log.Error("batch: new keys can not be used, the old ones stay", "err", err) })
+			ring, err = keys.Open(f.Batch.Keys, func(err error) { log.Error("batch: new keys can not be used, the old ones stay", "err", err) })
 			if err != nil {
 				return err
 			}
 			ln = ring.Listen(ln)
 		}
-		jobs = batch.New(batch.Options{Core: core, Store: kept, Node: c.Name, Version: version, Life: life, Limits: c.Limits, Log: log})
+		var fleet batch.Fleet
+		if members != nil {
+			if duties, err = owner.New(members, c.Name, life.UnixMilli(), f.Batch.Listen, c.Limits, log); err != nil {
+				return err
+			}
+			kept, fleet = duties, duties
+		}
+		jobs = batch.New(batch.Options{Core: core, Store: kept, Fleet: fleet, Node: c.Name, Version: version, Life: life, Limits: c.Limits, Log: log})
 		lim := c.Limits
 		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
 		server := http1.NewServer(lim, jobs, core.Slow(), log)
 		fronts = append(fronts, server)
+		if duties != nil {
+			duties.Connect(jobs, ring)
+			g.Go(func() error { return duties.Run(hard) })
+		}
 		g.Go(func() error { return jobs.Run(hard) })
 		g.Go(func() error { return server.Serve(hard, ln) })
 	}
@@ -230,6 +244,11 @@
 			fronts[1].Drain()
 		}
 		quiet(hard, core, fronts, jobs, c, &stay)
+		if duties != nil {
+			last, end := context.WithTimeout(hard, c.Limits.StoreBeat)
+			defer end()
+			duties.LetGo(last)
+		}
 		return nil
 	})
 	err = g.Wait()
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -31,6 +31,14 @@
 	Rules() *node.Rules
 }
 
+// Fleet says which node has which jobs, where several share what is on record. A partition is the jobs of one life of one
+// node. Store then makes only what is written for a partition that this node has.
+type Fleet interface {
+	Ready() bool // what earlier lives of this node left was taken up
+	Place(partition string) (addr string, ours bool)
+	Pass(ctx context.Context, addr string, m *http1.Message) (*http1.Message, error)
+}
+
 // Prefix of all paths of this front.
 const Prefix = "/drmaa2/v1"
 
@@ -38,6 +46,7 @@
 type Options struct {
 	Core    Core
 	Store   records.Store // nil: nothing outlives the node
+	Fleet   Fleet         // nil: this node alone has what is on record
 	Node    string
 	Version string
 	Life    time.Time
@@ -52,6 +61,7 @@
 	lim     limits.Limits
 	log     *slog.Logger
 	version string
+	fleet   Fleet
 	ids     ids
 	events  *events
 	stop    atomic.Bool
@@ -77,10 +87,11 @@
 // New makes a front for one life of a node.
 func New(o Options) *Front {
 	f := &Front{core: o.Core, store: o.Store, lim: o.Limits, log: o.Log,
-		version: o.Version, ids: ids{node: o.Node, life: o.Life.UnixMilli()}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
+		version: o.Version, fleet: o.Fleet, ids: ids{node: o.Node}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
 		kick: make(chan struct{}, 1), jobs: map[string]*job{}, queue: release.New(), waits: map[string]*job{},
 		arrays: map[string]*array{}, sessions: map[string]*session{}, same: map[string]*job{},
 		dirty: make(chan *job, o.Limits.MaxOpen)}
+	f.ids.life.Store(o.Life.UnixMilli())
 	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.Life.UTC()}}
 	f.loaded = make(chan struct{})
 	if f.store == nil {
@@ -379,7 +390,7 @@
 			return nil, Record{ID: id, State: Undetermined, Annotation: "the store can not tell: " + err.Error()}, true
 		}
 		if found {
-			return nil, told(parseRecord(value), from), true
+			return nil, f.told(parseRecord(value)), true
 		}
 	}
 	if r, ok := f.unborn(ctx, id); ok {
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -411,7 +411,7 @@
 	if !r.State.over() && (j != nil || r.State != Undetermined) {
 		return conflict(r, "only a job that has ended can be reaped")
 	}
-	if f.ids.origin(id) == elsewhere {
+	if f.foreign(id) {
 		return conflict(r, "it is another node's job")
 	}
 	if j != nil {
@@ -580,7 +580,7 @@
 			if j != nil {
 				r = j.record() // newer than its record
 			} else {
-				r = told(r, f.ids.origin(r.ID))
+				r = f.told(r)
 			}
 			if !take(r) {
 				return false, nil
--- /dev/null
+++ b/internal/batch/fleet.go
@@ -0,0 +1,177 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/owner"
+	"quincereach/internal/records"
+)
+
+// This file is what the front does where several nodes share what is on record: see package duty for who has what.
+
+// partitionOf is the partition that an id's job belongs to.
+func partitionOf(id string) (string, bool) {
+	n, ok := parseID(id)
+	return n.partition(), ok
+}
+
+// foreign says whether a job's record is another node's to change.
+func (f *Front) foreign(id string) bool {
+	if f.fleet == nil {
+		return f.ids.origin(id) == elsewhere
+	}
+	p, ok := partitionOf(id)
+	if !ok {
+		return false
+	}
+	_, ours := f.fleet.Place(p)
+	return !ours
+}
+
+// told turns a record into what can be said of the job. Where nodes share records, those of a life that is over are taken up
+// by one of them, which writes what became of each: until then they stand as they are.
+func (f *Front) told(r Record) Record {
+	if f.fleet != nil {
+		return r
+	}
+	return told(r, f.ids.origin(r.ID))
+}
+
+// passed makes a call about a job or array that another node has at that node, once. A call that was passed on already is
+// answered here, by what is on record: so no call goes round. While the other node does not answer, for its process may stand
+// still, it is looked at whether the job is still there: if not, the call is made where it is now. What the late one may do
+// with the first call is fenced.
+func (f *Front) passed(ctx context.Context, m *http1.Message, p []string) (http1.Response, bool) {
+	if f.fleet == nil || len(p) < 2 || p[0] != "jobs" && p[0] != "arrays" || m.Get(owner.Hop) != "" {
+		return http1.Response{}, false
+	}
+	part, ok := partitionOf(p[1])
+	if !ok {
+		return http1.Response{}, false
+	}
+	if !f.ready() { // what this node's earlier lives left is being taken up
+		select {
+		case <-f.loaded:
+		case <-ctx.Done():
+			return http1.Response{Status: 503, Close: true}, true
+		case <-time.After(f.lim.StoreCall):
+		}
+	}
+	for {
+		addr, ours := f.fleet.Place(part)
+		switch {
+		case ours || addr == "" && m.Method == "GET":
+			return http1.Response{}, false
+		case addr == "":
+			return tryLater("no node has the job at the moment"), true
+		}
+		got, err := f.passTo(ctx, part, addr, m)
+		if now, ours := f.fleet.Place(part); err != nil && ctx.Err() == nil && (ours || now != addr) {
+			continue // bounded: each change of owner takes a lease's end
+		}
+		if err != nil {
+			return tryLater("the node that has the job, at " + addr + ", does not answer: " + err.Error()), true
+		}
+		r := http1.Response{Status: got.Status, Body: got.Body}
+		for _, name := range []string{"Content-Type", "Retry-After", "Location"} {
+			if v := got.Get(name); v != "" {
+				r.Fields = append(r.Fields, http1.Field{Name: name, Value: v})
+			}
+		}
+		return r, true
+	}
+}
+
+// passTo makes a call at a node for as long as that has the partition.
+func (f *Front) passTo(ctx context.Context, part, addr string, m *http1.Message) (*http1.Message, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		look := time.NewTicker(f.lim.LeaseTTL / 20)
+		defer look.Stop()
+		for {
+			select {
+			case <-look.C:
+			case <-ctx.Done():
+				return
+			}
+			if now, ours := f.fleet.Place(part); ours || now != addr {
+				cancel()
+				return
+			}
+		}
+	}()
+	return f.fleet.Pass(ctx, addr, m)
+}
+
+// Open names the partitions of a node of which something is open on record.
+func (f *Front) Open(ctx context.Context, node string) ([]string, error) {
+	var out []string
+	for _, kind := range []string{kindOpen, kindArray} {
+		if err := f.pages(ctx, kind, node+".", func(r records.Row) error {
+			if n, ok := partitionOfKey(r.Key); ok && !slices.Contains(out, n) {
+				out = append(out, n)
+			}
+			return nil
+		}); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// partitionOfKey is that of a record's key: all before its last dot.
+func partitionOfKey(k string) (string, bool) {
+	part, _, ok := cutLast(k)
+	return part, ok
+}
+
+// Drop lets go of a partition that is another node's by now: nothing of it is handed on from here, what the core has and has
+// not sent ends there, and who waits is woken to ask the new owner. What is out at boxes ends unrecorded: the new owner told
+// of it as in doubt before it took anything up.
+func (f *Front) Drop(partition string) {
+	now := time.Now()
+	var gone []*job
+	f.mu.Lock()
+	for id, j := range f.jobs {
+		if p, ok := partitionOf(id); !ok || p != partition {
+			continue
+		}
+		gone = append(gone, j)
+		r := j.record()
+		f.forget(j, &r)
+		if j.array == nil {
+			f.queue.Remove(j.ref.ID, now)
+			delete(f.waits, j.ref.ID)
+		}
+	}
+	f.order = slices.DeleteFunc(f.order, func(j *job) bool { return slices.Contains(gone, j) })
+	for id := range f.arrays {
+		if p, ok := partitionOf(id); ok && p == partition {
+			f.queue.Remove(id, now)
+			delete(f.arrays, id)
+		}
+	}
+	f.mu.Unlock()
+	for _, j := range gone {
+		j.mu.Lock()
+		j.lost = true
+		close(j.changed)
+		j.changed = make(chan struct{})
+		j.mu.Unlock()
+		if core := j.coreID(); core != 0 {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), f.lim.StoreCall)
+				defer cancel()
+				_ = f.core.Terminate(ctx, core) // what was sent goes on: nothing stops it at an executor
+			}()
+		}
+	}
+	f.log.Warn("batch jobs let go of", "duty", partition, "jobs", len(gone))
+}
+
+// Reborn has what is taken from now on belong to another life.
+func (f *Front) Reborn(born int64) { f.ids.life.Store(born) }
--- a/internal/batch/ids.go
+++ b/internal/batch/ids.go
@@ -5,16 +5,18 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+
+	"quincereach/internal/duty"
 )
 
 // ids name jobs by node and life, so that after a restart a job of an earlier life is told from one of this.
 type ids struct {
 	node string
-	life int64
+	life atomic.Int64
 	last atomic.Uint64
 }
 
-func (x *ids) next() string { return fmt.Sprintf("%s.%x.%d", x.node, x.life, x.last.Add(1)) }
+func (x *ids) next() string { return fmt.Sprintf("%s.%x.%d", x.node, x.life.Load(), x.last.Add(1)) }
 
 // name is an id taken apart: NODE.LIFE.NUMBER, and -INDEX behind it for a member of an array.
 type name struct {
@@ -62,6 +64,9 @@
 	return k
 }
 
+// partition names the jobs of one life of one node: their keys begin with it.
+func (n name) partition() string { return duty.Life{Node: n.node, Born: n.life}.Partition() }
+
 // key is that of an id that one of this front's own.
 func key(id string) string {
 	n, _ := parseID(id)
@@ -88,9 +93,9 @@
 		return noID
 	case n.node != x.node:
 		return elsewhere
-	case n.life < x.life:
+	case n.life < x.life.Load():
 		return formerly
-	case n.life == x.life && n.number <= x.last.Load():
+	case n.life == x.life.Load() && n.number <= x.last.Load():
 		return ours
 	}
 	return noID
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -87,6 +87,7 @@
 	core    uint32 // the core's number for it, 0 while it has none
 	r       Record
 	gone    bool          // its submission failed
+	lost    bool          // it is another node's by now: nothing more of it is told or kept here
 	changed chan struct{} // closed at the next change
 }
 
@@ -99,7 +100,7 @@
 	close(j.changed)
 	j.changed = make(chan struct{})
 	// Told under the lock: events of one job come in the order of its states.
-	if r.State != was || r.SubState != sub {
+	if (r.State != was || r.SubState != sub) && !j.lost {
 		j.f.events.add(&r)
 	}
 	j.mu.Unlock()
@@ -149,6 +150,12 @@
 // client's wish is not lost for a moment without room.
 func (j *job) Answer(a node.Answer) {
 	now := time.Now()
+	j.mu.Lock()
+	lost := j.lost
+	j.mu.Unlock()
+	if lost {
+		return // its end is the new owner's to tell
+	}
 	if j.queue && a.End == node.Refused && !j.f.stop.Load() && (j.until.IsZero() || now.Before(j.until)) {
 		j.update(func(r *Record) { r.State, r.SubState, r.Annotation = Queued, subHeld, a.Why })
 		j.f.refused(j, max(a.RetryAfter, j.f.lim.BatchAgain), now)
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -328,6 +328,9 @@
 	if in == "" {
 		in = defaultSession
 	}
+	if r, ok := f.passed(ctx, m, p); ok {
+		return r
+	}
 	switch {
 	case p[0] == "events" && len(p) == 1:
 		return get(m, func() http1.Response { return f.watch(ctx, session, m.Target) })
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -326,7 +326,6 @@
 // sent is told as UNDETERMINED, and what was on its way to the core without a send on record as unsent; neither is run
 // again. Members of an array that were never sent have their turn again.
 func (f *Front) load(ctx context.Context) error {
-	now := time.Now()
 	if err := f.pages(ctx, kindSession, "", func(r records.Row) error {
 		var x sessionRecord
 		if err := json.Unmarshal(r.Value, &x); err != nil {
@@ -339,7 +338,20 @@
 	}); err != nil {
 		return err
 	}
-	own := f.ids.node + "."
+	if f.fleet != nil {
+		if !f.fleet.Ready() { // it has what earlier lives left taken up, one by one
+			return errors.New("the duties of this node's earlier lives are being claimed")
+		}
+		return nil
+	}
+	_, err := f.Adopt(ctx, f.ids.node)
+	return err
+}
+
+// Adopt takes up what is on record of a partition, or of all lives of a node, and says how much waits: what was never
+// handed to the core goes on waiting, what may have been sent is told as such, and is not run again here.
+func (f *Front) Adopt(ctx context.Context, partition string) (int, error) {
+	now, own := time.Now(), partition+"."
 	arrays := map[string]*array{}
 	if err := f.pages(ctx, kindArray, own, func(r records.Row) error {
 		a := &array{}
@@ -362,7 +374,7 @@
 		arrays[a.r.ID] = a
 		return nil
 	}); err != nil {
-		return err
+		return 0, err
 	}
 	again := map[string][]int{}
 	var waiting []*job
@@ -406,7 +418,7 @@
 		changes[1].Value = nil // nothing of it is open in this life
 		return f.store.Write(ctx, changes...)
 	}); err != nil {
-		return err
+		return 0, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -427,8 +439,9 @@
 		f.waits[j.r.ID] = j
 		f.queue.Add(release.Item{ID: j.r.ID, Session: j.r.Session, Priority: j.r.Priority, Start: j.r.Start, Held: j.r.State == QueuedHeld}, now)
 	}
-	f.log.Info("batch jobs on record", "waiting", f.queue.Waiting(), "arrays", len(arrays))
-	return nil
+	f.log.Info("batch jobs on record", "of", partition, "waiting", f.queue.Waiting(), "arrays", len(arrays))
+	f.wake()
+	return len(waiting) + len(arrays), nil
 }
 
 // pages calls each for all rows of a kind whose keys begin with a prefix.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -218,6 +218,12 @@
 	if c.Settings, err = wire.FromPairs(pairs); err != nil {
 		return nil, err
 	}
+	for i, class := range c.Settings.Classes {
+		key := "requestClasses." + strconv.Itoa(i) + ".deadline"
+		if _, told := pairs[key]; told && class.Deadline <= 0 {
+			return nil, fmt.Errorf("settings.%s: %v, expected milliseconds over 0", key, class.Deadline)
+		}
+	}
 	if _, err = brain.New(c.Settings, 0); err != nil { // its own check of what it can work with
 		return nil, err
 	}
@@ -237,12 +243,8 @@
 	c.Limits = limits.New(int(root.Get("limits.sockets").Int()), int(root.Get("limits.memory_mb").Int()),
 		node.Span(c.Settings.ConnectTimeout), node.Span(c.Settings.ConnIdle), node.Span(c.Settings.DrainGrace))
 	longest := 0.0
-	for i, class := range c.Settings.Classes {
+	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
-		key := "requestClasses." + strconv.Itoa(i) + ".deadline"
-		if _, told := pairs[key]; told && class.Deadline <= 0 {
-			return nil, fmt.Errorf("settings.%s: %v, expected milliseconds over 0", key, class.Deadline)
-		}
 	}
 	c.Limits.Longest(node.Span(longest))
 	if n, err := strconv.ParseFloat(pairs["limits.maxOpen"], 64); err == nil && n >= 1 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -62,6 +62,7 @@
 	StoreBytes     int           // their bytes together: the ones written first go first
 	StoreLog       int           // changes between snapshots
 	StoreBeat      time.Duration // without a sign of the leader for so long, another is chosen
+	LeaseTTL       time.Duration // of a node's lease, without which others take its duties over
 	StoreCall      time.Duration // of one call, a change of the leader included
 
 	// Times.
@@ -149,7 +150,7 @@
 
 		InventoryBytes: 1 << 20, InventoryRows: 4096, InventoryLook: 200 * time.Millisecond,
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
-		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second,
+		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second, LeaseTTL: 3 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
 		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,455 @@
+// Package owner carries out what package duty decides: it keeps this node's lease in the replicated store, claims duties and
+// lets go of them, and fences all that is written on their behalf. It is the batch front's store: a write is made only if the
+// duty that it belongs to still has the epoch under which this node holds it, in the same transaction.
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"quincereach/internal/duty"
+	"quincereach/internal/http1"
+	"quincereach/internal/keys"
+	"quincereach/internal/kv"
+	"quincereach/internal/limits"
+	"quincereach/internal/records"
+	"quincereach/internal/store"
+)
+
+// The tables of leases, by node, and of duties, by key. A duty's version is its epoch.
+const (
+	Leases = "lease"
+	Duties = "duty"
+)
+
+// Store is the part of a member of the replicated store that duties need.
+type Store interface {
+	records.Store
+	Txn(context.Context, *kv.Txn) (*kv.Result, error)
+	View() *kv.View
+}
+
+// Front does the work that duties stand for: the jobs on record of one life of a node.
+type Front interface {
+	// Open names the partitions of a node of which something is open on record.
+	Open(ctx context.Context, node string) ([]string, error)
+	// Adopt takes up what is on record of a partition, and says how much of it is still to be done.
+	Adopt(ctx context.Context, partition string) (int, error)
+	// Drop lets go of a partition that is another's by now.
+	Drop(partition string)
+	// Reborn has all that is taken from now on belong to another life.
+	Reborn(born int64)
+}
+
+// Owner is one node's.
+type Owner struct {
+	store Store
+	front Front
+	addr  string // of this node's batch front
+	name  string
+	lim   limits.Limits
+	log   *slog.Logger
+	ring  *keys.Ring
+	clock func() time.Duration
+
+	refused atomic.Int64 // writes that a fence kept out
+
+	mu     sync.Mutex
+	keeper *duty.Keeper
+	own    duty.Life // under which new jobs are taken
+	born   bool      // its duty is held
+	left   int       // partitions of this node's earlier lives that are still to be taken up
+	asked  bool      // which these are was found out
+	old    []string  // and they are these: without a duty, of a version that had none
+	gone   bool
+
+	leaving bool
+}
+
+// BootTime is a clock that goes on while the machine sleeps: an owner that was asleep for longer than its lease must know.
+func BootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return time.Duration(t.Nano())
+}
+
+// New makes an owner for one life of a node.
+func New(s Store, name string, born int64, addr string, lim limits.Limits, log *slog.Logger) (*Owner, error) {
+	t := duty.Times{TTL: lim.LeaseTTL, Renew: lim.LeaseTTL / 3, Drift: lim.LeaseTTL / 6, Rank: lim.LeaseTTL / 6, Again: 2 * lim.LeaseTTL}
+	if err := t.Check(); err != nil {
+		return nil, err
+	}
+	self := duty.Life{Node: name, Born: born}
+	return &Owner{store: s, addr: addr, name: name, lim: lim, log: log, clock: BootTime, keeper: duty.New(self, t), own: self}, nil
+}
+
+// Connect sets the front. It must be called before Run.
+func (o *Owner) Connect(f Front, ring *keys.Ring) { o.front, o.ring = f, ring }
+
+// ErrLost says that a duty is not, or no longer, this node's: what was to be written for it was not.
+var ErrLost = errors.New("owner: the duty is another node's")
+
+// partition is the one that changes belong to: that of their jobs, or where they are of none, that of this life.
+func (o *Owner) partition(changes []records.Change) string {
+	for _, c := range changes {
+		if c.Kind == "job" || c.Kind == "open" || c.Kind == "array" {
+			if at := strings.LastIndexByte(c.Key, '.'); at > 0 {
+				return c.Key[:at]
+			}
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.own.Partition()
+}
+
+// Write makes all changes or none, under the epoch of the duty that they belong to.
+func (o *Owner) Write(ctx context.Context, changes ...records.Change) error {
+	key := o.partition(changes)
+	o.mu.Lock()
+	epoch, ok := o.keeper.Epoch(key)
+	ok = ok && o.keeper.Valid(o.clock())
+	o.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrLost, key)
+	}
+	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Duties, Key: key, Cond: true, If: epoch}}}
+	for _, c := range changes {
+		op := kv.Op{Verb: kv.Put, Table: c.Kind, Key: c.Key, Value: c.Value}
+		if c.Value == nil {
+			op.Verb = kv.Delete
+		}
+		t.Ops = append(t.Ops, op)
+	}
+	r, err := o.store.Txn(ctx, t)
+	switch {
+	case err != nil:
+		return err
+	case r.Failed == 0:
+		o.refused.Add(1)
+		o.mu.Lock()
+		acts := o.keeper.Fenced(key, epoch, o.clock())
+		o.mu.Unlock()
+		o.log.Warn("a write was refused by its epoch", "duty", key, "epoch", epoch, "now", r.Current)
+		go o.carry(context.WithoutCancel(ctx), nil, acts)
+		return fmt.Errorf("%w: %s", ErrLost, key)
+	case !r.OK():
+		return fmt.Errorf("owner: %s", r.Err)
+	}
+	return nil
+}
+
+// Get and Page are the store's: what is read is fenced by nothing.
+func (o *Owner) Get(ctx context.Context, kind, key string) ([]byte, bool, error) {
+	return o.store.Get(ctx, kind, key)
+}
+
+// Page gives rows in the order of their keys.
+func (o *Owner) Page(ctx context.Context, kind, after string, limit int) ([]records.Row, error) {
+	return o.store.Page(ctx, kind, after, limit)
+}
+
+// Ready says whether this life has its own duty, and all that earlier lives of this node left and nobody has was taken up.
+func (o *Owner) Ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.born && o.asked && o.left == 0
+}
+
+// Place says whose a partition is: this node's, or that of the node whose batch front is at an address; neither, where nobody
+// has it at the moment.
+func (o *Owner) Place(partition string) (addr string, ours bool) {
+	o.mu.Lock()
+	_, ours = o.keeper.Epoch(partition)
+	o.mu.Unlock()
+	if ours {
+		return "", true
+	}
+	v := o.view()
+	for _, d := range v.Duties {
+		if d.Key == partition {
+			if l, ok := v.Leases[d.Owner.Node]; ok && l.Life == d.Owner {
+				return l.Addr, false
+			}
+		}
+	}
+	return "", false
+}
+
+// Pass makes a client's call at another node, once: a call that was passed on is not passed on again.
+func (o *Owner) Pass(ctx context.Context, addr string, m *http1.Message) (*http1.Message, error) {
+	return store.Call(ctx, addr, m.Method, m.Target, m.Body, o.ring, o.lim, http1.Field{Name: Hop, Value: o.name})
+}
+
+// Hop marks a call that a node passed on.
+const Hop = "X-Gatetack-Hop"
+
+// lease is what stands in the store.
+type lease struct {
+	Born int64  `json:"born"`
+	Addr string `json:"addr"`
+}
+
+// view reads leases and duties as this member has them.
+func (o *Owner) view() duty.View {
+	now := o.store.View()
+	v := duty.View{Leases: map[string]duty.Lease{}}
+	for _, e := range now.List(Leases, "", "", 1<<16) {
+		var l lease
+		if json.Unmarshal(e.Value, &l) == nil {
+			v.Leases[e.Key] = duty.Lease{Life: duty.Life{Node: e.Key, Born: l.Born}, Addr: l.Addr, Version: e.Version}
+		}
+	}
+	for _, e := range now.List(Duties, "", "", 1<<16) {
+		var owner duty.Life
+		if json.Unmarshal(e.Value, &owner) == nil {
+			v.Duties = append(v.Duties, duty.Duty{Key: e.Key, Owner: owner, Epoch: e.Version})
+		}
+	}
+	return v
+}
+
+// Run keeps the lease and the duties until the context ends.
+func (o *Owner) Run(ctx context.Context) error {
+	var g errgroup.Group
+	tick := time.NewTicker(o.lim.LeaseTTL / 30)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			_ = g.Wait()
+			return nil
+		}
+		o.mu.Lock()
+		leaving := o.leaving
+		o.mu.Unlock()
+		if leaving {
+			continue
+		}
+		v := o.view()
+		o.begin(ctx, &g, v)
+		o.mu.Lock()
+		v.Duties = append(v.Duties, o.unborn(v)...)
+		acts := o.keeper.Step(o.clock(), v)
+		o.mu.Unlock()
+		o.carry(ctx, &g, acts)
+	}
+}
+
+// unborn are partitions of earlier lives that are on record and have no duty yet: a version that had none left them.
+func (o *Owner) unborn(v duty.View) (out []duty.Duty) {
+	for _, key := range o.old {
+		known := false
+		for _, d := range v.Duties {
+			known = known || d.Key == key
+		}
+		if _, held := o.keeper.Epoch(key); !known && !held {
+			out = append(out, duty.Duty{Key: key})
+		}
+	}
+	return out
+}
+
+// begin finds out what earlier lives of this node left, once, and makes this life's own duty.
+func (o *Owner) begin(ctx context.Context, g *errgroup.Group, v duty.View) {
+	o.mu.Lock()
+	now, own, asked := o.clock(), o.own, o.asked
+	mine, standing := v.Leases[o.name]
+	wants := !o.born && !o.gone && o.keeper.Valid(now) && standing
+	o.mu.Unlock()
+	if !asked {
+		parts, err := o.front.Open(ctx, o.name)
+		if err != nil {
+			return
+		}
+		left := map[string]bool{}
+		for _, p := range parts {
+			left[p] = p != own.Partition()
+		}
+		for _, d := range v.Duties {
+			if l, ok := v.Leases[d.Owner.Node]; d.Owner.Node == o.name && d.Key != own.Partition() {
+				left[d.Key] = true
+			} else if ok && l.Life == d.Owner {
+				left[d.Key] = false // another has it
+			}
+		}
+		o.mu.Lock()
+		for p, ours := range left {
+			if ours {
+				o.old = append(o.old, p)
+			}
+		}
+		o.left, o.asked = len(o.old), true
+		o.mu.Unlock()
+	}
+	if !wants {
+		return
+	}
+	key := own.Partition()
+	value, _ := json.Marshal(duty.Life{Node: o.name, Born: mine.Born})
+	r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{
+		{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: mine.Version},
+		{Verb: kv.Put, Table: Duties, Key: key, Value: value, Cond: true, If: 0}}})
+	if err != nil || !r.OK() {
+		return
+	}
+	o.mu.Lock()
+	acts := o.keeper.Claimed(key, r.Version, o.clock())
+	o.born = len(acts) > 0
+	o.mu.Unlock()
+	o.log.Info("duty taken", "duty", key, "epoch", r.Version, "why", "this life's own")
+}
+
+// carry carries actions out. Calls to the store run beside the loop: one that waits for a leader must not keep a lease from
+// being seen as ended.
+func (o *Owner) carry(ctx context.Context, g *errgroup.Group, acts []duty.Action) {
+	do := func(f func()) {
+		if g == nil {
+			go f()
+			return
+		}
+		g.Go(func() error { f(); return nil })
+	}
+	for _, a := range acts {
+		switch a.Verb {
+		case duty.Renew:
+			asked := o.clock()
+			do(func() { o.renew(ctx, asked, a.If) })
+		case duty.Claim:
+			do(func() { o.claim(ctx, g, a) })
+		case duty.Take:
+			do(func() { o.take(ctx, a) })
+		case duty.Stop:
+			o.stop(a)
+		case duty.Leave:
+			o.mu.Lock()
+			o.gone = true
+			o.mu.Unlock()
+			o.log.Error("another process runs under this node's name, and began later: this one takes no batch jobs any more", "node", o.name)
+		}
+	}
+}
+
+func (o *Owner) renew(ctx context.Context, asked time.Duration, at uint64) {
+	o.mu.Lock()
+	l := lease{Addr: o.addr}
+	l.Born = o.keeper.Self().Born
+	o.mu.Unlock()
+	value, _ := json.Marshal(l)
+	r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{{Verb: kv.Put, Table: Leases, Key: o.name, Value: value,
+		TTL: o.lim.LeaseTTL.Milliseconds(), Cond: true, If: at}}})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err != nil: // not known: it stands until it ends, and is asked for again
+	case r.OK():
+		o.keeper.Renewed(asked, r.Version)
+	default:
+		o.keeper.Unrenewed()
+	}
+}
+
+func (o *Owner) claim(ctx context.Context, g *errgroup.Group, a duty.Action) {
+	self := o.keeper.Self()
+	value, _ := json.Marshal(self)
+	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: a.Mine}}}
+	if a.Owner != "" {
+		t.Ops = append(t.Ops, kv.Op{Verb: kv.Check, Table: Leases, Key: a.Owner, Cond: true, If: a.Lease})
+	}
+	t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: a.Key, Value: value, Cond: true, If: a.If})
+	r, err := o.store.Txn(ctx, t)
+	epoch := uint64(0)
+	if err == nil && r.OK() {
+		epoch = r.Version
+		o.log.Info("duty taken", "duty", a.Key, "epoch", epoch, "was", a.If, "why", "its owner has no lease")
+	}
+	o.mu.Lock()
+	acts := o.keeper.Claimed(a.Key, epoch, o.clock())
+	o.mu.Unlock()
+	o.carry(ctx, nil, acts)
+}
+
+// take does a duty.
+func (o *Owner) take(ctx context.Context, a duty.Action) {
+	for {
+		open, err := o.front.Adopt(ctx, a.Key)
+		if err == nil {
+			o.log.Info("duty taken up", "duty", a.Key, "epoch", a.Epoch, "open", open)
+			break
+		}
+		o.mu.Lock()
+		epoch, ours := o.keeper.Epoch(a.Key)
+		o.mu.Unlock()
+		if !ours || epoch != a.Epoch || ctx.Err() != nil {
+			return
+		}
+		o.log.Warn("a duty can not be taken up yet", "duty", a.Key, "err", err)
+		select {
+		case <-time.After(o.lim.StoreBeat):
+		case <-ctx.Done():
+			return
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, key := range o.old {
+		if key == a.Key {
+			o.old = append(o.old[:i], o.old[i+1:]...)
+			o.left--
+			break
+		}
+	}
+}
+
+// stop lets go of a duty that was lost. Where it was that of this life's own jobs, what is taken from now on is of another.
+func (o *Owner) stop(a duty.Action) {
+	o.log.Warn("duty lost", "duty", a.Key, "epoch", a.Epoch)
+	o.front.Drop(a.Key)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if a.Key != o.own.Partition() {
+		return
+	}
+	o.own.Born, o.born = max(o.own.Born+1, time.Now().UnixMilli()), false
+	o.front.Reborn(o.own.Born)
+}
+
+// LetGo writes all that is held as nobody's and takes the lease away, at a planned end, so that others need not wait for the
+// lease's end. Nothing is claimed any more.
+func (o *Owner) LetGo(ctx context.Context) {
+	o.mu.Lock()
+	o.leaving = true
+	t := &kv.Txn{}
+	none, _ := json.Marshal(duty.Life{})
+	for _, key := range o.keeper.Held() {
+		epoch, _ := o.keeper.Epoch(key)
+		t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: key, Value: none, Cond: true, If: epoch})
+		o.keeper.Release(key)
+	}
+	if mine := o.keeper.Mine(); mine != 0 {
+		t.Ops = append(t.Ops, kv.Op{Verb: kv.Delete, Table: Leases, Key: o.name, Cond: true, If: mine})
+	}
+	o.mu.Unlock()
+	if len(t.Ops) == 0 {
+		return
+	}
+	if r, err := o.store.Txn(ctx, t); err != nil || !r.OK() {
+		o.log.Info("duties were not handed over in order: others wait for the lease's end", "err", err)
+	}
+}
+
+// Refused counts writes that a fence kept out.
+func (o *Owner) Refused() int64 { return o.refused.Load() }
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -96,6 +96,9 @@
 	return e.Value, true
 }
 
+// View is the state as this member has it, which may be old.
+func (s *Store) View() *kv.View { return s.fsm.view() }
+
 // ask has the leader do a call. While a new leader is chosen it waits, until the context ends.
 func (s *Store) ask(ctx context.Context, path string, body []byte) (*http1.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
@@ -147,7 +150,8 @@
 }
 
 // Call makes one call to a member, on a connection of its own, by keys where there are any.
-func Call(ctx context.Context, addr, verb, path string, body []byte, ring *keys.Ring, lim limits.Limits) (*http1.Message, error) {
+func Call(ctx context.Context, addr, verb, path string, body []byte, ring *keys.Ring, lim limits.Limits,
+	fields ...http1.Field) (*http1.Message, error) {
 	dialed, err := dial(ctx, addr, ring)
 	if err != nil {
 		return nil, err
@@ -157,7 +161,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	w := http1.NewWriter(c, lim.Ring)
-	if err := errors.Join(w.Request(verb, path, []http1.Field{{Name: "Host", Value: addr}}, body), w.Flush()); err != nil {
+	if err := errors.Join(w.Request(verb, path, append(fields, http1.Field{Name: "Host", Value: addr}), body), w.Flush()); err != nil {
 		return nil, err
 	}
 	lim.Body = max(lim.Body, 512<<20) // a snapshot may be large
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,158 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/standin"
+)
+
+// fleet is processes of the program that are members of one store. Each has boxes of its own addresses, by the same names:
+// as on the platform, a box is reached by each node at another address, and calls that node back.
+type fleet []*site
+
+func newFleet(t *testing.T, n int, run time.Duration) fleet {
+	t.Helper()
+	var f fleet
+	members := map[string]string{}
+	for i := range n {
+		s := newSite(t, 2, run)
+		s.name = fmt.Sprintf("n%d", i)
+		members[s.name] = s.store
+		f = append(f, s)
+	}
+	var list []string
+	for i := range f {
+		list = append(list, fmt.Sprintf("n%d: %q", i, f[i].store))
+	}
+	for _, s := range f {
+		s.extra = fmt.Sprintf("store:\n  dir: store\n  listen: %s\n  members: {%s}\n", s.store, strings.Join(list, ", "))
+	}
+	done := make(chan struct{})
+	for _, s := range f[1:] {
+		go func() { s.start(); done <- struct{}{} }()
+	}
+	f[0].start()
+	for range f[1:] {
+		<-done
+	}
+	return f
+}
+
+// signal stops a process as it stands, or lets it go on.
+func (s *site) signal(sig syscall.Signal) {
+	s.t.Helper()
+	if err := s.process.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// starts counts, at all boxes of all processes, how often the job with a payload started.
+func (f fleet) starts(payload string) (n int) {
+	for _, s := range f {
+		for _, b := range s.boxes {
+			for _, x := range b.Starts() {
+				if x.Body == payload {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func (s *site) take(t *testing.T, template string) string {
+	t.Helper()
+	var id string
+	s.until("a submission is taken", func() bool {
+		status, v := s.drmaa("POST", "/jobs", template)
+		id = v.Get("jobId").String()
+		return status == 201
+	})
+	return id
+}
+
+// A node is stopped in the middle of its work for longer than its lease, others take its duty over and its waiting jobs go
+// on; then it is let go on. Woken late it does no harm: nothing that waited there starts a second time, what had been sent is
+// told as in doubt and is not sent again, and it tells of its former jobs what their owner does.
+func TestLateOwnerDoesNoHarm(t *testing.T) {
+	f := newFleet(t, 3, 50*time.Millisecond)
+	old := f[0]
+	for _, b := range old.boxes {
+		b.Set(func(h *standin.Behaviour) { h.Run = time.Hour }) // what it sends stays out
+	}
+	template := `{"jobCategory":"tile-charge","accountingId":"maavaade","payload":%q%s}`
+	sent := old.take(t, fmt.Sprintf(template, "sent", ""))
+	old.until("the first job runs", func() bool { return f.starts("sent") == 1 })
+	held, due := map[string]string{}, map[string]string{}
+	for i := range 6 {
+		p := fmt.Sprintf("held %d", i)
+		held[p] = old.take(t, fmt.Sprintf(template, p, `,"submitAsHold":true`))
+	}
+	at := time.Now().Add(4 * time.Second)
+	for i := range 6 {
+		p := fmt.Sprintf("due %d", i)
+		due[p] = old.take(t, fmt.Sprintf(template, p, fmt.Sprintf(`,"startTime":%q`, at.UTC().Format(time.RFC3339Nano))))
+	}
+	old.signal(syscall.SIGSTOP)
+
+	// Any other node takes calls for them, and passes them to whoever has them now.
+	for i, id := range mapValues(held) {
+		s := f[1+i%2]
+		s.until("a held job of the stopped node can be released", func() bool {
+			status, _ := s.drmaa("POST", "/jobs/"+id+"/release", "")
+			return status == 200
+		})
+	}
+	state := func(s *site, id string) string {
+		_, v := s.drmaa("GET", "/jobs/"+id, "")
+		return v.Get("jobState").String()
+	}
+	for _, jobs := range []map[string]string{held, due} {
+		for p, id := range jobs {
+			f[1].until(p+" is done", func() bool { return state(f[1], id) == "DONE" })
+		}
+	}
+	if got := state(f[2], sent); got != "UNDETERMINED" {
+		t.Errorf("the job that was sent is told as %s, want UNDETERMINED: it may have run", got)
+	}
+
+	old.signal(syscall.SIGCONT)
+	old.until("it tells of its former jobs what their owner does", func() bool {
+		for _, id := range held {
+			if state(old, id) != "DONE" {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second) // for what it might yet send
+	for _, jobs := range []map[string]string{held, due, {"sent": sent}} {
+		for p := range jobs {
+			if n := f.starts(p); n != 1 {
+				t.Errorf("%s started %d times, want once", p, n)
+			}
+		}
+	}
+	if got := state(f[1], sent); got != "UNDETERMINED" {
+		t.Errorf("the job that was sent is told as %s after its old owner woke up", got)
+	}
+	// It does not claim back what it lost, and takes new work under a duty of its own.
+	id := old.take(t, fmt.Sprintf(template, "after", `,"submitAsHold":true`))
+	if status, v := old.drmaa("POST", "/jobs/"+id+"/terminate", ""); status != 200 {
+		t.Errorf("a new job of the node that woke up: %d %s", status, v.Raw)
+	}
+	_ = gjson.Result{}
+}
+
+func mapValues(m map[string]string) (out []string) {
+	for _, v := range m {
+		out = append(out, v)
+	}
+	return out
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -52,6 +52,7 @@
 	listen  string
 	batch   string
 	store   string
+	name    string // n0 where nothing is said
 	rules   string // the node's settings, where they are not the usual ones
 	extra   string // lines of the operator's file
 	sockets int    // granted to the node, with the memory, where a test needs less than usual
@@ -71,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, ctx: ctx, g: g, dir: t.TempDir(), listen: ports[0], batch: ports[1], store: ports[2]}
+	s := &site{t: t, ctx: ctx, g: g, name: "n0", dir: t.TempDir(), listen: ports[0], batch: ports[1], store: ports[2]}
 	if s.list, err = standin.NewList(ctx, g); err != nil {
 		t.Fatal(err)
 	}
@@ -106,8 +107,8 @@
 	if s.sockets > 0 {
 		sockets, memory = s.sockets, s.memory
 	}
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, s.listen, discovery, memory, sockets, settings)
+	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, s.name, s.listen, discovery, memory, sockets, settings)
 	if err := os.WriteFile(config+".new", []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
