--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -246,6 +246,10 @@
 	if at, ok := k.lost[d.Key]; ok && now-at < k.t.Again {
 		return Action{}, false
 	}
+	if d.Owner == k.self {
+		// Ours in the store and not here: the answer to a claim was lost. Claimed again it has an epoch that is known.
+		return Action{Verb: Claim, Key: d.Key, If: d.Epoch, Mine: k.mine}, true
+	}
 	lease, standing := v.Leases[d.Owner.Node]
 	if standing && lease.Life == d.Owner {
 		delete(k.idle, d.Key)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -61,6 +61,7 @@
 	log   *slog.Logger
 	ring  *keys.Ring
 	clock func() time.Duration
+	spawn func(func()) // runs what waits for the store beside the loop
 
 	refused atomic.Int64 // writes that a fence kept out
 
@@ -92,7 +93,7 @@
 		return nil, err
 	}
 	self := duty.Life{Node: name, Born: born}
-	return &Owner{store: s, addr: addr, name: name, lim: lim, log: log, clock: BootTime, keeper: duty.New(self, t), own: self}, nil
+	return &Owner{store: s, addr: addr, name: name, lim: lim, log: log, clock: BootTime, spawn: func(f func()) { go f() }, keeper: duty.New(self, t), own: self}, nil
 }
 
 // Connect sets the front. It must be called before Run.
@@ -140,10 +141,10 @@
 	case r.Failed == 0:
 		o.refused.Add(1)
 		o.mu.Lock()
-		acts := o.keeper.Fenced(key, epoch, o.clock())
+		acts, do := o.keeper.Fenced(key, epoch, o.clock()), o.spawn
 		o.mu.Unlock()
 		o.log.Warn("a write was refused by its epoch", "duty", key, "epoch", epoch, "now", r.Current)
-		go o.carry(context.WithoutCancel(ctx), nil, acts)
+		do(func() { o.carry(context.WithoutCancel(ctx), acts) }) // beside the caller, who may hold a job's lock
 		return fmt.Errorf("%w: %s", ErrLost, key)
 	case !r.OK():
 		return fmt.Errorf("owner: %s", r.Err)
@@ -224,6 +225,9 @@
 // Run keeps the lease and the duties until the context ends.
 func (o *Owner) Run(ctx context.Context) error {
 	var g errgroup.Group
+	o.mu.Lock()
+	o.spawn = func(f func()) { g.Go(func() error { f(); return nil }) }
+	o.mu.Unlock()
 	tick := time.NewTicker(o.lim.LeaseTTL / 30)
 	defer tick.Stop()
 	for {
@@ -233,22 +237,27 @@
 			_ = g.Wait()
 			return nil
 		}
-		o.mu.Lock()
-		leaving := o.leaving
-		o.mu.Unlock()
-		if leaving {
-			continue
-		}
-		v := o.view()
-		o.begin(ctx, &g, v)
-		o.mu.Lock()
-		v.Duties = append(v.Duties, o.unborn(v)...)
-		acts := o.keeper.Step(o.clock(), v)
-		o.mu.Unlock()
-		o.carry(ctx, &g, acts)
+		o.step(ctx)
 	}
 }
 
+// step looks at the store and does what is due.
+func (o *Owner) step(ctx context.Context) {
+	o.mu.Lock()
+	leaving := o.leaving
+	o.mu.Unlock()
+	if leaving {
+		return
+	}
+	v := o.view()
+	o.begin(ctx, v)
+	o.mu.Lock()
+	v.Duties = append(v.Duties, o.unborn(v)...)
+	acts := o.keeper.Step(o.clock(), v)
+	o.mu.Unlock()
+	o.carry(ctx, acts)
+}
+
 // unborn are partitions of earlier lives that are on record and have no duty yet: a version that had none left them.
 func (o *Owner) unborn(v duty.View) (out []duty.Duty) {
 	for _, key := range o.old {
@@ -264,7 +273,7 @@
 }
 
 // begin finds out what earlier lives of this node left, once, and makes this life's own duty.
-func (o *Owner) begin(ctx context.Context, g *errgroup.Group, v duty.View) {
+func (o *Owner) begin(ctx context.Context, v duty.View) {
 	o.mu.Lock()
 	now, own, asked := o.clock(), o.own, o.asked
 	mine, standing := v.Leases[o.name]
@@ -315,21 +324,17 @@
 
 // carry carries actions out. Calls to the store run beside the loop: one that waits for a leader must not keep a lease from
 // being seen as ended.
-func (o *Owner) carry(ctx context.Context, g *errgroup.Group, acts []duty.Action) {
-	do := func(f func()) {
-		if g == nil {
-			go f()
-			return
-		}
-		g.Go(func() error { f(); return nil })
-	}
+func (o *Owner) carry(ctx context.Context, acts []duty.Action) {
+	o.mu.Lock()
+	do := o.spawn
+	o.mu.Unlock()
 	for _, a := range acts {
 		switch a.Verb {
 		case duty.Renew:
 			asked := o.clock()
 			do(func() { o.renew(ctx, asked, a.If) })
 		case duty.Claim:
-			do(func() { o.claim(ctx, g, a) })
+			do(func() { o.claim(ctx, a) })
 		case duty.Take:
 			do(func() { o.take(ctx, a) })
 		case duty.Stop:
@@ -362,7 +367,7 @@
 	}
 }
 
-func (o *Owner) claim(ctx context.Context, g *errgroup.Group, a duty.Action) {
+func (o *Owner) claim(ctx context.Context, a duty.Action) {
 	self := o.keeper.Self()
 	value, _ := json.Marshal(self)
 	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: a.Mine}}}
@@ -378,8 +383,9 @@
 	}
 	o.mu.Lock()
 	acts := o.keeper.Claimed(a.Key, epoch, o.clock())
+	o.born = o.born || len(acts) > 0 && a.Key == o.own.Partition()
 	o.mu.Unlock()
-	o.carry(ctx, nil, acts)
+	o.carry(ctx, acts)
 }
 
 // take does a duty.
