Stop an owner at named points: before the hand-over, after the intent, after the last byte

Need: hard cases caused by their point and not by luck. GATETACK_STOP_AT stops the process (SIGSTOP) the first time that it comes to a point; nothing happens without it. Shown by processes: a job whose hand-over was not on record goes on at the heir alone; one whose intent was is told as in doubt there and started once, at most; the late owner's records are refused.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -20,6 +20,7 @@
 	"quincereach/internal/node"
 	"quincereach/internal/records"
 	"quincereach/internal/release"
+	"quincereach/internal/stops"
 )
 
 // Core takes jobs.
@@ -329,6 +330,7 @@
 		r.State, r.SubState, r.Handed = Queued, subHeld, true
 		r.RetryMS = 0
 	})
+	stops.At(stops.Hand)
 	if err := f.put(ctx, j, nil); err != nil {
 		f.refused(j, f.lim.StoreBeat, now)
 		return
@@ -363,13 +365,17 @@
 func (f *Front) sending(j *job, executor string, until time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	return f.put(ctx, j, func(r *Record) error {
+	err := f.put(ctx, j, func(r *Record) error {
 		if r.State.over() {
 			return errors.New("the job has ended")
 		}
 		r.SubState, r.Machines = subSent, []string{executor}
 		return nil
 	})
+	if err == nil {
+		stops.At(stops.Intent)
+	}
+	return err
 }
 
 // find gives a job of this life, or the record of one of another.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -20,6 +20,7 @@
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
 	"quincereach/internal/pace"
+	"quincereach/internal/stops"
 )
 
 // Sink takes what came of attempts and probes.
@@ -281,6 +282,7 @@
 	if err = conn.out.Flush(); err != nil {
 		return brain.ConnectFailed, nil
 	}
+	stops.At(stops.Byte)
 	wrote := time.Now()
 	m, err := c.answer(t, conn)
 	// A connection that was forgotten breaks as soon as the request gets there; one that breaks later was in use.
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -17,7 +18,7 @@
 // as on the platform, a box is reached by each node at another address, and calls that node back.
 type fleet []*site
 
-func newFleet(t *testing.T, n int, run time.Duration) fleet {
+func newFleet(t *testing.T, n int, run time.Duration, env ...string) fleet {
 	t.Helper()
 	var f fleet
 	members := map[string]string{}
@@ -34,6 +35,7 @@
 	for _, s := range f {
 		s.extra = fmt.Sprintf("store:\n  dir: store\n  listen: %s\n  members: {%s}\n", s.store, strings.Join(list, ", "))
 	}
+	f[0].env = env // the first one's alone
 	done := make(chan struct{})
 	for _, s := range f[1:] {
 		go func() { s.start(); done <- struct{}{} }()
@@ -252,3 +254,54 @@
 	}
 	return out
 }
+
+// stopped says whether the process stands still, as it does at a point where it is to stop.
+func (s *site) stopped() bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.process.Process.Pid))
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	return err == nil && strings.HasPrefix(rest, "T")
+}
+
+// An owner stands still at a named point of its work for longer than its lease and is let go on once another has its duty: a
+// job whose hand-over was not on record goes on there and nowhere else, one whose intent was is told as in doubt there, and
+// whatever the late one goes on with starts no job a second time.
+func TestOwnerStoppedAtNamedPoints(t *testing.T) {
+	for _, x := range []struct {
+		point string
+		want  string // the state that the heir tells in the end
+	}{{"hand", "DONE"}, {"intent", "UNDETERMINED"}, {"byte", "UNDETERMINED"}} {
+		t.Run(x.point, func(t *testing.T) {
+			f := newFleet(t, 3, 50*time.Millisecond, "GATETACK_STOP_AT="+x.point)
+			old, heir := f[0], f[1]
+			id := old.take(t, `{"jobCategory":"tile-charge","accountingId":"maavaade","payload":"the job","submitAsHold":true}`)
+			go func() { // its answer may never come
+				_, _ = standin.Call(old.batch, "POST", "/drmaa2/v1/jobs/"+id+"/release", nil)
+			}()
+			old.until("the owner stands at the point", old.stopped)
+			state := func(s *site) string {
+				_, v := s.drmaa("GET", "/jobs/"+id, "")
+				return v.Get("jobState").String()
+			}
+			heir.until("another has the job", func() bool {
+				got := state(heir)
+				return heir.logged("duty taken up") || f[2].logged("duty taken up") || got == "UNDETERMINED"
+			})
+			if x.want == "DONE" {
+				heir.until("it can be released there", func() bool {
+					status, v := heir.drmaa("POST", "/jobs/"+id+"/release", "")
+					return status == 200 || v.Get("jobState").String() == "DONE" // its release may have been on record
+				})
+			}
+			heir.until("the heir tells of it as "+x.want, func() bool { return state(heir) == x.want })
+			old.signal(syscall.SIGCONT)
+			old.until("the late one tells the same", func() bool { return state(old) == x.want })
+			time.Sleep(time.Second) // for what it might yet send, or write
+			if n := f.starts("the job"); n > 1 || x.point != "intent" && n != 1 {
+				t.Errorf("it started %d times", n)
+			}
+			if got := state(heir); got != x.want {
+				t.Errorf("the heir tells of it as %s after the late one woke up, want %s", got, x.want)
+			}
+		})
+	}
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -54,6 +54,7 @@
 	store   string
 	name    string // n0 where nothing is said
 	rules   string // the node's settings, where they are not the usual ones
+	env     []string
 	extra   string // lines of the operator's file
 	sockets int    // granted to the node, with the memory, where a test needs less than usual
 	memory  int    // in MB
@@ -135,6 +136,7 @@
 	}
 	s.process = exec.Command(program, "serve", "--config", file, "--log-level", "debug")
 	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_DISCOVERY="+s.list.Addr)
+	s.process.Env = append(s.process.Env, s.env...)
 	s.process.Stderr = s.log
 	if err := s.process.Start(); err != nil {
 		s.t.Fatal(err)
