Say once what the change wrote twice: store changes, entries, pages, flags; ask for one place

Read through once more. Place read and decoded every duty to find one, and is asked seven times a second by each call that waits at another node: it looks at two entries now. Owner.Write made operations of changes as Store.Write does (store.Ops); gatetack duty had store's flags and its paging loop again (newStoreRemote, each); a count stood beside the list that it counted; Drop looked through the dropped jobs for each kept one, and takes them off in one pass. Behaviour is the same.

--- a/cmd/gatetack/duty.go
+++ b/cmd/gatetack/duty.go
@@ -12,7 +12,6 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/internal/duty"
-	"quincereach/internal/limits"
 	"quincereach/internal/owner"
 )
 
@@ -29,11 +28,8 @@
 }
 
 func dutyCommand() *cobra.Command {
-	r := &storeRemote{lim: limits.New(0, 0, 0, 0, 0)}
 	cmd := &cobra.Command{Use: "duty", Short: "tell which node has which jobs on record, and hand them on"}
-	cmd.PersistentFlags().StringVar(&r.addr, "store-addr", "127.0.0.1:7480", "where a member of the store listens")
-	cmd.PersistentFlags().StringVar(&r.keys, "keys", "", "a folder of keys, where the store has them")
-	cmd.PersistentFlags().DurationVar(&r.timeout, "timeout", 30*time.Second, "give up after so long")
+	r := newStoreRemote(cmd)
 	var output string
 	cmd.PersistentFlags().StringVar(&output, "output", "text", "text or json")
 	cmd.AddCommand(&cobra.Command{Use: "list", Short: "list all duties, who has each and since when", Args: noArgs,
@@ -106,38 +102,16 @@
 	return fmt.Sprintf("%s, begun %s", l.Node, time.UnixMilli(l.Born).UTC().Format(time.RFC3339))
 }
 
-// entries reads a table whole.
-func (r *storeRemote) entries(cmd *cobra.Command, table string) (out []gjson.Result, err error) {
-	for after := ""; ; {
-		v, _, err := r.call(cmd.Context(), "GET", "kv/"+table+"?"+url.Values{"after": {after}}.Encode(), nil)
-		if err != nil {
-			return nil, err
-		}
-		page := v.Get("entries").Array()
-		if len(page) == 0 {
-			return out, nil
-		}
-		out = append(out, page...)
-		after = page[len(page)-1].Get("key").String()
-	}
-}
-
 func (r *storeRemote) duties(cmd *cobra.Command) ([]standing, error) {
-	leases, err := r.entries(cmd, owner.Leases)
-	if err != nil {
-		return nil, err
-	}
 	living := map[duty.Life]string{}
-	for _, e := range leases {
+	if err := r.each(cmd.Context(), owner.Leases, "", false, func(e gjson.Result) {
 		v := gjson.Parse(e.Get("value").String())
 		living[duty.Life{Node: e.Get("key").String(), Born: v.Get("born").Int()}] = v.Get("addr").String()
-	}
-	duties, err := r.entries(cmd, owner.Duties)
-	if err != nil {
+	}); err != nil {
 		return nil, err
 	}
 	all := []standing{}
-	for _, e := range duties {
+	err := r.each(cmd.Context(), owner.Duties, "", false, func(e gjson.Result) {
 		l := lifeOf(e)
 		of, _ := duty.ParsePartition(e.Get("key").String())
 		addr, alive := living[l]
@@ -154,8 +128,8 @@
 			x.Why = "its own jobs"
 		}
 		all = append(all, x)
-	}
-	return all, nil
+	})
+	return all, err
 }
 
 func showDuties(cmd *cobra.Command, output string, all []standing) error {
--- a/cmd/gatetack/store.go
+++ b/cmd/gatetack/store.go
@@ -53,12 +53,37 @@
 	return gjson.ParseBytes(m.Body), m.Body, nil
 }
 
-func storeCommand() *cobra.Command {
+// newStoreRemote gives a command the flags that say which member to speak to, and how.
+func newStoreRemote(cmd *cobra.Command) *storeRemote {
 	r := &storeRemote{lim: limits.New(0, 0, 0, 0, 0)}
-	cmd := &cobra.Command{Use: "store", Short: "look at and change the replicated store, and its members"}
 	cmd.PersistentFlags().StringVar(&r.addr, "store-addr", "127.0.0.1:7480", "where a member of the store listens")
 	cmd.PersistentFlags().StringVar(&r.keys, "keys", "", "a folder of keys, where the store has them")
 	cmd.PersistentFlags().DurationVar(&r.timeout, "timeout", 30*time.Second, "give up after so long")
+	return r
+}
+
+// each tells of all entries of a table whose keys begin with a prefix, page by page.
+func (r *storeRemote) each(ctx context.Context, table, prefix string, stale bool, tell func(gjson.Result)) error {
+	for after := ""; ; {
+		q := url.Values{"prefix": {prefix}, "after": {after}}
+		v, _, err := r.call(ctx, "GET", "kv/"+url.PathEscape(table)+"?"+q.Encode()+staleQuery(stale, "&"), nil)
+		if err != nil {
+			return err
+		}
+		all := v.Get("entries").Array()
+		for _, e := range all {
+			tell(e)
+			after = e.Get("key").String()
+		}
+		if len(all) == 0 {
+			return nil
+		}
+	}
+}
+
+func storeCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "store", Short: "look at and change the replicated store, and its members"}
+	r := newStoreRemote(cmd)
 	show := func(cmd *cobra.Command, body []byte) error {
 		var v any
 		if err := json.Unmarshal(body, &v); err != nil {
@@ -176,21 +201,7 @@
 			return nil
 		},
 		RunE: func(cmd *cobra.Command, a []string) error {
-			for after := ""; ; {
-				q := url.Values{"prefix": {prefix}, "after": {after}}
-				v, _, err := r.call(cmd.Context(), "GET", "kv/"+url.PathEscape(a[0])+"?"+q.Encode()+staleQuery(*stale, "&"), nil)
-				if err != nil {
-					return err
-				}
-				all := v.Get("entries").Array()
-				for _, e := range all {
-					fmt.Fprintln(cmd.OutOrStdout(), e.Raw)
-					after = e.Get("key").String()
-				}
-				if len(all) == 0 {
-					return nil
-				}
-			}
+			return r.each(cmd.Context(), a[0], prefix, *stale, func(e gjson.Result) { fmt.Fprintln(cmd.OutOrStdout(), e.Raw) })
 		}}
 	cmd.Flags().StringVar(&prefix, "prefix", "", "keys that begin with it")
 	cmd.Flags().BoolVar(stale, "stale", false, "as this member has them, which may be old")
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -136,19 +136,19 @@
 	now := time.Now()
 	var gone []*job
 	f.mu.Lock()
-	for id, j := range f.jobs {
-		if p, ok := partitionOf(id); !ok || p != partition {
-			continue
+	f.order = slices.DeleteFunc(f.order, func(j *job) bool {
+		r := j.record()
+		if p, ok := partitionOf(r.ID); !ok || p != partition {
+			return false
 		}
 		gone = append(gone, j)
-		r := j.record()
 		f.forget(j, &r)
 		if j.array == nil {
 			f.queue.Remove(j.ref.ID, now)
 			delete(f.waits, j.ref.ID)
 		}
-	}
-	f.order = slices.DeleteFunc(f.order, func(j *job) bool { return slices.Contains(gone, j) })
+		return true
+	})
 	for id := range f.arrays {
 		if p, ok := partitionOf(id); ok && p == partition {
 			f.queue.Remove(id, now)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,9 +70,8 @@
 	keeper *duty.Keeper
 	own    duty.Life // under which new jobs are taken
 	born   bool      // its duty is held
-	left   int       // partitions of this node's earlier lives that are still to be taken up
-	asked  bool      // which these are was found out
-	old    []string  // and they are these: without a duty, of a version that had none
+	asked  bool      // which partitions this node's earlier lives left was found out,
+	old    []string  // and these are still to be taken up
 	gone   bool
 
 	leaving bool
@@ -127,13 +127,7 @@
 		return fmt.Errorf("%w: %s", ErrLost, key)
 	}
 	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Duties, Key: key, Cond: true, If: epoch}}}
-	for _, c := range changes {
-		op := kv.Op{Verb: kv.Put, Table: c.Kind, Key: c.Key, Value: c.Value}
-		if c.Value == nil {
-			op.Verb = kv.Delete
-		}
-		t.Ops = append(t.Ops, op)
-	}
+	t.Ops = append(t.Ops, store.Ops(changes)...)
 	r, err := o.store.Txn(ctx, t)
 	switch {
 	case err != nil:
@@ -166,7 +160,7 @@
 func (o *Owner) Ready() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.born && o.asked && o.left == 0
+	return o.born && o.asked && len(o.old) == 0
 }
 
 // Place says whose a partition is: this node's, or that of the node whose batch front is at an address; neither, where nobody
@@ -178,12 +172,10 @@
 	if ours {
 		return "", true
 	}
-	v := o.view()
-	for _, d := range v.Duties {
-		if d.Key == partition {
-			if l, ok := v.Leases[d.Owner.Node]; ok && l.Life == d.Owner {
-				return l.Addr, false
-			}
+	now := o.store.View()
+	if d, ok := dutyOf(now.Get(Duties, partition)); ok {
+		if l, ok := leaseOf(now.Get(Leases, d.Owner.Node)); ok && l.Life == d.Owner {
+			return l.Addr, false
 		}
 	}
 	return "", false
@@ -208,20 +200,35 @@
 	now := o.store.View()
 	v := duty.View{Leases: map[string]duty.Lease{}}
 	for _, e := range now.List(Leases, "", "", 1<<16) {
-		var l lease
-		if json.Unmarshal(e.Value, &l) == nil {
-			v.Leases[e.Key] = duty.Lease{Life: duty.Life{Node: e.Key, Born: l.Born}, Addr: l.Addr, Version: e.Version}
+		if l, ok := leaseOf(e, true); ok {
+			v.Leases[l.Node] = l
 		}
 	}
 	for _, e := range now.List(Duties, "", "", 1<<16) {
-		var owner duty.Life
-		if json.Unmarshal(e.Value, &owner) == nil {
-			v.Duties = append(v.Duties, duty.Duty{Key: e.Key, Owner: owner, Epoch: e.Version})
+		if d, ok := dutyOf(e, true); ok {
+			v.Duties = append(v.Duties, d)
 		}
 	}
 	return v
 }
 
+// leaseOf and dutyOf read an entry, if there is one and it is what it should be.
+func leaseOf(e *kv.Entry, found bool) (duty.Lease, bool) {
+	var l lease
+	if !found || json.Unmarshal(e.Value, &l) != nil {
+		return duty.Lease{}, false
+	}
+	return duty.Lease{Life: duty.Life{Node: e.Key, Born: l.Born}, Addr: l.Addr, Version: e.Version}, true
+}
+
+func dutyOf(e *kv.Entry, found bool) (duty.Duty, bool) {
+	var owner duty.Life
+	if !found || json.Unmarshal(e.Value, &owner) != nil {
+		return duty.Duty{}, false
+	}
+	return duty.Duty{Key: e.Key, Owner: owner, Epoch: e.Version}, true
+}
+
 // Run keeps the lease and the duties until the context ends.
 func (o *Owner) Run(ctx context.Context) error {
 	var g errgroup.Group
@@ -301,7 +308,7 @@
 				o.old = append(o.old, p)
 			}
 		}
-		o.left, o.asked = len(o.old), true
+		o.asked = true
 		o.mu.Unlock()
 	}
 	if !wants {
@@ -411,13 +418,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for i, key := range o.old {
-		if key == a.Key {
-			o.old = append(o.old[:i], o.old[i+1:]...)
-			o.left--
-			break
-		}
-	}
+	o.old = slices.DeleteFunc(o.old, func(key string) bool { return key == a.Key })
 }
 
 // stop lets go of a duty that was lost. Where it was that of this life's own jobs, what is taken from now on is of another.
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -30,19 +30,23 @@
 
 // Write makes all changes or none, as one entry of the log, and returns once most members have it.
 func (s *Store) Write(ctx context.Context, changes ...records.Change) error {
-	t := &kv.Txn{}
+	r, err := s.Txn(ctx, &kv.Txn{Ops: Ops(changes)})
+	if err == nil && !r.OK() {
+		err = fmt.Errorf("store: %s", r.Err)
+	}
+	return err
+}
+
+// Ops are the operations that make changes.
+func Ops(changes []records.Change) (ops []kv.Op) {
 	for _, c := range changes {
 		op := kv.Op{Verb: kv.Put, Table: c.Kind, Key: c.Key, Value: c.Value}
 		if c.Value == nil {
 			op.Verb = kv.Delete
 		}
-		t.Ops = append(t.Ops, op)
+		ops = append(ops, op)
 	}
-	r, err := s.Txn(ctx, t)
-	if err == nil && !r.OK() {
-		err = fmt.Errorf("store: %s", r.Err)
-	}
-	return err
+	return ops
 }
 
 // Txn makes a transaction, and returns once most members have it. A result that is not OK says which condition did not
