Claim this life's own duty as any other; take nothing up of it

begin wrote the same transaction as claim beside it. One serves both now. Where the answer to the own claim was lost, the other path took up this life's own records, which are being done: a job just handed over could have been told as unsent. That is left out.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -314,19 +314,7 @@
 	if !wants {
 		return
 	}
-	key := own.Partition()
-	value, _ := json.Marshal(duty.Life{Node: o.name, Born: mine.Born})
-	r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{
-		{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: mine.Version},
-		{Verb: kv.Put, Table: Duties, Key: key, Value: value, Cond: true, If: 0}}})
-	if err != nil || !r.OK() {
-		return
-	}
-	o.mu.Lock()
-	acts := o.keeper.Claimed(key, r.Version, o.clock())
-	o.born = len(acts) > 0
-	o.mu.Unlock()
-	o.log.Info("duty taken", "duty", key, "epoch", r.Version, "why", "this life's own")
+	o.claim(ctx, duty.Action{Key: own.Partition(), Mine: mine.Version}, "this life's own")
 }
 
 // carry carries actions out. Calls to the store run beside the loop: one that waits for a leader must not keep a lease from
@@ -341,7 +329,7 @@
 			asked := o.clock()
 			do(func() { o.renew(ctx, asked, a.If) })
 		case duty.Claim:
-			do(func() { o.claim(ctx, a) })
+			do(func() { o.claim(ctx, a, "its owner has no lease") })
 		case duty.Take:
 			do(func() { o.take(ctx, a) })
 		case duty.Stop:
@@ -374,7 +362,9 @@
 	}
 }
 
-func (o *Owner) claim(ctx context.Context, a duty.Action) {
+// claim writes a duty as ours. Nothing is taken up of this life's own: what is on record of it is being done here, and would be
+// taken for what an earlier life left.
+func (o *Owner) claim(ctx context.Context, a duty.Action, why string) {
 	self := o.keeper.Self()
 	value, _ := json.Marshal(self)
 	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: a.Mine}}}
@@ -386,11 +376,13 @@
 	epoch := uint64(0)
 	if err == nil && r.OK() {
 		epoch = r.Version
-		o.log.Info("duty taken", "duty", a.Key, "epoch", epoch, "was", a.If, "why", "its owner has no lease")
+		o.log.Info("duty taken", "duty", a.Key, "epoch", epoch, "was", a.If, "why", why)
 	}
 	o.mu.Lock()
 	acts := o.keeper.Claimed(a.Key, epoch, o.clock())
-	o.born = o.born || len(acts) > 0 && a.Key == o.own.Partition()
+	if a.Key == o.own.Partition() {
+		o.born, acts = o.born || len(acts) > 0, nil
+	}
 	o.mu.Unlock()
 	o.carry(ctx, acts)
 }
