Count a job that was let go of nowhere: it crashed the node as its hand-over came back

The places of jobs that were out when a partition was let go of were also never given back, so that a node that lost duties with 64 jobs out handed out nothing more. Now what comes back of a job that is not kept counts nowhere, Drop gives its place back, and a job that was being taken as its partition went is let go of at its first refused write. Three tests, at each point of the way; two failed before.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -240,6 +240,10 @@
 func (f *Front) over(j *job, now time.Time) {
 	r := j.record()
 	f.mu.Lock()
+	if f.jobs[r.ID] != j {
+		f.mu.Unlock()
+		return // let go of: its end is another node's to count
+	}
 	f.bytes += r.Size
 	if j.queue {
 		f.queue.Ended(j.ref, now)
@@ -281,7 +285,12 @@
 	j.mu.Lock()
 	j.core = 0
 	j.mu.Unlock()
+	id := j.record().ID
 	f.mu.Lock()
+	if f.jobs[id] != j {
+		f.mu.Unlock()
+		return // let go of while it was out: to wait here again it would have to be this node's
+	}
 	f.queue.Refused(j.ref, now.Add(after), now)
 	f.mu.Unlock()
 	f.later(j) // that nothing of it is out any more
@@ -332,6 +341,10 @@
 	})
 	stops.At(stops.Hand)
 	if err := f.put(ctx, j, nil); err != nil {
+		id := j.record().ID
+		if p, ok := partitionOf(id); ok && f.foreign(id) {
+			f.Drop(p) // it was taken while the partition was being let go of, and was not seen then
+		}
 		f.refused(j, f.lim.StoreBeat, now)
 		return
 	}
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -143,8 +143,11 @@
 		}
 		gone = append(gone, j)
 		f.forget(j, &r)
-		if j.array == nil {
+		if j.queue { // what is out counts here no longer, and a partition that comes back begins anew
 			f.queue.Remove(j.ref.ID, now)
+			f.queue.Ended(j.ref, now)
+		}
+		if j.array == nil {
 			delete(f.waits, j.ref.ID)
 		}
 		return true
