Count leases by the log's own time: a wall clock an hour ahead ends none, nor keeps any

The leader gave its transactions its wall clock: one that was an hour ahead ended every lease at once, and the next leader, whose clock was right, ended none for an hour, for time in the log never runs back. Time now goes on from where the log stands as a member begins to lead, by a clock that counts while the machine sleeps. A node started with its clock set back left at once as 'begun earlier' beside its own former lease; lives are now in the order in which they come to the store.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -30,6 +30,7 @@
 	"quincereach/internal/peer"
 	"quincereach/internal/platform"
 	"quincereach/internal/records"
+	"quincereach/internal/stops"
 	"quincereach/internal/store"
 )
 
@@ -100,7 +101,7 @@
 
 // serve runs the node. When ctx ends it goes on until all that was taken is answered and nothing new comes.
 func serve(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, log *slog.Logger) error {
-	life := time.Now()
+	life := stops.Wall()
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	core, err := node.New(c.Settings, c.Seed, c.Known, c.Names, c.Limits, log)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -100,6 +100,7 @@
 	Take                  // do the duty, under Epoch
 	Stop                  // it is no longer ours: let go of it
 	Leave                 // this life was replaced by another of its name: nothing of it is done any more
+	Later                 // Self is called by a later time than it was: what it takes belongs to that
 )
 
 // Action is one.
@@ -126,6 +127,7 @@
 	lost  map[string]time.Duration
 	out   map[string]bool // claims under way
 	gone  bool
+	began bool // our lease stood once
 }
 
 // New makes a keeper.
@@ -161,7 +163,7 @@
 
 // Renewed takes in that the lease that was asked for at a time stands, with a version.
 func (k *Keeper) Renewed(asked time.Duration, version uint64) {
-	k.mine, k.until = version, asked+k.t.TTL-k.t.Drift
+	k.mine, k.until, k.began = version, asked+k.t.TTL-k.t.Drift, true
 }
 
 // Unrenewed takes in that another version stands where ours did, 0 for none: ours has ended. It is asked for anew.
@@ -199,6 +201,12 @@
 	}
 	var out []Action
 	mine, standing := v.Leases[k.self.Node]
+	if born := k.latest(v); !k.began && born >= k.self.Born {
+		// Lives are in the order in which they come to the store, whatever the clocks say that they began by: one that was
+		// started with its clock set back is no earlier one.
+		k.self.Born = born + 1
+		out = append(out, Action{Verb: Later})
+	}
 	if standing && mine.Born > k.self.Born {
 		// A name that was started twice: the later life has all that is written under the name from now on.
 		k.gone = true
@@ -238,6 +246,17 @@
 	return out
 }
 
+// latest is when the latest other life of our node began, as far as a view shows.
+func (k *Keeper) latest(v View) int64 {
+	born := v.Leases[k.self.Node].Born
+	for _, d := range v.Duties {
+		if l, ok := ParsePartition(d.Key); ok && l.Node == k.self.Node {
+			born = max(born, l.Born)
+		}
+	}
+	return born
+}
+
 // claim decides whether to claim a duty.
 func (k *Keeper) claim(now time.Duration, v View, d Duty) (Action, bool) {
 	if _, ok := k.held[d.Key]; ok || k.out[d.Key] || !k.Valid(now) {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -177,3 +177,22 @@
 		t.Error("a lease that is renewed when it ends is taken")
 	}
 }
+
+// A life whose clock was set back finds a later one of its name in the store: it takes a later time before its first lease, and
+// takes the earlier one's place; one that had a lease is the earlier one itself, and leaves.
+func TestClockSetBack(t *testing.T) {
+	was := Life{"n0", 50}
+	v := View{Leases: map[string]Lease{"n0": {Life: was, Version: 9}}, Duties: []Duty{{Key: Life{"n0", 70}.Partition(), Owner: was, Epoch: 3}}}
+	k := New(Life{"n0", 5}, times)
+	acts := k.Step(0, v)
+	if len(acts) != 2 || acts[0].Verb != Later || acts[1].Verb != Renew || acts[1].If != 9 || k.Self().Born != 71 {
+		t.Errorf("%+v as %+v", acts, k.Self())
+	}
+	old := New(was, times)
+	old.Step(0, View{})
+	old.Renewed(0, 9)
+	v.Leases["n0"] = Lease{Life: k.Self(), Version: 12}
+	if acts := old.Step(time.Second, v); len(acts) != 1 || acts[0].Verb != Leave || old.Self() != was {
+		t.Errorf("the earlier one: %+v as %+v", acts, old.Self())
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"quincereach/internal/duty"
 	"quincereach/internal/http1"
@@ -77,15 +76,6 @@
 	leaving bool
 }
 
-// BootTime is a clock that goes on while the machine sleeps: an owner that was asleep for longer than its lease must know.
-func BootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(t.Nano())
-}
-
 // New makes an owner for one life of a node.
 func New(s Store, name string, born int64, addr string, lim limits.Limits, log *slog.Logger) (*Owner, error) {
 	t := duty.Times{TTL: lim.LeaseTTL, Renew: lim.LeaseTTL / 3, Drift: lim.LeaseTTL / 6, Rank: lim.LeaseTTL / 6, Again: 2 * lim.LeaseTTL}
@@ -93,7 +83,7 @@
 		return nil, err
 	}
 	self := duty.Life{Node: name, Born: born}
-	return &Owner{store: s, addr: addr, name: name, lim: lim, log: log, clock: BootTime, spawn: func(f func()) { go f() }, keeper: duty.New(self, t), own: self}, nil
+	return &Owner{store: s, addr: addr, name: name, lim: lim, log: log, clock: store.BootTime, spawn: func(f func()) { go f() }, keeper: duty.New(self, t), own: self}, nil
 }
 
 // Connect sets the front. It must be called before Run.
@@ -334,6 +324,13 @@
 			do(func() { o.take(ctx, a) })
 		case duty.Stop:
 			o.stop(a)
+		case duty.Later:
+			o.mu.Lock()
+			o.own = o.keeper.Self()
+			born := o.own.Born
+			o.mu.Unlock()
+			o.front.Reborn(born)
+			o.log.Warn("an earlier life of this node began later by its clock: this one is called by a later time", "node", o.name, "born", born)
 		case duty.Leave:
 			o.mu.Lock()
 			o.gone = true
--- a/internal/stops/stops.go
+++ b/internal/stops/stops.go
@@ -1,11 +1,14 @@
-// Package stops lets a test stop the process at a named point of its work, as a machine that sleeps does: the tests of one
-// owner at a time let it go on once another has its duties. Nothing happens where GATETACK_STOP_AT is not set.
+// Package stops is where tests take hold of a process from outside: they stop it at a named point of its work, as a machine
+// that sleeps does, set its wall clock ahead or behind, and have a proxy on each of its links. Nothing happens where the
+// environment names none of it.
 package stops
 
 import (
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // The points.
@@ -16,8 +19,10 @@
 )
 
 var (
-	at   = os.Getenv("GATETACK_STOP_AT")
-	done atomic.Bool
+	at    = os.Getenv("GATETACK_STOP_AT")
+	done  atomic.Bool
+	ahead = parseClock(os.Getenv("GATETACK_CLOCK"))
+	links = parseLinks(os.Getenv("GATETACK_LINKS"))
 )
 
 // At stops the process, the first time that it comes to the point it is to stop at.
@@ -26,3 +31,29 @@
 		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
 	}
 }
+
+// Wall is the time by the machine's clock, which GATETACK_CLOCK sets ahead ("1h") or behind ("-1h").
+func Wall() time.Time { return time.Now().Add(ahead) }
+
+func parseClock(text string) time.Duration {
+	d, _ := time.ParseDuration(text) // empty: none
+	return d
+}
+
+// Via is where a link to an address of another node goes: GATETACK_LINKS says "address=proxy,...".
+func Via(addr string) string {
+	if proxy, ok := links[addr]; ok {
+		return proxy
+	}
+	return addr
+}
+
+func parseLinks(text string) map[string]string {
+	out := map[string]string{}
+	for pair := range strings.SplitSeq(text, ",") {
+		if addr, proxy, ok := strings.Cut(pair, "="); ok {
+			out[addr] = proxy
+		}
+	}
+	return out
+}
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -21,6 +21,7 @@
 	"quincereach/internal/kv"
 	"quincereach/internal/limits"
 	"quincereach/internal/records"
+	"quincereach/internal/stops"
 )
 
 // Put sets a value, and returns once most members have it.
@@ -145,6 +146,7 @@
 
 // dial connects, by keys where there are any.
 func dial(ctx context.Context, addr string, ring *keys.Ring) (net.Conn, error) {
+	addr = stops.Via(addr)
 	if ring == nil {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -52,6 +52,9 @@
 
 	mu   sync.Mutex
 	dead map[raft.ServerID]bool // members whose heartbeats fail, as this one sees it while it leads
+
+	clock func() time.Duration // counts while the machine sleeps, and is never set
+	time  logTime
 }
 
 // ErrNoLeader says that the store has no leader, so that nothing can be written or told for certain.
@@ -74,7 +77,7 @@
 		under = cfg.Keys.Listen(ln)
 	}
 	lim.Body = max(lim.StoreBody*2, 1<<20) // a call holds a transaction
-	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(under, cfg.Keys, lim), dead: map[raft.ServerID]bool{}}
+	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(under, cfg.Keys, lim), dead: map[raft.ServerID]bool{}, clock: BootTime}
 	if err := s.open(); err != nil {
 		_ = ln.Close()
 		if s.bolt != nil {
@@ -158,7 +161,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if due := s.fsm.due(); due > 0 && s.Leads() && due <= time.Now().UnixMilli() {
+		if due := s.fsm.due(); due > 0 && s.Leads() && due <= s.now() {
 			if _, err := s.apply(&kv.Txn{}); err != nil {
 				s.log.Debug("store: leases that are due", "err", err)
 			}
@@ -168,7 +171,7 @@
 
 // apply writes a transaction as the leader. Its time is the leader's.
 func (s *Store) apply(t *kv.Txn) (*kv.Result, error) {
-	t.At = time.Now().UnixMilli()
+	t.At = s.now()
 	data, err := t.Marshal()
 	if err != nil {
 		return nil, err
