Play faults of links, processes and clocks on five processes; wait for no duty another took

Need: a bench for several processes whose links fail. internal/standin has a proxy whose fault (cut in one direction, delay, reset, end after N bytes) is set while connections stand; GATETACK_LINKS puts one on each link between processes, GATETACK_CLOCK sets a process's clock. TestFaultsEverywhere draws 64 faults from a seed (cuts, stalls, kills, planned ends, clocks an hour off, boxes and lists) beside four clients, and checks by what clients were told and boxes counted: one end for each job, the same at all nodes, no forbidden second start, claims of each duty in one chain. Its first run hung: a node that started again waited for good for an earlier life's duty which another had claimed first, and answered 503 from then on. Traced in its log, mended with a test that failed.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -249,6 +249,13 @@
 	v := o.view()
 	o.begin(ctx, v)
 	o.mu.Lock()
+	for _, d := range v.Duties {
+		// What an earlier life left and another node was quicker to claim is that one's to take up: waited for here, this
+		// life would take no job ever.
+		if l, ok := v.Leases[d.Owner.Node]; ok && l.Life == d.Owner && d.Owner != o.own {
+			o.old = slices.DeleteFunc(o.old, func(key string) bool { return key == d.Key })
+		}
+	}
 	v.Duties = append(v.Duties, o.unborn(v)...)
 	acts := o.keeper.Step(o.clock(), v)
 	o.mu.Unlock()
@@ -362,7 +369,9 @@
 // claim writes a duty as ours. Nothing is taken up of this life's own: what is on record of it is being done here, and would be
 // taken for what an earlier life left.
 func (o *Owner) claim(ctx context.Context, a duty.Action, why string) {
+	o.mu.Lock()
 	self := o.keeper.Self()
+	o.mu.Unlock()
 	value, _ := json.Marshal(self)
 	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Check, Table: Leases, Key: o.name, Cond: true, If: a.Mine}}}
 	if a.Owner != "" {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -315,3 +315,29 @@
 		t.Errorf("nobody took the duty within %v", f.at-from)
 	}
 }
+
+// A node starts again, finds that its earlier life left a duty, and another node claims it first: it does not wait for it, or
+// it would never take a job again.
+func TestAnotherWasQuicker(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	for range 40 {
+		f.step(false)
+	}
+	left := f.nodes[0].Owner.own.Partition()
+	f.boot(f.nodes[0])
+	x := f.nodes[0]
+	x.old, x.asked = []string{left}, true
+	other := f.nodes[1]
+	other.claim(t.Context(), duty.Action{Key: left, Mine: other.keeper.Mine(), If: f.epoch(left)}, "quicker")
+	for range 60 {
+		f.step(false)
+	}
+	if !x.Ready() {
+		t.Errorf("it waits for %v, which %s has", x.old, other.name)
+	}
+}
+
+func (f *fleet) epoch(key string) uint64 {
+	e, _ := f.s.state.Snapshot().Get(Duties, key)
+	return e.Version
+}
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Fault is what a link does to what passes. The zero Fault carries it as it comes.
+type Fault struct {
+	Up, Down bool          // from who connects, and to them, nothing passes: it is kept, as a network's repeats would bring it later
+	Delay    time.Duration // of each piece
+	After    int           // bytes after which connections are reset, 0 for none
+}
+
+// Link is a loopback proxy on one link, whose fault is set while connections stand: they have it from their next piece on, and
+// go on once it is lifted.
+type Link struct {
+	Addr string
+
+	target  string
+	mu      sync.Mutex
+	fault   Fault
+	changed chan struct{}
+	conns   map[net.Conn]bool
+}
+
+// NewLink starts a proxy in front of target.
+func NewLink(ctx context.Context, g *errgroup.Group, target string) (*Link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{Addr: ln.Addr().String(), target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	g.Go(func() error { <-ctx.Done(); return ln.Close() })
+	g.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return nil
+			}
+			g.Go(func() error { l.carry(ctx, c.(*net.TCPConn)); return nil })
+		}
+	})
+	return l, nil
+}
+
+// Set changes the fault.
+func (l *Link) Set(f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Reset resets all connections.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (l *Link) now() (Fault, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault, l.changed
+}
+
+func (l *Link) carry(ctx context.Context, c *net.TCPConn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !l.open(ctx, func(f Fault) bool { return f.Up || f.Down }) { // no connection comes to be over a cut
+		_ = c.Close()
+		return
+	}
+	d, err := net.DialTimeout("tcp", l.target, 2*time.Second)
+	if err != nil {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		return
+	}
+	t := d.(*net.TCPConn)
+	l.mu.Lock()
+	l.conns[c], l.conns[t] = true, true
+	l.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _, _ = c.Close(), t.Close() })
+	defer func() {
+		stop()
+		l.mu.Lock()
+		delete(l.conns, c)
+		delete(l.conns, t)
+		l.mu.Unlock()
+		_, _ = c.Close(), t.Close()
+	}()
+	var g sync.WaitGroup
+	g.Go(func() { l.pass(ctx, cancel, c, t, func(f Fault) bool { return f.Up }) })
+	g.Go(func() { l.pass(ctx, cancel, t, c, func(f Fault) bool { return f.Down }) })
+	g.Wait()
+}
+
+// open waits until nothing is cut.
+func (l *Link) open(ctx context.Context, cut func(Fault) bool) bool {
+	for {
+		f, changed := l.now()
+		if !cut(f) {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (l *Link) pass(ctx context.Context, cancel context.CancelFunc, from, to *net.TCPConn, cut func(Fault) bool) {
+	buf := make([]byte, 16<<10)
+	for moved := 0; ; {
+		n, err := from.Read(buf)
+		if !l.open(ctx, cut) {
+			return
+		}
+		f, _ := l.now()
+		if moved += n; f.After > 0 && moved > f.After {
+			_, _ = from.SetLinger(0), to.SetLinger(0)
+			cancel()
+			return
+		}
+		if !pause(ctx, f.Delay) {
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				cancel()
+				return
+			}
+		}
+		if err != nil {
+			_ = to.CloseWrite()
+			return
+		}
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -103,6 +103,17 @@
 	return c.p.Read(c.in, c.Conn)
 }
 
+// CallFor makes one request, and gives up after a while.
+func CallFor(addr string, most time.Duration, method, target string, body []byte, fields ...http1.Field) (*http1.Message, error) {
+	c, err := Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	defer time.AfterFunc(most, func() { _ = c.Close() }).Stop()
+	defer func() { _ = c.Close() }()
+	return c.Do(method, target, body, fields...)
+}
+
 // Call makes one request on a connection of its own.
 func Call(addr, method, target string, body []byte, fields ...http1.Field) (*http1.Message, error) {
 	c, err := Dial(addr)
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -19,6 +19,15 @@
 type fleet []*site
 
 func newFleet(t *testing.T, n int, run time.Duration, env ...string) fleet {
+	t.Helper()
+	f := makeFleet(t, n, run)
+	f[0].env = env // the first one's alone
+	f.startAll()
+	return f
+}
+
+// makeFleet makes a fleet that is not started yet.
+func makeFleet(t *testing.T, n int, run time.Duration) fleet {
 	t.Helper()
 	var f fleet
 	members := map[string]string{}
@@ -35,7 +44,11 @@
 	for _, s := range f {
 		s.extra = fmt.Sprintf("store:\n  dir: store\n  listen: %s\n  members: {%s}\n", s.store, strings.Join(list, ", "))
 	}
-	f[0].env = env // the first one's alone
+	return f
+}
+
+// startAll starts all at once.
+func (f fleet) startAll() {
 	done := make(chan struct{})
 	for _, s := range f[1:] {
 		go func() { s.start(); done <- struct{}{} }()
@@ -44,7 +57,6 @@
 	for range f[1:] {
 		<-done
 	}
-	return f
 }
 
 // signal stops a process as it stands, or lets it go on.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -121,6 +121,16 @@
 
 // start runs the program until it serves.
 func (s *site) start() {
+	s.t.Helper()
+	s.startAnew()
+	s.until("the node serves", func() bool {
+		m, err := standin.Call(s.listen, "GET", "/healthz", nil)
+		return err == nil && m.Status == 200
+	})
+}
+
+// startAnew runs the program, and does not wait until it serves.
+func (s *site) startAnew(env ...string) {
 	s.t.Helper()
 	if s.rules == "" {
 		s.rules = settings
@@ -136,7 +146,7 @@
 	}
 	s.process = exec.Command(program, "serve", "--config", file, "--log-level", "debug")
 	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_DISCOVERY="+s.list.Addr)
-	s.process.Env = append(s.process.Env, s.env...)
+	s.process.Env = append(append(s.process.Env, s.env...), env...)
 	s.process.Stderr = s.log
 	if err := s.process.Start(); err != nil {
 		s.t.Fatal(err)
@@ -144,10 +154,6 @@
 	p, exited := s.process, make(chan error, 1)
 	s.exited = exited
 	s.g.Go(func() error { exited <- p.Wait(); return nil })
-	s.until("the node serves", func() bool {
-		m, err := standin.Call(s.listen, "GET", "/healthz", nil)
-		return err == nil && m.Status == 200
-	})
 }
 
 // logged says whether the program's log holds a text.
--- /dev/null
+++ b/test/links_test.go
@@ -0,0 +1,383 @@
+package test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/standin"
+)
+
+var (
+	runFaults = flag.Int("faults", 64, "how many faults TestFaultsEverywhere causes; the long run takes 1200")
+	runSeed   = flag.Uint64("run-seed", 1, "what TestFaultsEverywhere draws from")
+)
+
+// linked is a fleet with a proxy on each link: between each two processes, by both their addresses, and to boxes and lists.
+type linked struct {
+	fleet
+	between map[[2]int][]*standin.Link // from, to
+	own     [][]*standin.Link          // to the boxes and the list of each
+	steps   []string
+	rng     *rand.Rand
+}
+
+func newLinked(t *testing.T, n int, seed uint64, run time.Duration) *linked {
+	t.Helper()
+	l := &linked{between: map[[2]int][]*standin.Link{}, own: make([][]*standin.Link, n), rng: rand.New(rand.NewPCG(seed, 0))}
+	link := func(s *site, target string) *standin.Link {
+		x, err := standin.NewLink(s.ctx, s.g, target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return x
+	}
+	l.fleet = makeFleet(t, n, run)
+	for i, s := range l.fleet {
+		var env []string
+		for k, to := range l.fleet {
+			for _, addr := range []string{to.store, to.batch} {
+				if k != i {
+					x := link(s, addr)
+					l.between[[2]int{i, k}] = append(l.between[[2]int{i, k}], x)
+					env = append(env, addr+"="+x.Addr)
+				}
+			}
+		}
+		s.env = append(s.env, "GATETACK_LINKS="+strings.Join(env, ","))
+		for rack, b := range s.boxes {
+			x := link(s, b.Addr)
+			l.own[i] = append(l.own[i], x)
+			s.list.Put(&standin.Box{Name: b.Name, Addr: x.Addr, Zone: "tallinn", Type: "type-a", Group: rack + 1}, "ready")
+		}
+		x := link(s, s.list.Addr)
+		s.list.Addr = x.Addr
+		l.own[i] = append(l.own[i], x)
+	}
+	l.startAll()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d; what led there:\n%s", seed, strings.Join(l.steps, "\n"))
+		}
+	})
+	return l
+}
+
+// cut sets what passes from one process to another, whoever of them connected.
+func (l *linked) cut(from, to int, on bool) {
+	for _, x := range l.between[[2]int{from, to}] {
+		x.Set(standin.Fault{Up: on})
+	}
+	for _, x := range l.between[[2]int{to, from}] {
+		x.Set(standin.Fault{Down: on})
+	}
+}
+
+func (l *linked) each(i int, do func(*standin.Link)) {
+	for k := range l.fleet {
+		for _, x := range append(l.between[[2]int{i, k}], l.between[[2]int{k, i}]...) {
+			do(x)
+		}
+	}
+}
+
+// fault causes one, drawn, and gives what lifts it. down are the processes that do not run; at most two of five do so.
+func (l *linked) fault(down map[int]bool) (lift func()) {
+	n := len(l.fleet)
+	i, k := l.rng.IntN(n), l.rng.IntN(n-1)
+	if k >= i {
+		k++
+	}
+	say := func(format string, args ...any) {
+		l.steps = append(l.steps, fmt.Sprintf("%3d %s", len(l.steps)+1, fmt.Sprintf(format, args...)))
+	}
+	heal := func() { l.cut(i, k, false); l.cut(k, i, false) }
+	alone := func(f standin.Fault) func() {
+		l.each(i, func(x *standin.Link) { x.Set(f) })
+		return func() { l.each(i, func(x *standin.Link) { x.Set(standin.Fault{}) }) }
+	}
+	s := l.fleet[i]
+	switch kind := l.rng.IntN(14); {
+	case kind == 0:
+		say("cut from n%d to n%d", i, k)
+		l.cut(i, k, true)
+		return heal
+	case kind == 1:
+		say("cut between n%d and n%d", i, k)
+		l.cut(i, k, true)
+		l.cut(k, i, true)
+		return heal
+	case kind == 2:
+		say("n%d is cut off from all others", i)
+		return alone(standin.Fault{Up: true, Down: true})
+	case kind == 3:
+		say("n%d hears and is not heard", i)
+		for k := range n {
+			l.cut(i, k, true)
+		}
+		return alone(standin.Fault{Up: false})
+	case kind == 4:
+		say("delay at n%d", i)
+		return alone(standin.Fault{Delay: time.Duration(20+l.rng.IntN(200)) * time.Millisecond})
+	case kind == 5:
+		say("resets at n%d", i)
+		l.each(i, (*standin.Link).Reset)
+	case kind == 6:
+		after := 500 + l.rng.IntN(4000)
+		say("connections of n%d end after %d bytes", i, after)
+		return alone(standin.Fault{After: after})
+	case kind == 7:
+		x := l.own[i][l.rng.IntN(len(l.own[i]))]
+		f := standin.Fault{Up: l.rng.IntN(2) == 0, Down: l.rng.IntN(2) == 0, After: 100}
+		say("a box or the list of n%d: %+v", i, f)
+		x.Set(f)
+		x.Reset()
+		return func() { x.Set(standin.Fault{}) }
+	case down[i] || len(down) > n/2-1:
+		say("resets at n%d and n%d", i, k)
+		l.each(i, (*standin.Link).Reset)
+		l.each(k, (*standin.Link).Reset)
+	case kind <= 9:
+		say("n%d stands still", i)
+		s.signal(syscall.SIGSTOP)
+		down[i] = true
+		return func() { s.signal(syscall.SIGCONT); delete(down, i) }
+	default:
+		clock := []string{"0s", "1h", "-1h"}[l.rng.IntN(3)]
+		again := func() { s.startAnew("GATETACK_CLOCK=" + clock); delete(down, i) }
+		down[i] = true
+		if kind == 10 {
+			say("n%d ends in order, its clock %s ahead at its next start", i, clock)
+			_ = s.process.Process.Signal(syscall.SIGTERM)
+			return func() {
+				select {
+				case <-s.exited:
+					s.process = nil
+				case <-time.After(2 * time.Second):
+					s.kill()
+				}
+				again()
+			}
+		}
+		say("n%d is killed, its clock %s ahead at its next start", i, clock)
+		s.kill()
+		return again
+	}
+	return func() {}
+}
+
+// client is what one client was told, and nothing else.
+type client struct {
+	mu   sync.Mutex
+	jobs map[string]*kept // by payload
+}
+
+type kept struct {
+	id, class string
+	held      bool
+	end       string // the final state, once told
+}
+
+// call makes a call that may fail, at a node that may not be there.
+func (s *site) call(verb, path, body string) (int, gjson.Result) {
+	m, err := standin.CallFor(s.batch, 6*time.Second, verb, "/drmaa2/v1"+path, []byte(body))
+	if err != nil {
+		return 0, gjson.Result{}
+	}
+	return m.Status, gjson.ParseBytes(m.Body)
+}
+
+// work submits jobs until told to stop, each under a key of its own until some node takes it, at any node; it releases held
+// ones, and notes ends. What was final must stay so.
+func (c *client) work(t *testing.T, f fleet, name string, rng *rand.Rand, stop <-chan struct{}) {
+	ended := func() bool {
+		select {
+		case <-stop:
+			return true
+		default:
+			return false
+		}
+	}
+	for n := 0; !ended(); n++ {
+		k := &kept{class: []string{"tile-charge", "area-render"}[rng.IntN(2)], held: rng.IntN(2) == 0}
+		payload := fmt.Sprintf("%s-%d", name, n)
+		body := fmt.Sprintf(`{"jobCategory":%q,"accountingId":"maavaade","payload":%q,"idempotencyKey":%q,"submitAsHold":%v}`, k.class, payload, payload, k.held)
+		for k.id == "" { // also after the end: a submission that was begun is asked for until it is known
+			if status, v := f[rng.IntN(len(f))].call("POST", "/jobs", body); status == 201 || status == 200 {
+				k.id = v.Get("jobId").String()
+			} else {
+				time.Sleep(50 * time.Millisecond)
+			}
+			if ended() && k.id == "" {
+				break
+			}
+		}
+		if k.id == "" {
+			continue
+		}
+		c.mu.Lock()
+		c.jobs[payload] = k
+		c.mu.Unlock()
+		for range rng.IntN(4) {
+			if k.held {
+				f[rng.IntN(len(f))].call("POST", "/jobs/"+k.id+"/release", "")
+			}
+			c.look(t, f[rng.IntN(len(f))], payload, k)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// look asks a node for a job's state, and says whether that is final.
+func (c *client) look(t *testing.T, s *site, payload string, k *kept) bool {
+	status, v := s.call("GET", "/jobs/"+k.id, "")
+	if status != 200 {
+		return false
+	}
+	state := v.Get("jobState").String()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.end != "" && state != k.end {
+		t.Errorf("%s, job %s: %s was final, and %s tells %s", payload, k.id, k.end, s.name, v.Raw)
+	}
+	if state == "DONE" || state == "FAILED" {
+		k.end = state
+	}
+	return state == "DONE" || state == "FAILED" || state == "UNDETERMINED"
+}
+
+var taken = regexp.MustCompile(`msg="duty taken" duty=(\S+) epoch=(\d+) was=(\d+)`)
+
+// claims reads all claims from the processes' logs, and checks that each duty's are one chain: each epoch once, and each made
+// in the place of what stood after the one before it.
+func (f fleet) claims(t *testing.T) (n int) {
+	type claim struct{ epoch, was uint64 }
+	by := map[string][]claim{}
+	for _, s := range f {
+		for _, x := range taken.FindAllStringSubmatch(s.wholeLog(), -1) {
+			epoch, _ := strconv.ParseUint(x[2], 10, 64)
+			was, _ := strconv.ParseUint(x[3], 10, 64)
+			by[x[1]] = append(by[x[1]], claim{epoch, was})
+		}
+	}
+	for key, all := range by {
+		slices.SortFunc(all, func(a, b claim) int { return int(a.epoch) - int(b.epoch) })
+		for i, x := range all {
+			if n++; x.was >= x.epoch || i > 0 && x.was < all[i-1].epoch {
+				t.Errorf("duty %s: claims %v cross", key, all)
+			}
+		}
+	}
+	return n
+}
+
+// Five processes, and faults of links, processes, clocks, boxes and lists from a seed while clients submit, release and ask
+// through all of them. In the end each job that was acknowledged has one end, the same at every node; none of a class that
+// must never run twice started twice, a keyed one only in its rack; what is told as never run never was, and what is told as
+// done was, once.
+func TestFaultsEverywhere(t *testing.T) {
+	l := newLinked(t, 5, *runSeed, 30*time.Millisecond)
+	stop := make(chan struct{})
+	var g sync.WaitGroup
+	clients := make([]*client, 4)
+	for i := range clients {
+		clients[i] = &client{jobs: map[string]*kept{}}
+		rng := rand.New(rand.NewPCG(*runSeed, uint64(i+1)))
+		g.Go(func() { clients[i].work(t, l.fleet, fmt.Sprint("c", i), rng, stop) })
+	}
+	down := map[int]bool{}
+	var lifts []func()
+	for n := range *runFaults {
+		lifts = append(lifts, l.fault(down))
+		time.Sleep(time.Duration(100+l.rng.IntN(300)) * time.Millisecond)
+		for len(lifts) > 0 && (len(lifts) > 3 || l.rng.IntN(3) == 0) {
+			lifts[0]()
+			lifts = lifts[1:]
+		}
+		if n%16 == 15 { // all is well for a while, so that work goes on between
+			for _, lift := range lifts {
+				lift()
+			}
+			lifts = nil
+			time.Sleep(time.Second)
+		}
+	}
+	for _, lift := range lifts {
+		lift()
+	}
+	close(stop)
+	g.Wait()
+	jobs := map[string]*kept{}
+	for _, c := range clients {
+		maps.Copy(jobs, c.jobs)
+	}
+	c := &client{}
+	ends := map[string]int{}
+	for payload, k := range jobs {
+		for _, s := range l.fleet {
+			s.until(payload+" has an end at "+s.name, func() bool {
+				if k.held {
+					s.call("POST", "/jobs/"+k.id+"/release", "")
+				}
+				return c.look(t, s, payload, k)
+			})
+		}
+	}
+	starts := map[string][]string{}
+	for _, s := range l.fleet { // each reaches the boxes at addresses of its own, as on the platform
+		for _, b := range s.boxes {
+			for _, x := range b.Starts() {
+				starts[x.Body] = append(starts[x.Body], b.Name)
+			}
+		}
+	}
+	for payload, k := range jobs {
+		var told []string
+		var sub string
+		for _, s := range l.fleet {
+			_, v := s.call("GET", "/jobs/"+k.id, "")
+			told = append(told, v.Get("jobState").String())
+			sub = v.Get("jobSubState").String()
+		}
+		ends[told[0]+" "+sub]++
+		at := starts[payload]
+		switch slices.Sort(told); {
+		case told[0] != told[len(told)-1]:
+			t.Errorf("%s, job %s: nodes tell %v", payload, k.id, told)
+		case k.class == "tile-charge" && len(at) > 1, len(slices.Compact(slices.Sorted(slices.Values(at)))) > 1:
+			t.Errorf("%s, job %s of %s: started at %v", payload, k.id, k.class, at)
+		case told[0] == "DONE" && len(at) == 0, told[0] == "FAILED" && sub != "failed" && len(at) > 0:
+			t.Errorf("%s, job %s: told as %s %s, and started at %v", payload, k.id, told[0], sub, at)
+		}
+	}
+	claims := l.claims(t)
+	t.Logf("%d faults, %d jobs, %d claims; ends %v", *runFaults, len(jobs), claims, ends)
+	if len(jobs) < *runFaults/2 || claims < 5 || ends["DONE "] == 0 {
+		t.Errorf("%d jobs with ends %v and %d claims: too few to show anything", len(jobs), ends, claims)
+	}
+}
+
+// wholeLog is that of all processes that ran here.
+func (s *site) wholeLog() string {
+	var all strings.Builder
+	names, _ := os.ReadDir(s.dir)
+	for _, x := range names {
+		if strings.HasPrefix(x.Name(), "log") {
+			text, _ := os.ReadFile(s.dir + "/" + x.Name())
+			all.Write(text)
+		}
+	}
+	return all.String()
+}
