Push out nothing that was promised; take one job under a key that two nodes were asked with

The replicated store kept the latest 4,096 values of a kind, open jobs among them: the 4,097th pushed out one that was promised. Open jobs, their keys, arrays under way, sessions, duties, leases, settings and what operators put are now kept (Keep); where a table is full of them a submission is answered 503 with when to come back, and what stands can still change and end. A key that came to two nodes at once gave two jobs: its record is now made only where there is none, in the job's own transaction, and a key is given back only by the job that has it. Duties of lives of which nothing is on record any more are retired. Each with a test that fails without it; the state machine's model knows what is kept.

--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -59,7 +59,7 @@
 func (a *array) change() records.Change {
 	r := a.record()
 	v, _ := json.Marshal(r)
-	return records.Change{Kind: kindArray, Key: key(r.ID), Value: v}
+	return records.Change{Kind: kindArray, Key: key(r.ID), Value: v, Keep: r.Done+r.Failed < r.Jobs}
 }
 
 // ended counts a member that has ended.
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -35,8 +35,8 @@
 // Fleet says which node has which jobs, where several share what is on record. A partition is the jobs of one life of one
 // node. Store then makes only what is written for a partition that this node has.
 type Fleet interface {
-	Ready() bool // what earlier lives of this node left was taken up
-	Place(partition string) (addr string, ours bool)
+	Ready() bool                                            // what earlier lives of this node left was taken up
+	Place(partition string) (addr string, ours, known bool) // known: it has, or had, an owner; what none has is not on record
 	Pass(ctx context.Context, addr string, m *http1.Message) (*http1.Message, error)
 }
 
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -67,6 +67,11 @@
 	if m.err != nil {
 		return m.err
 	}
+	for _, c := range changes {
+		if _, there := m.values[c.Kind+" "+c.Key]; there && c.New {
+			return records.ErrExists
+		}
+	}
 	for _, c := range changes {
 		if c.Value == nil {
 			delete(m.values, c.Kind+" "+c.Key)
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"quincereach/internal/http1"
@@ -27,7 +28,7 @@
 	if !ok {
 		return false
 	}
-	_, ours := f.fleet.Place(p)
+	_, ours, _ := f.fleet.Place(p)
 	return !ours
 }
 
@@ -61,15 +62,15 @@
 		}
 	}
 	for {
-		addr, ours := f.fleet.Place(part)
+		addr, ours, known := f.fleet.Place(part)
 		switch {
-		case ours || addr == "" && m.Method == "GET":
+		case ours || !known || addr == "" && m.Method == "GET": // of what nobody knows there is nothing on record
 			return http1.Response{}, false
 		case addr == "":
 			return tryLater("no node has the job at the moment"), true
 		}
 		got, err := f.passTo(ctx, part, addr, m)
-		if now, ours := f.fleet.Place(part); err != nil && ctx.Err() == nil && (ours || now != addr) {
+		if now, ours, _ := f.fleet.Place(part); err != nil && ctx.Err() == nil && (ours || now != addr) {
 			continue // bounded: each change of owner takes a lease's end
 		}
 		if err != nil {
@@ -98,7 +99,7 @@
 			case <-ctx.Done():
 				return
 			}
-			if now, ours := f.fleet.Place(part); ours || now != addr {
+			if now, ours, _ := f.fleet.Place(part); ours || now != addr {
 				cancel()
 				return
 			}
@@ -176,5 +177,17 @@
 	f.log.Warn("batch jobs let go of", "duty", partition, "jobs", len(gone))
 }
 
+// Left says whether anything of a partition is on record.
+func (f *Front) Left(ctx context.Context, partition string) (bool, error) {
+	own := partition + "."
+	for _, kind := range []string{kindJob, kindOpen, kindArray} {
+		rows, err := f.store.Page(ctx, kind, own, 1)
+		if err != nil || len(rows) > 0 && strings.HasPrefix(rows[0].Key, own) {
+			return true, err
+		}
+	}
+	return false, nil
+}
+
 // Reborn has what is taken from now on belong to another life.
 func (f *Front) Reborn(born int64) { f.ids.life.Store(born) }
--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -25,10 +26,10 @@
 
 func (s *shared) Ready() bool { return true }
 
-func (s *shared) Place(string) (string, bool) {
+func (s *shared) Place(string) (string, bool, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return "", !s.lost
+	return "", !s.lost, true
 }
 
 func (s *shared) Pass(context.Context, string, *http1.Message) (*http1.Message, error) {
@@ -36,7 +37,7 @@
 }
 
 func (s *shared) Write(ctx context.Context, changes ...records.Change) error {
-	if _, ours := s.Place(""); !ours {
+	if _, ours, _ := s.Place(""); !ours {
 		return errors.New("the duty is another node's")
 	}
 	return s.memory.Write(ctx, changes...)
@@ -117,3 +118,35 @@
 		empty(f)
 	})
 }
+
+// One key comes to two nodes at once, as a client's does that was not told by the first: one job is taken, and both nodes name it.
+func TestOneKeyTwoNodes(t *testing.T) {
+	m := &memory{values: map[string][]byte{}}
+	engines := []*engine{{}, {}}
+	var fronts []*Front
+	for i, e := range engines {
+		f := front(e, m, time.Now())
+		f.ids.node = fmt.Sprint("n", i)
+		fronts = append(fronts, f)
+	}
+	for n := range 40 {
+		body := strings.Replace(good, "{", fmt.Sprintf(`{"idempotencyKey":"k%d",`, n), 1)
+		var g sync.WaitGroup
+		ids := make([]string, len(fronts))
+		for i, f := range fronts {
+			g.Go(func() {
+				_, v, _ := call(f, "POST", "/jobs", body)
+				ids[i] = v.Get("jobId").String()
+			})
+		}
+		g.Wait()
+		if ids[0] == "" || ids[0] != ids[1] {
+			t.Fatalf("key %d: %q", n, ids)
+		}
+	}
+	a, _ := engines[0].take()
+	b, _ := engines[1].take()
+	if len(a)+len(b) != 40 {
+		t.Errorf("%d jobs reached the cores, want 40", len(a)+len(b))
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -55,6 +55,8 @@
 	// On record alone.
 	Template json.RawMessage `json:"template,omitempty"`
 	Handed   bool            `json:"handed,omitempty"` // it was given to the core: from then on it may be sent
+	Same     string          `json:"same,omitempty"`   // the name of its idempotency key's record
+	Hash     string          `json:"hash,omitempty"`   // and of its template, which stands there
 	Size     int             `json:"-"`                // of the result that is kept
 }
 
@@ -201,18 +203,24 @@
 
 // shown is a record as clients see it.
 func (r Record) shown() Record {
-	r.Template, r.Handed = nil, false
+	r.Template, r.Handed, r.Same, r.Hash = nil, false, "", ""
 	return r
 }
 
-// changes are those that put a job on record: among the open ones until it has ended.
+// changes are those that put a job on record: among the open ones until it has ended. Until then no bound of the store's
+// takes it away, nor its idempotency key; after that it stays for as long as there is room.
 func (r *Record) changes() []records.Change {
 	k, v := key(r.ID), r.json()
-	open := records.Change{Kind: kindOpen, Key: k}
+	open := records.Change{Kind: kindOpen, Key: k, Keep: true}
 	if !r.State.over() {
 		open.Value = []byte(r.ID)
 	}
-	return []records.Change{{Kind: kindJob, Key: k, Value: v}, open}
+	kept := !r.State.over() && r.State != Undetermined
+	out := []records.Change{{Kind: kindJob, Key: k, Value: v, Keep: kept}, open}
+	if r.Same != "" && !kept {
+		out = append(out, records.Change{Kind: kindSame, Key: r.Same, Value: sameRecord{r.ID, r.Hash}.json()})
+	}
+	return out
 }
 
 // The kinds of records.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -105,7 +105,7 @@
 	f.mu.Unlock()
 	if f.store != nil {
 		v, _ := json.Marshal(r)
-		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: r.Name, Value: v}); err != nil {
+		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: r.Name, Value: v, Keep: true}); err != nil {
 			f.mu.Lock()
 			delete(f.sessions, r.Name)
 			f.mu.Unlock()
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -32,6 +32,11 @@
 	Hash string `json:"hash"`
 }
 
+func (s sameRecord) json() []byte {
+	b, _ := json.Marshal(s)
+	return b
+}
+
 // open says whether submissions are taken now. At the node's start it waits a while for what is on record to be read: a
 // job must not be taken twice.
 func (f *Front) open(ctx context.Context) (http1.Response, bool) {
@@ -74,8 +79,8 @@
 	if !f.claim(session, t, j) {
 		return f.submit(ctx, session, body) // another with the same key came in between: it is found now
 	}
-	r, ok := f.take(ctx, session, t, j, now)
-	if !ok {
+	r, err := f.take(ctx, session, t, j, now)
+	if err != nil {
 		f.mu.Lock()
 		j.mu.Lock()
 		j.gone = true
@@ -86,16 +91,29 @@
 			delete(f.same, k)
 		}
 		f.mu.Unlock()
-		if mine && f.store != nil { // the client was told to try again: its key must not stand for what was not taken
-			if err := f.store.Write(ctx, records.Change{Kind: kindSame, Key: k}); err != nil {
+		if mine && f.store != nil && !errors.Is(err, records.ErrExists) {
+			if err := f.unsame(ctx, k, j.r.ID); err != nil {
 				f.log.Warn("an idempotency key of a job that was not taken stays on record", "err", err)
 			}
 		}
 	}
 	close(j.ready)
+	if errors.Is(err, records.ErrExists) {
+		return f.submit(ctx, session, body) // another node took a job under this key meanwhile: it is found now
+	}
 	return r
 }
 
+// unsame takes a key's record away, if it is a job's: the client was told to try again, and its key must not stand for what was
+// not taken. Where another node took a job under it, it stays.
+func (f *Front) unsame(ctx context.Context, k, id string) error {
+	value, found, err := f.store.Get(ctx, kindSame, k)
+	if err != nil || !found || gjson.GetBytes(value, "id").String() != id {
+		return err
+	}
+	return f.store.Write(ctx, records.Change{Kind: kindSame, Key: k})
+}
+
 func (f *Front) newJob(session string, t *template, now time.Time) *job {
 	j := &job{f: f, in: t.job, until: t.until, hash: t.hash, changed: make(chan struct{}), ready: make(chan struct{}),
 		queue: t.waits(now), r: Record{ID: f.ids.next(), State: Queued, SubState: subHeld, Name: t.name, Session: session,
@@ -171,25 +189,25 @@
 		return problem(409, "INVALID_ARGUMENT", "idempotencyKey", "another template was submitted under this key, as job "+same.ID), true
 	}
 	_, r, ok := f.find(ctx, same.ID)
-	if !ok {
-		return http1.Response{}, false
+	if !ok { // it is of a life that this node knows nothing of, and its key is not free
+		return tryLater("the job under this key, " + same.ID + ", can not be told of here"), true
 	}
 	return f.answer(200, r), true
 }
 
-// take puts a job on record, and then gives it to the core or lets it wait.
-func (f *Front) take(ctx context.Context, session string, t *template, j *job, now time.Time) (http1.Response, bool) {
+// take puts a job on record, and then gives it to the core or lets it wait. A job that was not taken comes with an error.
+func (f *Front) take(ctx context.Context, session string, t *template, j *job, now time.Time) (http1.Response, error) {
 	var more []records.Change
 	if t.same != "" {
-		v, _ := json.Marshal(sameRecord{j.r.ID, fmt.Sprintf("%016x", t.hash)})
-		more = append(more, records.Change{Kind: kindSame, Key: sameKey(session, t.same), Value: v})
+		j.r.Same, j.r.Hash = sameKey(session, t.same), fmt.Sprintf("%016x", t.hash)
+		more = append(more, records.Change{Kind: kindSame, Key: j.r.Same, Value: sameRecord{j.r.ID, j.r.Hash}.json(), New: true, Keep: true})
 	}
 	if !f.enter(session) {
-		return noSession(session), false
+		return noSession(session), errors.New("no such session")
 	}
 	j.r.Handed = !j.queue
 	if err := f.inTime(ctx, j, more); err != nil {
-		return tryLater("the job could not be recorded: " + err.Error()), false
+		return tryLater("the job could not be recorded: " + err.Error()), err
 	}
 	f.events.add(&j.r)
 	if j.queue {
@@ -199,15 +217,15 @@
 		f.queue.Add(release.Item{ID: j.r.ID, Session: session, Priority: t.priority, Start: t.start, Held: t.hold}, now)
 		f.mu.Unlock()
 		f.wake()
-		return f.created(j), true
+		return f.created(j), nil
 	}
 	f.mu.Lock()
 	f.keep(j)
 	f.mu.Unlock()
 	if err := f.give(j.in, j); err != nil {
-		return tryLater(err.Error()), false
+		return tryLater(err.Error()), err
 	}
-	return f.created(j), true
+	return f.created(j), nil
 }
 
 var errSlow = errors.New("the store is too slow")
@@ -231,7 +249,7 @@
 		r := j.record()
 		undo := append(r.changes(), more...)
 		for i := range undo {
-			undo[i].Value = nil
+			undo[i].Value, undo[i].New = nil, false
 		}
 		if err := f.store.Write(context.WithoutCancel(ctx), undo...); err != nil {
 			f.log.Warn("the record of a job that was refused stays", "job", r.ID, "err", err)
--- a/internal/kv/codec.go
+++ b/internal/kv/codec.go
@@ -199,11 +199,13 @@
 					continue
 				}
 				entries.Insert(p, e)
-				order.Insert(orderKey(e), e.Key)
+				if !e.Keep {
+					order.Insert(orderKey(e), e.Key)
+				}
 				if e.Expires > 0 {
 					leases.Insert(leaseKey(e), e.Key)
 				}
-				s.grow(e.Table, 1, len(e.Value)+len(e.Key))
+				s.grow(e, 1)
 			}
 		}
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -34,6 +34,7 @@
 	Table, Key string
 	Value      []byte
 	TTL        int64 // ms until it expires, 0 for never
+	Keep       bool  // of a Put: what was promised, which no bound takes away; where a table is full of it, more is refused
 	// If Cond, the entry must have the version If - 0: there must be none - or the whole transaction does nothing.
 	Cond bool
 	If   uint64
@@ -68,8 +69,12 @@
 	Created    uint64 // the version with which the key came to be
 	Version    uint64
 	Expires    int64 // Unix ms, 0 for never
+	Keep       bool  // no bound takes it away
 }
 
+// Full begins the Err of a transaction that would put more into a table than may be kept there.
+const Full = "full: "
+
 // Event is a change, for those who watch.
 type Event struct {
 	Version uint64
@@ -83,7 +88,7 @@
 // Bounds are those of a state. They are part of the log's meaning: all members must have the same.
 type Bounds struct {
 	Values  int // of a table, and
-	Bytes   int // their bytes: the ones that came first go first
+	Bytes   int // their bytes: the ones that came first go first, but for those to be kept
 	History int // former values of a key that are kept
 	Key     int // bytes of a table's name or a key
 	Value   int // bytes of a value
@@ -103,7 +108,7 @@
 	index   uint64 // of the latest transaction
 	now     int64
 	entries *iradix.Tree[*Entry]  // table, key
-	order   *iradix.Tree[string]  // table, created: key
+	order   *iradix.Tree[string]  // table, created: key, of those that may go
 	leases  *iradix.Tree[string]  // expires, table, key: table's entry
 	history *iradix.Tree[*Entry]  // table, key, version
 	tables  *iradix.Tree[*volume] // table
@@ -112,7 +117,7 @@
 }
 
 // volume is how much a table holds.
-type volume struct{ values, bytes int }
+type volume struct{ values, bytes, kept, keptBytes int }
 
 // New makes an empty state.
 func New(b Bounds) *State {
@@ -202,6 +207,9 @@
 			}
 		}
 	}
+	if table := s.full(t); table != "" {
+		return Result{Failed: -1, Err: Full + table + " holds as much as may be kept there"}
+	}
 	for i := range t.Ops {
 		switch op := &t.Ops[i]; op.Verb {
 		case Put:
@@ -215,21 +223,53 @@
 	return Result{Version: index, Failed: -1}
 }
 
+// full names a table that a transaction would put more into than may be kept there. What is there already can always be
+// changed, and let go of: what was promised must be able to end.
+func (s *State) full(t *Txn) string {
+	for i := range t.Ops {
+		op := &t.Ops[i]
+		if op.Verb != Put || !op.Keep {
+			continue
+		}
+		if old, ok := s.entries.Get(path(op.Table, op.Key)); ok && old.Keep {
+			continue
+		}
+		v := volume{}
+		if at, ok := s.tables.Get([]byte(op.Table)); ok {
+			v = *at
+		}
+		for k := range t.Ops[:i+1] { // with those before it that are new there as well
+			if x := &t.Ops[k]; x.Verb == Put && x.Keep && x.Table == op.Table {
+				if old, ok := s.entries.Get(path(x.Table, x.Key)); !ok || !old.Keep {
+					v.kept++
+					v.keptBytes += len(x.Key) + len(x.Value)
+				}
+			}
+		}
+		if s.bounds.Values > 0 && v.kept > s.bounds.Values || s.bounds.Bytes > 0 && v.keptBytes > s.bounds.Bytes {
+			return op.Table
+		}
+	}
+	return ""
+}
+
 func (s *State) put(op *Op) {
-	e := &Entry{Table: op.Table, Key: op.Key, Value: op.Value, Created: s.index, Version: s.index}
+	e := &Entry{Table: op.Table, Key: op.Key, Value: op.Value, Created: s.index, Version: s.index, Keep: op.Keep}
 	if op.TTL > 0 {
 		e.Expires = s.now + op.TTL
 	}
 	p := path(op.Table, op.Key)
 	if old, ok := s.entries.Get(p); ok {
 		e.Created = old.Created
-		s.grow(op.Table, 0, len(e.Value)-len(old.Value))
+		s.grow(old, -1)
+		s.order, _, _ = s.order.Delete(orderKey(old))
 		if old.Expires > 0 {
 			s.leases, _, _ = s.leases.Delete(leaseKey(old))
 		}
 		s.keep(old)
-	} else {
-		s.grow(op.Table, 1, len(e.Value)+len(e.Key))
+	}
+	s.grow(e, 1)
+	if !e.Keep {
 		s.order, _, _ = s.order.Insert(orderKey(e), op.Key)
 	}
 	s.entries, _, _ = s.entries.Insert(p, e)
@@ -245,14 +285,19 @@
 	return append(ordinal(append([]byte(e.Table), 0), e.Created), e.Key...)
 }
 
-func (s *State) grow(table string, values, bytes int) {
-	v := volume{}
-	if old, ok := s.tables.Get([]byte(table)); ok {
+// grow counts an entry that comes, or that goes where by is -1.
+func (s *State) grow(e *Entry, by int) {
+	v, size := volume{}, by*(len(e.Key)+len(e.Value))
+	if old, ok := s.tables.Get([]byte(e.Table)); ok {
 		v = *old
 	}
-	v.values += values
-	v.bytes += bytes
-	s.tables, _, _ = s.tables.Insert([]byte(table), &v)
+	v.values += by
+	v.bytes += size
+	if e.Keep {
+		v.kept += by
+		v.keptBytes += size
+	}
+	s.tables, _, _ = s.tables.Insert([]byte(e.Table), &v)
 }
 
 // keep takes a former value into the history, and lets the oldest of it go.
@@ -284,7 +329,7 @@
 		s.leases, _, _ = s.leases.Delete(leaseKey(e))
 	}
 	s.history, _ = s.history.DeletePrefix(append(append([]byte{}, p...), 0))
-	s.grow(e.Table, -1, -len(e.Value)-len(e.Key))
+	s.grow(e, -1)
 	s.events = append(s.events, Event{Version: s.index, Verb: Delete, Table: e.Table, Key: e.Key, Why: why})
 }
 
@@ -304,7 +349,8 @@
 	}
 }
 
-// evict keeps a table within its bounds: the keys that came first go first, but for the one just written.
+// evict keeps a table within its bounds: the keys that came first go first, but for the one just written and those that are
+// to be kept.
 func (s *State) evict(table, but string) {
 	for {
 		v, ok := s.tables.Get([]byte(table))
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -42,11 +43,14 @@
 			return i, e.Version
 		}
 	}
+	if m.full(t) {
+		return -2, 0
+	}
 	for _, op := range t.Ops {
 		p := op.Table + "/" + op.Key
 		switch op.Verb {
 		case Put:
-			e := Entry{Table: op.Table, Key: op.Key, Value: op.Value, Created: index, Version: index}
+			e := Entry{Table: op.Table, Key: op.Key, Value: op.Value, Created: index, Version: index, Keep: op.Keep}
 			if op.TTL > 0 {
 				e.Expires = m.now + op.TTL
 			}
@@ -65,10 +69,13 @@
 				first := ""
 				for q, x := range m.entries {
 					y := m.entries[first]
-					if x.Table == op.Table && q != p && (first == "" || x.Created < y.Created || x.Created == y.Created && x.Key < y.Key) {
+					if x.Table == op.Table && q != p && !x.Keep && (first == "" || x.Created < y.Created || x.Created == y.Created && x.Key < y.Key) {
 						first = q
 					}
 				}
+				if first == "" {
+					break
+				}
 				m.drop(first)
 			}
 		case Delete:
@@ -78,6 +85,29 @@
 	return -1, 0
 }
 
+// full says whether a table would hold more to be kept than its bounds, with what is new there.
+func (m *model) full(t *Txn) bool {
+	for _, table := range []string{"a", "ab"} {
+		n, size, more := 0, 0, false
+		add := func(key string, value []byte) { n++; size += len(key) + len(value) }
+		for _, e := range m.entries {
+			if e.Table == table && e.Keep {
+				add(e.Key, e.Value)
+			}
+		}
+		for _, op := range t.Ops {
+			if op.Verb == Put && op.Keep && op.Table == table && !m.entries[table+"/"+op.Key].Keep {
+				add(op.Key, op.Value)
+				more = true
+			}
+		}
+		if more && (n > bounds.Values || size > bounds.Bytes) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *model) over(table string) bool {
 	n, size := 0, 0
 	for _, e := range m.entries {
@@ -106,6 +136,7 @@
 					Key: fmt.Sprint("k", rapid.IntRange(0, 9).Draw(t, "key"))}
 				if op.Verb == Put {
 					op.Value = rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value")
+					op.Keep = rapid.IntRange(0, 2).Draw(t, "kept") == 0
 					op.TTL = int64(rapid.SampledFrom([]int{0, 0, 5, 50}).Draw(t, "ttl"))
 				}
 				if op.Cond = rapid.IntRange(0, 3).Draw(t, "cond") == 0; op.Cond {
@@ -128,7 +159,11 @@
 			got := s.Apply(index, &again)
 			asked = append(asked, made{Txn{At: 0, ID: again.ID, Ops: again.Ops}, got})
 			failed, current := m.apply(index, txn)
-			if got.Err != "" || got.Failed != failed || failed >= 0 && got.Current != current {
+			if failed == -2 {
+				if !strings.HasPrefix(got.Err, Full) {
+					t.Fatalf("%+v, want a refusal: it is full", got)
+				}
+			} else if got.Err != "" || got.Failed != failed || failed >= 0 && got.Current != current {
 				t.Fatalf("%+v, want %d %d", got, failed, current)
 			}
 			if r := s.Apply(index, &again); r.OK() {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -47,6 +47,8 @@
 	Adopt(ctx context.Context, partition string) (int, error)
 	// Drop lets go of a partition that is another's by now.
 	Drop(partition string)
+	// Left says whether anything of a partition is on record.
+	Left(ctx context.Context, partition string) (bool, error)
 	// Reborn has all that is taken from now on belong to another life.
 	Reborn(born int64)
 }
@@ -130,10 +132,8 @@
 		o.log.Warn("a write was refused by its epoch", "duty", key, "epoch", epoch, "now", r.Current)
 		do(func() { o.carry(context.WithoutCancel(ctx), acts) }) // beside the caller, who may hold a job's lock
 		return fmt.Errorf("%w: %s", ErrLost, key)
-	case !r.OK():
-		return fmt.Errorf("owner: %s", r.Err)
 	}
-	return nil
+	return store.Refusal(r)
 }
 
 // Get and Page are the store's: what is read is fenced by nothing.
@@ -154,21 +154,22 @@
 }
 
 // Place says whose a partition is: this node's, or that of the node whose batch front is at an address; neither, where nobody
-// has it at the moment.
-func (o *Owner) Place(partition string) (addr string, ours bool) {
+// has it at the moment, or, not known, where there is no such duty.
+func (o *Owner) Place(partition string) (addr string, ours, known bool) {
 	o.mu.Lock()
 	_, ours = o.keeper.Epoch(partition)
 	o.mu.Unlock()
 	if ours {
-		return "", true
+		return "", true, true
 	}
 	now := o.store.View()
-	if d, ok := dutyOf(now.Get(Duties, partition)); ok {
+	d, known := dutyOf(now.Get(Duties, partition))
+	if known {
 		if l, ok := leaseOf(now.Get(Leases, d.Owner.Node)); ok && l.Life == d.Owner {
-			return l.Addr, false
+			return l.Addr, false, true
 		}
 	}
-	return "", false
+	return "", false, known
 }
 
 // Pass makes a client's call at another node, once: a call that was passed on is not passed on again.
@@ -225,11 +226,15 @@
 	o.mu.Lock()
 	o.spawn = func(f func()) { g.Go(func() error { f(); return nil }) }
 	o.mu.Unlock()
-	tick := time.NewTicker(o.lim.LeaseTTL / 30)
+	tick, clear := time.NewTicker(o.lim.LeaseTTL/30), time.NewTicker(o.lim.LeaseTTL*10)
 	defer tick.Stop()
+	defer clear.Stop()
 	for {
 		select {
 		case <-tick.C:
+		case <-clear.C:
+			g.Go(func() error { o.retire(ctx); return nil })
+			continue
 		case <-ctx.Done():
 			_ = g.Wait()
 			return nil
@@ -353,7 +358,7 @@
 	l.Born = o.keeper.Self().Born
 	o.mu.Unlock()
 	value, _ := json.Marshal(l)
-	r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{{Verb: kv.Put, Table: Leases, Key: o.name, Value: value,
+	r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{{Verb: kv.Put, Table: Leases, Key: o.name, Value: value, Keep: true,
 		TTL: o.lim.LeaseTTL.Milliseconds(), Cond: true, If: at}}})
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -377,7 +382,7 @@
 	if a.Owner != "" {
 		t.Ops = append(t.Ops, kv.Op{Verb: kv.Check, Table: Leases, Key: a.Owner, Cond: true, If: a.Lease})
 	}
-	t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: a.Key, Value: value, Cond: true, If: a.If})
+	t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: a.Key, Value: value, Keep: true, Cond: true, If: a.If})
 	r, err := o.store.Txn(ctx, t)
 	epoch := uint64(0)
 	if err == nil && r.OK() {
@@ -432,6 +437,35 @@
 	o.front.Reborn(o.own.Born)
 }
 
+// retire takes away the duties held here of lives that are over and of which nothing is on record any more: a fleet that is
+// restarted every day would gather them for good.
+func (o *Owner) retire(ctx context.Context) {
+	o.mu.Lock()
+	held, own := o.keeper.Held(), o.own.Partition()
+	o.mu.Unlock()
+	for _, key := range held {
+		if key == own {
+			continue
+		}
+		if left, err := o.front.Left(ctx, key); err != nil || left {
+			continue
+		}
+		o.mu.Lock()
+		epoch, ours := o.keeper.Epoch(key)
+		o.mu.Unlock()
+		if !ours {
+			continue
+		}
+		r, err := o.store.Txn(ctx, &kv.Txn{Ops: []kv.Op{{Verb: kv.Delete, Table: Duties, Key: key, Cond: true, If: epoch}}})
+		if err == nil && r.OK() {
+			o.mu.Lock()
+			o.keeper.Release(key)
+			o.mu.Unlock()
+			o.log.Info("duty retired: nothing of it is on record", "duty", key, "epoch", epoch)
+		}
+	}
+}
+
 // LetGo writes all that is held as nobody's and takes the lease away, at a planned end, so that others need not wait for the
 // lease's end. Nothing is claimed any more.
 func (o *Owner) LetGo(ctx context.Context) {
@@ -441,7 +475,7 @@
 	none, _ := json.Marshal(duty.Life{})
 	for _, key := range o.keeper.Held() {
 		epoch, _ := o.keeper.Epoch(key)
-		t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: key, Value: none, Cond: true, If: epoch})
+		t.Ops = append(t.Ops, kv.Op{Verb: kv.Put, Table: Duties, Key: key, Value: none, Keep: true, Cond: true, If: epoch})
 		o.keeper.Release(key)
 	}
 	if mine := o.keeper.Mine(); mine != 0 {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -67,12 +67,14 @@
 type work struct {
 	adopted map[string]bool
 	born    int64
+	left    map[string]bool
 }
 
 func (w *work) Open(context.Context, string) ([]string, error) { return nil, nil }
 func (w *work) Adopt(_ context.Context, p string) (int, error) { w.adopted[p] = true; return 1, nil }
 func (w *work) Drop(p string)                                  { delete(w.adopted, p) }
 func (w *work) Reborn(born int64)                              { w.born = born }
+func (w *work) Left(_ context.Context, p string) (bool, error) { return w.left[p], nil }
 
 // fleet is nodes of one store, driven step by step from a seed.
 type fleet struct {
@@ -338,6 +340,37 @@
 }
 
 func (f *fleet) epoch(key string) uint64 {
-	e, _ := f.s.state.Snapshot().Get(Duties, key)
-	return e.Version
+	if e, ok := f.s.state.Snapshot().Get(Duties, key); ok {
+		return e.Version
+	}
+	return 0
+}
+
+// A duty of a life that is over goes once nothing of it is on record, and not before; the life's own stays.
+func TestRetire(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	for range 40 {
+		f.step(false)
+	}
+	was := f.nodes[0].Owner.own.Partition()
+	f.boot(f.nodes[0])
+	x := f.nodes[0]
+	for range 80 {
+		f.step(false)
+	}
+	own := x.Owner.own.Partition()
+	x.w.left = map[string]bool{was: true}
+	x.retire(t.Context())
+	if f.epoch(was) == 0 || f.epoch(own) == 0 {
+		t.Fatalf("%s stands by %d, %s by %d", was, f.epoch(was), own, f.epoch(own))
+	}
+	clear(x.w.left)
+	x.retire(t.Context())
+	if f.epoch(was) != 0 || f.epoch(own) == 0 {
+		t.Errorf("%s stands by %d, %s by %d", was, f.epoch(was), own, f.epoch(own))
+	}
+	x.m.view = f.s.state.Snapshot()
+	if _, ours, known := x.Place(was); ours || known {
+		t.Error("a duty that was retired is still known")
+	}
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -18,8 +18,16 @@
 type Change struct {
 	Kind, Key string
 	Value     []byte
+	New       bool // there must be none yet, or nothing is written: ErrExists
+	Keep      bool // it was promised, and no bound of the store's takes it away; where there is no room, nothing is written: ErrFull
 }
 
+// What a write may be refused for.
+var (
+	ErrExists = errors.New("records: there is one already")
+	ErrFull   = errors.New("records: as much as may be kept is there")
+)
+
 // Row is one value on record.
 type Row struct {
 	Key   string
@@ -101,6 +109,9 @@
 	}
 	t := tallyOf(sums.Get([]byte(c.Kind)))
 	if old := bucket.Get([]byte(c.Key)); old != nil {
+		if c.New {
+			return ErrExists
+		}
 		t.Values--
 		t.Bytes -= int64(len(old) + len(c.Key))
 	}
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -54,7 +54,7 @@
 				}
 			}
 			// One bad change, and none is made.
-			if err := b.Write(ctx, Change{"job", "k00", []byte("bad")}, Change{"job", "", nil}); err == nil {
+			if err := b.Write(ctx, Change{Kind: "job", Key: "k00", Value: []byte("bad")}, Change{Kind: "job"}); err == nil {
 				t.Fatal("a change without a key")
 			}
 		}
@@ -102,7 +102,7 @@
 	b := open(t, t.TempDir())
 	ctx := context.Background()
 	for i := range 20 {
-		if err := b.Write(ctx, Change{"job", fmt.Sprintf("k%02d", i), []byte("value")}); err != nil {
+		if err := b.Write(ctx, Change{Kind: "job", Key: fmt.Sprintf("k%02d", i), Value: []byte("value")}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -142,7 +142,7 @@
 	if err := b.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if err := b.Write(context.Background(), Change{"job", "k", []byte("v")}); err == nil {
+	if err := b.Write(context.Background(), Change{Kind: "job", Key: "k", Value: []byte("v")}); err == nil {
 		t.Error("written after its end")
 	}
 	open(t, dir)
@@ -159,7 +159,7 @@
 			n++
 			key := fmt.Sprintf("%012d", n)
 			mu.Unlock()
-			if err := s.Write(context.Background(), Change{"job", key, value}); err != nil {
+			if err := s.Write(context.Background(), Change{Kind: "job", Key: key, Value: value}); err != nil {
 				b.Error(err)
 			}
 		}
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"encoding/json"
@@ -26,24 +27,37 @@
 
 // Put sets a value, and returns once most members have it.
 func (s *Store) Put(ctx context.Context, kind, key string, value []byte) error {
-	return s.Write(ctx, records.Change{Kind: kind, Key: key, Value: value})
+	return s.Write(ctx, records.Change{Kind: kind, Key: key, Value: value, Keep: true})
 }
 
 // Write makes all changes or none, as one entry of the log, and returns once most members have it.
 func (s *Store) Write(ctx context.Context, changes ...records.Change) error {
 	r, err := s.Txn(ctx, &kv.Txn{Ops: Ops(changes)})
-	if err == nil && !r.OK() {
-		err = fmt.Errorf("store: %s", r.Err)
+	if err != nil {
+		return err
 	}
-	return err
+	return Refusal(r)
+}
+
+// Refusal is why a transaction of changes was not made, if it was not.
+func Refusal(r *kv.Result) error {
+	switch {
+	case r.OK():
+		return nil
+	case r.Failed >= 0:
+		return records.ErrExists
+	case strings.HasPrefix(r.Err, kv.Full):
+		return fmt.Errorf("%w: %s", records.ErrFull, r.Err)
+	}
+	return fmt.Errorf("store: %s", r.Err)
 }
 
 // Ops are the operations that make changes.
 func Ops(changes []records.Change) (ops []kv.Op) {
 	for _, c := range changes {
-		op := kv.Op{Verb: kv.Put, Table: c.Kind, Key: c.Key, Value: c.Value}
+		op := kv.Op{Verb: kv.Put, Table: c.Kind, Key: c.Key, Value: c.Value, Keep: c.Keep, Cond: c.New}
 		if c.Value == nil {
-			op.Verb = kv.Delete
+			op.Verb, op.Keep = kv.Delete, false
 		}
 		ops = append(ops, op)
 	}
--- a/internal/store/operate.go
+++ b/internal/store/operate.go
@@ -201,7 +201,7 @@
 		}
 		return refusal(404, "nothing stands at %s %s", table, key)
 	}
-	op := kv.Op{Verb: kv.Put, Table: table, Key: key, Value: m.Body}
+	op := kv.Op{Verb: kv.Put, Table: table, Key: key, Value: m.Body, Keep: true}
 	switch m.Method {
 	case "PUT":
 		if op.Value == nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -19,6 +19,7 @@
 
 	"quincereach/internal/keys"
 	"quincereach/internal/kv"
+	"quincereach/internal/records"
 	"quincereach/internal/standin"
 )
 
@@ -476,3 +477,45 @@
 		t.Errorf("behind the log: %d, want %d", got-at, 9000)
 	}
 }
+
+// What was promised is never pushed out by what came later: where a table is full of it more is refused, what stands can change
+// and end, and what has ended makes room.
+func TestPromisedIsKept(t *testing.T) {
+	all := cluster(t, 1)
+	s := all[0].s
+	most := standin.Lim.StoreValues
+	write := func(i int, keep bool) error {
+		return s.Write(t.Context(), records.Change{Kind: "job", Key: fmt.Sprintf("j%05d", i), Value: []byte("x"), Keep: keep})
+	}
+	for i := range most {
+		if i%64 == 0 {
+			var changes []records.Change
+			for k := i; k < min(i+64, most); k++ {
+				changes = append(changes, records.Change{Kind: "job", Key: fmt.Sprintf("j%05d", k), Value: []byte("x"), Keep: true})
+			}
+			if err := s.Write(t.Context(), changes...); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := write(most, true); !errors.Is(err, records.ErrFull) {
+		t.Errorf("one more than may be kept: %v, want %v", err, records.ErrFull)
+	}
+	if _, ok, err := s.Get(t.Context(), "job", "j00000"); !ok || err != nil {
+		t.Errorf("the first one: %v %v", ok, err)
+	}
+	if err := write(7, false); err != nil {
+		t.Errorf("one ends: %v", err)
+	}
+	if err := write(most, true); err != nil {
+		t.Errorf("there is room for one: %v", err)
+	}
+	for _, x := range []struct {
+		key  string
+		want bool
+	}{{"j00000", true}, {"j00007", false}, {fmt.Sprintf("j%05d", most), true}} {
+		if _, ok, err := s.Get(t.Context(), "job", x.key); ok != x.want || err != nil {
+			t.Errorf("%s: %v %v, want %v", x.key, ok, err, x.want)
+		}
+	}
+}
