Keep a member whose disk forgot from voting until those who remember let it in anew

Need: three members, one stopped; a write acknowledged by the two others, one of which then loses its disk and starts with its file, the other is killed and the stopped one goes on: the two told, for certain, that nothing stood there. One that was known before is silent to raft, says that it has forgotten, and is taken out and let in as a non-voter by the leader. Also mended on the way: a read that was to be certain asked the leader and then told what this member had, without waiting for it; a member replaced under its name was held for dead for good, and never voted again.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -77,8 +77,8 @@
 
 // Join decides about a node that asks to be a member. It begins as a non-voter: one that is not caught up must not count
 // for a majority, or the store could lose it by adding a member. One that is there already changes nothing; one that comes
-// back at another address takes the dead one's place.
-func (c Cluster) Join(name, address string) (Change, error) {
+// back at another address, or anew, with nothing of what it held, takes the former one's place.
+func (c Cluster) Join(name, address string, anew bool) (Change, error) {
 	if name == "" || address == "" {
 		return Change{}, ErrName
 	}
@@ -91,9 +91,9 @@
 	switch {
 	case !ok:
 		return Change{AddNonvoter, name, address}, nil
-	case old.Address == address:
+	case old.Address == address && !anew:
 		return Change{}, nil
-	case old.Alive:
+	case old.Alive && old.Address != address:
 		return Change{}, fmt.Errorf("%w: %s", ErrTwice, old.Address)
 	case !c.without(name).quorum():
 		return Change{}, ErrQuorum
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -29,12 +29,14 @@
 		want Change
 		err  error
 	}{
-		{"a new one joins as a non-voter", func() (Change, error) { return five().Join("n9", "a9") }, Change{AddNonvoter, "n9", "a9"}, nil},
-		{"one that is there", func() (Change, error) { return five().Join("n1", "a1") }, Change{}, nil},
-		{"the same name twice", func() (Change, error) { return five().Join("n1", "a9") }, Change{}, ErrTwice},
-		{"a dead one's name at another address", func() (Change, error) { return five("n1").Join("n1", "a9") }, Change{Replace, "n1", "a9"}, nil},
-		{"another's address", func() (Change, error) { return five().Join("n9", "a1") }, Change{}, ErrTaken},
-		{"no name", func() (Change, error) { return five().Join("", "a1") }, Change{}, ErrName},
+		{"a new one joins as a non-voter", func() (Change, error) { return five().Join("n9", "a9", false) }, Change{AddNonvoter, "n9", "a9"}, nil},
+		{"one that is there", func() (Change, error) { return five().Join("n1", "a1", false) }, Change{}, nil},
+		{"one that is there and has forgotten", func() (Change, error) { return five("n1").Join("n1", "a1", true) }, Change{Replace, "n1", "a1"}, nil},
+		{"one that has forgotten, and too few others", func() (Change, error) { return five("n1", "n2", "n3").Join("n1", "a1", true) }, Change{}, ErrQuorum},
+		{"the same name twice", func() (Change, error) { return five().Join("n1", "a9", false) }, Change{}, ErrTwice},
+		{"a dead one's name at another address", func() (Change, error) { return five("n1").Join("n1", "a9", false) }, Change{Replace, "n1", "a9"}, nil},
+		{"another's address", func() (Change, error) { return five().Join("n9", "a1", false) }, Change{}, ErrTaken},
+		{"no name", func() (Change, error) { return five().Join("", "a1", false) }, Change{}, ErrName},
 		{"a sixth voter", func() (Change, error) { return five().Apply(Change{AddNonvoter, "n9", "a9"}).Promote("n9", 0, 10, 5) }, Change{}, nil},
 		{"a third voter that is far behind", func() (Change, error) {
 			return five()[:2].Apply(Change{AddNonvoter, "n9", "a9"}).Promote("n9", 11, 10, 5)
@@ -66,7 +68,7 @@
 			var x Change
 			switch rapid.IntRange(0, 5).Draw(t, "call") {
 			case 0, 1:
-				x, _ = c.Join(name, fmt.Sprint("a", rapid.IntRange(0, 12).Draw(t, "address")))
+				x, _ = c.Join(name, fmt.Sprint("a", rapid.IntRange(0, 12).Draw(t, "address")), rapid.Bool().Draw(t, "anew"))
 			case 2:
 				x, _ = c.Promote(name, uint64(rapid.IntRange(0, 20).Draw(t, "behind")), 10, 5)
 			case 3:
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -206,11 +206,14 @@
 			return http1.Text(503, "%v", err)
 		}
 		return answerJSON(200, r)
-	case "/get", "/page":
+	case "/get", "/page", "/index":
 		// All that was written before is in once the barrier is, and only a leader gets one through.
 		if err := s.raft.Barrier(s.lim.StoreCall).Error(); err != nil {
 			return http1.Text(503, "%v", err)
 		}
+		if u.Path == "/index" {
+			return answerJSON(200, s.fsm.view().Index())
+		}
 		v := s.fsm.view()
 		if u.Path == "/get" {
 			if e, ok := v.Get(q.Get("table"), q.Get("key")); ok {
--- /dev/null
+++ b/internal/store/folder.go
@@ -0,0 +1,189 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/member"
+)
+
+// The folder's identity, and those of the others that this member was told of, stand beside raft's own votes: they are lost
+// only together.
+const (
+	folderKey = "gatetack.folder"
+	knownKey  = "gatetack.folder.of."
+)
+
+// identity reads the folder's, or makes it.
+func (s *Store) identity() error {
+	id, err := s.bolt.Get([]byte(folderKey))
+	if errors.Is(err, boltdb.ErrKeyNotFound) {
+		var raw [12]byte
+		_, _ = rand.Read(raw[:])
+		id = []byte(hex.EncodeToString(raw[:]))
+		err = s.bolt.Set([]byte(folderKey), id)
+	}
+	s.folder = string(id)
+	return err
+}
+
+// witness answers a member that asks which folder is known under its name: what it says is on this member's disk before it
+// is answered, if nothing was known before.
+func (s *Store) witness(q url.Values) http1.Response {
+	name, id := q.Get("name"), q.Get("id")
+	if name == "" || id == "" {
+		return refusal(400, "a name and an identity are needed")
+	}
+	if name == s.cfg.Name {
+		return answerJSON(200, map[string]string{"known": s.folder})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, err := s.bolt.Get([]byte(knownKey + name))
+	if errors.Is(err, boltdb.ErrKeyNotFound) {
+		known, err = []byte(id), s.bolt.Set([]byte(knownKey+name), []byte(id))
+	}
+	if err != nil {
+		return refusal(503, "%v", err)
+	}
+	return answerJSON(200, map[string]string{"known": string(known)})
+}
+
+// asked has some members say which folder they know under this one's name. Those that do not answer are not in it.
+func (s *Store) asked(ctx context.Context, members map[string]string) member.Known {
+	ctx, cancel := context.WithTimeout(ctx, 2*s.lim.StoreBeat)
+	defer cancel()
+	var g sync.WaitGroup
+	var mu sync.Mutex
+	out := member.Known{}
+	path := "/v1/folder?" + url.Values{"name": {s.cfg.Name}, "id": {s.folder}}.Encode()
+	for name, addr := range members {
+		if name == s.cfg.Name {
+			continue
+		}
+		g.Go(func() {
+			m, err := Call(ctx, addr, "GET", path, nil, s.cfg.Keys, s.lim)
+			if err != nil || m.Status != 200 {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[name] = gjson.GetBytes(m.Body, "known").String()
+		})
+	}
+	g.Wait()
+	return out
+}
+
+// begin has a member with an empty folder become one of the store's: it begins it with the others, or, where it has forgotten
+// what it held or is to join, is let in anew by those who remember. Until then it gives no vote and takes nothing in.
+func (s *Store) begin(ctx context.Context) {
+	names := slices.Sorted(maps.Keys(s.cfg.Members))
+	for said := false; s.cfg.Join == ""; said = true {
+		verdict, missing := member.Judge(s.cfg.Name, s.folder, names, s.asked(ctx, s.cfg.Members))
+		if verdict == member.Begin {
+			if err := s.bootstrap(); err != nil {
+				s.log.Error("store: it can not begin", "err", err)
+				return
+			}
+			s.log.Info("store: begun", "folder", s.folder, "members", names)
+			s.mux.open.Store(true)
+			return
+		}
+		if verdict == member.Forgot {
+			s.log.Warn("store: this member has forgotten what it held: its folder is empty, and others know another under its name. "+
+				"It does not vote, and asks those who remember to be let in anew", "name", s.cfg.Name)
+			break
+		}
+		if !said {
+			s.log.Info("store: the folder is empty, and it waits for others before it begins", "missing", missing)
+		}
+		select {
+		case <-time.After(s.lim.StoreBeat / 2):
+		case <-ctx.Done():
+			return
+		}
+	}
+	to := []string{s.cfg.Join}
+	if s.cfg.Join == "" {
+		to = to[:0]
+		for _, name := range names {
+			if name != s.cfg.Name {
+				to = append(to, s.cfg.Members[name])
+			}
+		}
+	}
+	body, _ := json.Marshal(map[string]any{"verb": "join", "name": s.cfg.Name, "address": s.cfg.Listen, "anew": true})
+	for n := 0; ; n++ {
+		at := to[n%len(to)]
+		cctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
+		m, err := Call(cctx, at, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
+		cancel()
+		if err == nil && m.Status == 200 {
+			s.log.Info("store: let in anew", "by", at)
+			s.mux.open.Store(true)
+			s.join(ctx, at)
+			return
+		}
+		if err == nil {
+			err = fmt.Errorf("%d: %s", m.Status, m.Body)
+		}
+		if n%len(to) == 0 {
+			s.log.Info("store: not let in yet", "by", at, "err", err)
+		}
+		select {
+		case <-time.After(s.lim.StoreBeat / 2):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// bootstrap begins the store. Every member begins with the same list, so that it does not matter which one is first.
+func (s *Store) bootstrap() error {
+	var all raft.Configuration
+	for _, name := range slices.Sorted(maps.Keys(s.cfg.Members)) {
+		all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(s.cfg.Members[name])})
+	}
+	return s.raft.BootstrapCluster(all).Error()
+}
+
+// announce has the other members know this folder, once each: those of a version that had no identities, or that came later.
+func (s *Store) announce(ctx context.Context) {
+	told := map[string]bool{}
+	for {
+		left := map[string]string{}
+		all, err := s.Members()
+		for _, x := range all {
+			if !told[x.Name] && x.Name != s.cfg.Name {
+				left[x.Name] = x.Address
+			}
+		}
+		for name := range s.asked(ctx, left) {
+			told[name] = true
+		}
+		wait := 4 * s.lim.StoreBeat
+		if err == nil && len(all) > 1 && len(told) >= len(all)-1 {
+			wait = 120 * s.lim.StoreBeat
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -77,7 +77,7 @@
 	var x member.Change
 	switch verb := v.Get("verb").String(); verb {
 	case "join":
-		x, err = all.Join(name, v.Get("address").String())
+		x, err = all.Join(name, v.Get("address").String(), v.Get("anew").Bool())
 	case "promote":
 		last := s.raft.LastIndex()
 		x, err = all.Promote(name, last-min(last, v.Get("applied").Uint()), nearVoter, mostVoters)
@@ -105,6 +105,11 @@
 
 func (s *Store) make(x member.Change) error {
 	id, addr, wait := raft.ServerID(x.Name), raft.ServerAddress(x.Address), s.lim.StoreCall
+	defer func() { // what failed before was another process: the new one's heartbeats say nothing until they fail
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.dead, id)
+	}()
 	switch x.Verb {
 	case member.AddNonvoter:
 		return s.raft.AddNonvoter(id, addr, 0, wait).Error()
@@ -119,8 +124,7 @@
 }
 
 // join asks to be a member, and then to vote once it has caught up, until it votes or there is no place for another voter.
-func (s *Store) join(ctx context.Context) {
-	to := s.cfg.Join
+func (s *Store) join(ctx context.Context, to string) {
 	for ctx.Err() == nil {
 		all, err := s.Members()
 		verb, in := "join", false
--- a/internal/store/mux.go
+++ b/internal/store/mux.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -25,6 +26,7 @@
 	calls *queue
 	done  chan struct{}
 	once  sync.Once
+	open  atomic.Bool // raft's streams are taken
 }
 
 const raftMark = 0x01
@@ -77,7 +79,10 @@
 	to := m.calls.in
 	if first[0] == raftMark {
 		_, _ = r.Discard(1)
-		to = m.raft
+		if to = m.raft; !m.open.Load() {
+			_ = c.Close()
+			return
+		}
 	}
 	select {
 	case to <- &peeked{c, r}:
--- a/internal/store/operate.go
+++ b/internal/store/operate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+	"github.com/tidwall/gjson"
 
 	"quincereach/internal/http1"
 	"quincereach/internal/kv"
@@ -105,6 +106,8 @@
 	switch {
 	case p[0] == "status" && len(p) == 1 && m.Method == "GET":
 		return answerJSON(200, s.Status())
+	case p[0] == "folder" && len(p) == 1 && m.Method == "GET":
+		return s.witness(q)
 	case p[0] == "members" && len(p) == 1 && m.Method == "GET":
 		return s.forward(ctx, m, func() http1.Response {
 			all, err := s.Members()
@@ -159,9 +162,23 @@
 	if q.Get("stale") == "1" {
 		return nil
 	}
-	// A read at the leader tells how far the log is; this member has all of it once it has applied as much.
-	_, _, err := s.Get(ctx, "?", "?")
-	return err
+	m, err := s.ask(ctx, "/index", nil)
+	if err != nil {
+		return err
+	}
+	upTo, tick := gjson.ParseBytes(m.Body).Uint(), time.NewTicker(2*time.Millisecond)
+	defer tick.Stop()
+	late := time.After(s.lim.StoreCall)
+	for s.fsm.view().Index() < upTo {
+		select {
+		case <-tick.C:
+		case <-late:
+			return fmt.Errorf("store: this member is behind: it has %d of %d", s.fsm.view().Index(), upTo)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
 func (s *Store) listing(ctx context.Context, table string, q url.Values) http1.Response {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,7 +4,6 @@
 package store
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,7 +11,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +48,9 @@
 	bolt   *boltdb.BoltStore
 	trans  *raft.NetworkTransport
 
+	folder string // its identity
+	empty  bool   // it held nothing when it was opened
+
 	mu   sync.Mutex
 	dead map[raft.ServerID]bool // members whose heartbeats fail, as this one sees it while it leads
 
@@ -111,17 +112,12 @@
 	if err != nil {
 		return err
 	}
-	if !known && s.cfg.Join == "" {
-		// Every member begins with the same list, so that it does not matter which one begins.
-		var all raft.Configuration
-		for name, addr := range s.cfg.Members {
-			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(addr)})
-		}
-		slices.SortFunc(all.Servers, func(a, b raft.Server) int { return cmp.Compare(a.ID, b.ID) })
-		if err := raft.BootstrapCluster(c, s.bolt, s.bolt, snaps, s.trans, all); err != nil {
-			return err
-		}
+	if err := s.identity(); err != nil {
+		return err
 	}
+	// An empty folder is silent towards the others until it is known that none is missing: see package member.
+	s.empty = !known
+	s.mux.open.Store(known)
 	s.raft, err = raft.NewRaft(c, s.fsm, s.bolt, s.bolt, snaps, s.trans)
 	return err
 }
@@ -133,9 +129,13 @@
 	g.Go(func() error { return s.server.Serve(ctx, s.mux.calls) })
 	g.Go(func() error { s.observe(ctx); return nil })
 	g.Go(func() error { s.expire(ctx); return nil })
-	if s.cfg.Join != "" {
-		g.Go(func() error { s.join(ctx); return nil })
+	switch {
+	case s.empty:
+		g.Go(func() error { s.begin(ctx); return nil })
+	case s.cfg.Join != "":
+		g.Go(func() error { s.join(ctx, s.cfg.Join); return nil })
 	}
+	g.Go(func() error { s.announce(ctx); return nil })
 	g.Go(func() error {
 		<-ctx.Done()
 		return s.close()
