--- a/cmd/gatetack/duty.go
+++ b/cmd/gatetack/duty.go
@@ -80,9 +80,45 @@
 			fmt.Fprintf(cmd.OutOrStdout(), "%s is nobody's; %s had it under epoch %s, and nothing it writes under that is taken any more\n", a[0], whose(lifeOf(v)), was)
 			return nil
 		}})
+	cmd.AddCommand(&cobra.Command{Use: "move DUTY NODE", Short: "give a duty to a node that is alive",
+		Args: func(cmd *cobra.Command, a []string) error {
+			if len(a) != 2 {
+				return usageError{errors.New("move: a duty and a node are expected")}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, a []string) error { return r.moveDuty(cmd, a[0], a[1]) }})
 	return cmd
 }
 
+// moveDuty writes a duty as that of a node's present life, which claims it under an epoch of its own as soon as it sees so. If
+// that life ends first the duty is as any whose owner has no lease.
+func (r *storeRemote) moveDuty(cmd *cobra.Command, key, to string) error {
+	life := duty.Life{Node: to}
+	if err := r.each(cmd.Context(), owner.Leases, "", false, func(e gjson.Result) {
+		if e.Get("key").String() == to {
+			life.Born = gjson.Get(e.Get("value").String(), "born").Int()
+		}
+	}); err != nil {
+		return err
+	}
+	if life.Born == 0 {
+		return usageError{fmt.Errorf("node %q has no lease: duty list names those that are alive", to)}
+	}
+	path := "kv/" + owner.Duties + "/" + url.PathEscape(key)
+	v, _, err := r.call(cmd.Context(), "GET", path, nil)
+	if err != nil {
+		return err
+	}
+	value, _ := json.Marshal(life)
+	was := v.Get("version").Raw
+	if _, _, err := r.call(cmd.Context(), "PUT", path+"?if="+was, value); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%s is for %s to claim; %s had it under epoch %s, and nothing it writes under that is taken any more\n", key, to, whose(lifeOf(v)), was)
+	return nil
+}
+
 func oneDuty(cmd *cobra.Command, a []string) error {
 	if len(a) != 1 {
 		return usageError{errors.New(cmd.Name() + ": one duty is expected")}
--- a/cmd/gatetack/store.go
+++ b/cmd/gatetack/store.go
@@ -172,7 +172,7 @@
 	set.Flags().DurationVar(&ttl, "ttl", 0, "it expires after so long")
 	del := plain("delete TABLE KEY", "take a value away", "DELETE", 2, func(a []string) string { return key(a) + query() }, nil)
 	del.Flags().StringVar(&cond, "if", "", "only if this version stands there")
-	cmd.AddCommand(remove, get, set, del, r.list(&stale), r.watch(), r.snapshot(), r.restore(), verifyCommand(r.lim))
+	cmd.AddCommand(remove, get, set, del, r.list(&stale), r.watch(), r.snapshot(), r.restore(), verifyCommand(r.lim), recoverCommand(r.lim))
 	return cmd
 }
 
@@ -267,6 +267,23 @@
 		}}
 }
 
+func recoverCommand(lim limits.Limits) *cobra.Command {
+	var name string
+	var members map[string]string
+	var dry bool
+	cmd := &cobra.Command{Use: "recover DIR", Short: "begin the store anew from one member's folder, when most are lost for good", Args: oneFile,
+		RunE: func(cmd *cobra.Command, a []string) error {
+			if name == "" || len(members) == 0 {
+				return usageError{errors.New("recover: --name, whose folder it is, and --members of the store to be are expected")}
+			}
+			return store.Recover(a[0], name, members, dry, lim, cmd.OutOrStdout())
+		}}
+	cmd.Flags().StringVar(&name, "name", "", "the member whose folder it is")
+	cmd.Flags().StringToStringVar(&members, "members", nil, "the members of the store to be: NAME=ADDRESS,...")
+	cmd.Flags().BoolVar(&dry, "dry-run", false, "say what it would do, and what may be lost")
+	return cmd
+}
+
 func verifyCommand(lim limits.Limits) *cobra.Command {
 	return &cobra.Command{Use: "verify DIR", Short: "say what is wrong with a member's folder, while its node is down", Args: oneFile,
 		RunE: func(cmd *cobra.Command, a []string) error { return store.Verify(a[0], lim, cmd.OutOrStdout()) }}
--- /dev/null
+++ b/internal/store/recover.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	bolt "go.etcd.io/bbolt"
+
+	"quincereach/internal/limits"
+)
+
+// Recover makes a member's folder, while its node is down, the beginning of a store of other members: what is left to do when
+// most of the voters are lost for good. Members are all of the store to be, by name, this one under its own name among them. It
+// says first what the folder holds and what may be lost by it, and with dry it changes nothing.
+func Recover(dir, name string, members map[string]string, dry bool, lim limits.Limits, w io.Writer) error {
+	if members[name] == "" {
+		return fmt.Errorf("store: member %q, whose folder this is, is not among those of the store to be", name)
+	}
+	c := raft.DefaultConfig()
+	c.LocalID, c.Logger = raft.ServerID(name), hclog.NewNullLogger()
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(dir, 2, c.Logger)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	path := filepath.Join(dir, "raft.db")
+	log, err := boltdb.New(boltdb.Options{Path: path, BoltOptions: &bolt.Options{Timeout: time.Second}})
+	if err != nil {
+		return fmt.Errorf("store: %s: is its node still running? %w", path, err)
+	}
+	defer func() { _ = log.Close() }()
+	known, err := raft.HasExistingState(log, log, snaps)
+	if err != nil || !known {
+		return errors.Join(err, fmt.Errorf("store: %s holds nothing to begin from", dir))
+	}
+	_, trans := raft.NewInmemTransport("")
+	defer func() { _ = trans.Close() }()
+	was, err := raft.GetConfiguration(c, newFSM(lim), log, log, snaps, trans)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	last, err := log.LastIndex()
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if metas, err := snaps.List(); err == nil && len(metas) > 0 {
+		last = max(last, metas[0].Index)
+	}
+	var others []string
+	for _, x := range was.Servers {
+		if string(x.ID) != name {
+			others = append(others, string(x.ID))
+		}
+	}
+	slices.Sort(others)
+	fmt.Fprintf(w, "the folder of %s holds all up to entry %d\n", name, last)
+	fmt.Fprintf(w, "lost is whatever the others (%s) acknowledged after entry %d without it; what it has and they had not yet "+
+		"acknowledged stands\n", strings.Join(others, ", "), last)
+	fmt.Fprintf(w, "the members will be %s: none of the others may be started again with its folder, or there are two stores\n",
+		strings.Join(slices.Sorted(maps.Keys(members)), ", "))
+	if dry {
+		fmt.Fprintln(w, "nothing was changed")
+		return nil
+	}
+	var to raft.Configuration
+	for _, id := range slices.Sorted(maps.Keys(members)) {
+		to.Servers = append(to.Servers, raft.Server{ID: raft.ServerID(id), Address: raft.ServerAddress(members[id])})
+	}
+	if err := raft.RecoverCluster(c, newFSM(lim), log, log, snaps, trans, to); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	fmt.Fprintln(w, "done: start its node")
+	return nil
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -519,3 +519,44 @@
 		}
 	}
 }
+
+// Two of three members are lost for good: the third says what may be lost, and is made the beginning of a store with what it
+// holds; a dry run changes nothing, and a folder in use or with nothing in it is refused.
+func TestRecover(t *testing.T) {
+	all := cluster(t, 3)
+	put(t, all[0], "k", "kept")
+	standin.Until(t, "all have it", func() bool { v, ok := all[2].s.Local("job", "k"); return ok && string(v) == "kept" })
+	last := all[2].cfg
+	alone := map[string]string{last.Name: last.Listen}
+	var said bytes.Buffer
+	if err := Recover(last.Dir, last.Name, alone, true, standin.Lim, &said); err == nil {
+		t.Error("a folder in use is taken")
+	}
+	for _, m := range all {
+		m.stop()
+	}
+	if err := Recover(t.TempDir(), last.Name, alone, true, standin.Lim, &said); err == nil {
+		t.Error("an empty folder is taken")
+	}
+	if err := Recover(last.Dir, last.Name, map[string]string{"n9": "127.0.0.1:1"}, true, standin.Lim, &said); err == nil {
+		t.Error("a store without the member whose folder it is")
+	}
+	said.Reset()
+	if err := Recover(last.Dir, last.Name, alone, true, standin.Lim, &said); err != nil || !strings.Contains(said.String(), "(n0, n1)") ||
+		!strings.Contains(said.String(), "nothing was changed") {
+		t.Errorf("%v: %s", err, &said)
+	}
+	all[2].start(t)
+	time.Sleep(3 * standin.Lim.StoreBeat)
+	if all[2].s.Leads() {
+		t.Error("a dry run has changed the members")
+	}
+	all[2].stop()
+	if err := Recover(last.Dir, last.Name, alone, false, standin.Lim, &said); err != nil {
+		t.Fatal(err)
+	}
+	all[2].start(t)
+	want(t, all[2], "k", "kept")
+	put(t, all[2], "k", "and written")
+	want(t, all[2], "k", "and written")
+}
--- a/test/copies_test.go
+++ b/test/copies_test.go
@@ -34,7 +34,10 @@
 func TestForgotItsDisk(t *testing.T) {
 	f := newFleet(t, 3, 20*time.Millisecond)
 	f[0].until("the store writes", func() bool { _, err := f[0].stored("set", "mark", "before", "x"); return err == nil })
-	f[2].until("all have it", func() bool { out, err := f[2].stored("get", "mark", "before", "--stale"); return err == nil && strings.Contains(out, "x") })
+	f[2].until("all have it", func() bool {
+		out, err := f[2].stored("get", "mark", "before", "--stale")
+		return err == nil && strings.Contains(out, "x")
+	})
 	f[2].signal(syscall.SIGSTOP)
 	f[0].until("a write is acknowledged", func() bool { _, err := f[0].stored("set", "mark", "promised", "kept"); return err == nil })
 	f[1].forget()
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -206,6 +206,8 @@
 	})
 	duties("release", key)
 	f[1].until("it has an owner again", func() bool { return owner() != "" })
+	duties("move", key, "n2")
+	f[2].until("it is where it was moved to", func() bool { return owner() == "n2" })
 	f[0].until("the job is released", func() bool {
 		status, _ := f[0].drmaa("POST", "/jobs/"+id+"/release", "")
 		return status == 200
