--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -201,11 +201,13 @@
 	}
 	var out []Action
 	mine, standing := v.Leases[k.self.Node]
-	if born := k.latest(v); !k.began && born >= k.self.Born {
+	if !k.began {
 		// Lives are in the order in which they come to the store, whatever the clocks say that they began by: one that was
 		// started with its clock set back is no earlier one.
-		k.self.Born = born + 1
-		out = append(out, Action{Verb: Later})
+		if born := k.latest(v); born >= k.self.Born {
+			k.self.Born = born + 1
+			out = append(out, Action{Verb: Later})
+		}
 	}
 	if standing && mine.Born > k.self.Born {
 		// A name that was started twice: the later life has all that is written under the name from now on.
@@ -227,9 +229,11 @@
 		}
 		out = append(out, Action{Verb: Renew, If: at})
 	}
-	seen := map[string]bool{}
+	seen := map[string]bool{} // of those without an owner: there are few, and duties are many
 	for _, d := range v.Duties {
-		seen[d.Key] = true
+		if _, ok := k.idle[d.Key]; ok {
+			seen[d.Key] = true
+		}
 		if epoch, ok := k.held[d.Key]; ok && d.Epoch > epoch {
 			out = append(out, k.Fenced(d.Key, epoch, now)...)
 		}
@@ -238,8 +242,8 @@
 			out = append(out, a)
 		}
 	}
-	for key := range k.idle {
-		if !seen[key] {
+	for key, since := range k.idle {
+		if !seen[key] && since != now {
 			delete(k.idle, key)
 		}
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -397,6 +397,12 @@
 // Now is the leader's time in it.
 func (v *View) Now() int64 { return v.now }
 
+// Stamp is another one after each change of a table, and the same while there is none.
+func (v *View) Stamp(table string) any {
+	at, _ := v.tables.Get([]byte(table))
+	return at
+}
+
 // Get gives an entry.
 func (v *View) Get(table, key string) (*Entry, bool) { return v.entries.Get(path(table, key)) }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -76,6 +76,9 @@
 	gone   bool
 
 	leaving bool
+
+	stamp  any         // of the table of duties, and
+	duties []duty.Duty // what was read of it: leases change all the time, and duties seldom
 }
 
 // New makes an owner for one life of a node.
@@ -186,7 +189,7 @@
 	Addr string `json:"addr"`
 }
 
-// view reads leases and duties as this member has them.
+// view reads leases and duties as this member has them. It is the loop's alone.
 func (o *Owner) view() duty.View {
 	now := o.store.View()
 	v := duty.View{Leases: map[string]duty.Lease{}}
@@ -195,11 +198,15 @@
 			v.Leases[l.Node] = l
 		}
 	}
-	for _, e := range now.List(Duties, "", "", 1<<16) {
-		if d, ok := dutyOf(e, true); ok {
-			v.Duties = append(v.Duties, d)
+	if at := now.Stamp(Duties); at != o.stamp || o.stamp == nil {
+		o.stamp, o.duties = at, nil
+		for _, e := range now.List(Duties, "", "", 1<<16) {
+			if d, ok := dutyOf(e, true); ok {
+				o.duties = append(o.duties, d)
+			}
 		}
 	}
+	v.Duties = slices.Clip(o.duties) // what is added to it is a copy's
 	return v
 }
 
