--- a/test/links_test.go
+++ b/test/links_test.go
@@ -381,3 +381,64 @@
 	}
 	return all.String()
 }
+
+var rounds = flag.Int("rounds", 1, "how often TestTimeWithoutOwner causes each fault; the figures on the page are of 20")
+
+// A duty has an owner again after its own was killed, stands still, or is cut off from the others and not from its boxes and
+// clients; the one that was cut off hands nothing on meanwhile. How long it took is told, and judged by nobody.
+func TestTimeWithoutOwner(t *testing.T) {
+	l := newLinked(t, 3, 1, 20*time.Millisecond)
+	old, other := l.fleet[0], l.fleet[1]
+	alone := func(f standin.Fault) { l.each(0, func(x *standin.Link) { x.Set(f) }) }
+	for _, x := range []struct {
+		what        string
+		cause, lift func()
+	}{
+		{"killed", old.kill, func() { old.startAnew() }},
+		{"stopped", func() { old.signal(syscall.SIGSTOP) }, func() { old.signal(syscall.SIGCONT) }},
+		{"cut off", func() { alone(standin.Fault{Up: true, Down: true}) }, func() { alone(standin.Fault{}) }},
+	} {
+		var took []time.Duration
+		for n := range *rounds {
+			payload := fmt.Sprintf("%s %d", x.what, n)
+			var id string
+			old.until("it takes a job", func() bool {
+				status, v := old.call("POST", "/jobs", fmt.Sprintf(`{"jobCategory":"tile-charge","accountingId":"maavaade","payload":%q,"submitAsHold":true}`, payload))
+				id = v.Get("jobId").String()
+				return status == 201
+			})
+			part := id[:strings.LastIndexByte(id, '.')]
+			at := strings.LastIndexByte(part, '.')
+			key := fmt.Sprintf("%s.%012s", part[:at], part[at+1:])
+			owner := func() string {
+				m, err := standin.CallFor(other.store, time.Second, "GET", "/v1/kv/duty/"+key+"?stale=1", nil)
+				if err != nil || m.Status != 200 {
+					return ""
+				}
+				return gjson.Get(gjson.GetBytes(m.Body, "value").String(), "node").String()
+			}
+			other.until("it is seen", func() bool { return owner() == "n0" })
+			x.cause()
+			began := time.Now()
+			other.until("another has it", func() bool { got := owner(); return got != "" && got != "n0" })
+			took = append(took, time.Since(began))
+			if x.what == "cut off" { // its clients reach it: what they ask for is not done there
+				if status, v := old.call("POST", "/jobs/"+id+"/release", ""); status == 200 {
+					t.Errorf("%s: released at a node that is cut off: %s", payload, v.Raw)
+				}
+			}
+			other.until("it is released", func() bool { status, _ := other.call("POST", "/jobs/"+id+"/release", ""); return status == 200 })
+			other.until("it is done", func() bool {
+				_, v := other.call("GET", "/jobs/"+id, "")
+				return v.Get("jobState").String() == "DONE"
+			})
+			x.lift()
+			if n := l.starts(payload); n != 1 {
+				t.Errorf("%s started %d times", payload, n)
+			}
+		}
+		slices.Sort(took)
+		t.Logf("%s, %d times: an owner again after %v in the median, %v at most", x.what, len(took),
+			took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+	}
+}
