--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,7 @@
 	"quincereach/internal/kv"
 	"quincereach/internal/limits"
 	"quincereach/internal/records"
+	"quincereach/internal/stops"
 	"quincereach/internal/store"
 )
 
@@ -113,6 +114,9 @@
 
 // Write makes all changes or none, under the epoch of the duty that they belong to.
 func (o *Owner) Write(ctx context.Context, changes ...records.Change) error {
+	if stops.Without == stops.Fence {
+		return o.store.Write(ctx, changes...)
+	}
 	key := o.partition(changes)
 	o.mu.Lock()
 	epoch, ok := o.keeper.Epoch(key)
@@ -434,6 +438,9 @@
 // stop lets go of a duty that was lost. Where it was that of this life's own jobs, what is taken from now on is of another.
 func (o *Owner) stop(a duty.Action) {
 	o.log.Warn("duty lost", "duty", a.Key, "epoch", a.Epoch)
+	if stops.Without == stops.Fence {
+		return
+	}
 	o.front.Drop(a.Key)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/stops/stops.go
+++ b/internal/stops/stops.go
@@ -18,6 +18,13 @@
 	Byte   = "byte"   // the last byte is out, and nothing of it is on record
 )
 
+// Without names a guard that a test's own build is made without, by the linker (-X): so tests show that they see what it is
+// there for. No other build has it.
+var Without string
+
+// Fence is the guard of all that is written for a duty, with the letting go of one that was lost.
+const Fence = "fence"
+
 var (
 	at    = os.Getenv("GATETACK_STOP_AT")
 	done  atomic.Bool
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincereach/internal/standin"
+	"quincereach/internal/stops"
 )
 
 // fleet is processes of the program that are members of one store. Each has boxes of its own addresses, by the same names:
@@ -319,3 +321,29 @@
 		})
 	}
 }
+
+// With the fence taken out the same late owner does start a job that another had done: what the test above rests on is seen.
+func TestLateOwnerWithoutTheFence(t *testing.T) {
+	bare := filepath.Join(t.TempDir(), "bare")
+	if out, err := exec.Command("go", "build", "-race", "-ldflags", "-X quincereach/internal/stops.Without="+stops.Fence, "-o", bare,
+		"quincereach/cmd/gatetack").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	f := makeFleet(t, 3, 50*time.Millisecond)
+	for _, s := range f {
+		s.program = bare
+	}
+	f[0].env = []string{"GATETACK_STOP_AT=" + stops.Hand}
+	f.startAll()
+	old, heir := f[0], f[1]
+	id := old.take(t, `{"jobCategory":"tile-charge","accountingId":"maavaade","payload":"the job","submitAsHold":true}`)
+	go func() { _, _ = standin.Call(old.batch, "POST", "/drmaa2/v1/jobs/"+id+"/release", nil) }()
+	old.until("the owner stands at the point", old.stopped)
+	heir.until("it is done at another", func() bool {
+		_, _ = heir.drmaa("POST", "/jobs/"+id+"/release", "")
+		_, v := heir.drmaa("GET", "/jobs/"+id, "")
+		return v.Get("jobState").String() == "DONE"
+	})
+	old.signal(syscall.SIGCONT)
+	old.until("the late one starts it again", func() bool { return f.starts("the job") == 2 })
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -3,6 +3,7 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -58,6 +59,7 @@
 	extra   string // lines of the operator's file
 	sockets int    // granted to the node, with the memory, where a test needs less than usual
 	memory  int    // in MB
+	program string // another build, where a test needs one
 	process *exec.Cmd
 	exited  chan error
 	log     *os.File
@@ -144,7 +146,7 @@
 	if s.log, err = os.CreateTemp(s.dir, "log"); err != nil {
 		s.t.Fatal(err)
 	}
-	s.process = exec.Command(program, "serve", "--config", file, "--log-level", "debug")
+	s.process = exec.Command(cmp.Or(s.program, program), "serve", "--config", file, "--log-level", "debug")
 	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_DISCOVERY="+s.list.Addr)
 	s.process.Env = append(append(s.process.Env, s.env...), env...)
 	s.process.Stderr = s.log
