--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -53,7 +53,10 @@
 func (f fleet) startAll() {
 	done := make(chan struct{})
 	for _, s := range f[1:] {
-		go func() { s.start(); done <- struct{}{} }()
+		go func() {
+			defer func() { done <- struct{}{} }() // also where it does not serve, which ends the test
+			s.start()
+		}()
 	}
 	f[0].start()
 	for range f[1:] {
