Know a session at every node that shares the store, whichever made it

Any node was to take a call for any session; one made elsewhere after a node's start was 404 there, one name could be created at two nodes, and a session could be destroyed at one while its jobs waited at another. Sessions are now made under a condition, learnt from the record before calls that need it (not for a look at jobs of one that is known), and destroyed only once no job of theirs is open on record. Test with two nodes of one store.

--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"quincereach/internal/http1"
 	"quincereach/internal/node"
 	"quincereach/internal/records"
@@ -150,3 +152,51 @@
 		t.Errorf("%d jobs reached the cores, want 40", len(a)+len(b))
 	}
 }
+
+// A session that was made at one node is one at all: taken once, known and destroyed everywhere, and not while a job of it is
+// open at another node.
+func TestSessionsOfAllNodes(t *testing.T) {
+	s := &shared{memory: &memory{values: map[string][]byte{}}}
+	var fronts []*Front
+	for i := range 2 {
+		f := New(Options{Core: &engine{}, Store: s, Fleet: s, Node: fmt.Sprint("n", i), Version: "test", Life: time.Now(), Limits: standin.Lim, Log: standin.Quiet})
+		if err := f.load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		close(f.loaded)
+		fronts = append(fronts, f)
+	}
+	want := func(i int, method, path, body string, status int) string {
+		t.Helper()
+		got, v, _ := call(fronts[i], method, path, body)
+		if got != status {
+			t.Errorf("n%d %s %s: %d %s, want %d", i, method, path, got, v.Raw, status)
+		}
+		return v.Raw
+	}
+	instance := want(0, "POST", "/sessions", `{"sessionName":"night"}`, 201)
+	want(1, "POST", "/sessions", `{"sessionName":"night"}`, 409)
+	want(1, "GET", "/sessions/night", "", 200)
+	if all := want(1, "GET", "/sessions", "", 200); !strings.Contains(all, "night") {
+		t.Errorf("n1 lists %s", all)
+	}
+	job := gjson.Get(want(1, "POST", "/sessions/night/jobs", strings.Replace(good, "{", `{"submitAsHold":true,`, 1), 201), "jobId").String()
+	f := fronts[0]
+	f.mu.Lock()
+	delete(f.sessions["night"].instances, gjson.Get(instance, "instance").String())
+	f.mu.Unlock()
+	want(0, "DELETE", "/sessions/night", "", 409) // its job is open at the other
+	want(1, "POST", "/jobs/"+job+"/terminate", "", 200)
+	eventually(t, "the end is on record", func() bool {
+		select {
+		case j := <-fronts[1].dirty:
+			fronts[1].save(t.Context(), j)
+		default:
+		}
+		v, _, _ := s.Get(t.Context(), kindJob, key(job))
+		return gjson.GetBytes(v, "finishTime").Exists()
+	})
+	want(0, "DELETE", "/sessions/night", "", 204)
+	want(1, "GET", "/sessions/night", "", 404)
+	want(1, "POST", "/sessions/night/jobs", good, 404)
+}
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -287,6 +287,15 @@
 }
 
 func (f *Front) sessionRoute(ctx context.Context, m *http1.Message, p []string) http1.Response {
+	name := ""
+	if len(p) > 0 {
+		name = p[0]
+	}
+	if len(p) > 1 && m.Method == "GET" && f.enter(name) {
+		// What only looks at jobs of a session that is known here asks no leader.
+	} else if err := f.learn(ctx, name); err != nil {
+		return tryLater("which sessions there are can not be told: " + err.Error())
+	}
 	switch {
 	case len(p) == 0 && m.Method == "GET":
 		return f.sessionNames()
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"strings"
 	"time"
@@ -40,6 +41,76 @@
 	return f.sessions[name] != nil
 }
 
+// sessionsOnRecord gives each session on record to a function that holds the front's lock.
+func (f *Front) sessionsOnRecord(ctx context.Context, each func(sessionRecord)) error {
+	return f.pages(ctx, kindSession, "", func(r records.Row) error {
+		var x sessionRecord
+		if err := json.Unmarshal(r.Value, &x); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		each(x)
+		return nil
+	})
+}
+
+// learn has this node know a session, or all where none is named, as nodes that share records made and destroyed them.
+func (f *Front) learn(ctx context.Context, name string) error {
+	if f.fleet == nil || name == defaultSession {
+		return nil
+	}
+	there := map[string]sessionRecord{}
+	if name == "" {
+		if err := f.sessionsOnRecord(ctx, func(x sessionRecord) { there[x.Name] = x }); err != nil {
+			return err
+		}
+	} else if value, found, err := f.store.Get(ctx, kindSession, name); err != nil {
+		return err
+	} else if found {
+		x := sessionRecord{}
+		if err := json.Unmarshal(value, &x); err != nil {
+			return err
+		}
+		there[name] = x
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for known := range f.sessions {
+		if _, ok := there[known]; !ok && known != defaultSession && (name == "" || known == name) {
+			delete(f.sessions, known)
+		}
+	}
+	for _, x := range there {
+		if f.sessions[x.Name] == nil {
+			f.sessions[x.Name] = &session{r: x}
+		}
+	}
+	return nil
+}
+
+// busy says whether a job or an array of a session is on record that has not ended, at whichever node.
+func (f *Front) busy(ctx context.Context, name string) (bool, error) {
+	if f.fleet == nil {
+		return false, nil
+	}
+	open := false
+	for _, kind := range []string{kindJob, kindArray} {
+		if err := f.pages(ctx, kind, "", func(r records.Row) error {
+			v := gjson.ParseBytes(r.Value)
+			over := v.Get("finishTime").Exists() // also of one that is in doubt
+			if kind == kindArray {
+				over = v.Get("done").Int()+v.Get("failed").Int() >= v.Get("jobs").Int()
+			}
+			open = open || !over && v.Get("sessionName").String() == name
+			return nil
+		}); err != nil {
+			return false, err
+		}
+	}
+	return open, nil
+}
+
 func (s *session) status() map[string]any {
 	return map[string]any{"sessionName": s.r.Name, "contact": s.r.Contact, "created": s.r.Created, "openInstances": len(s.instances)}
 }
@@ -105,10 +176,13 @@
 	f.mu.Unlock()
 	if f.store != nil {
 		v, _ := json.Marshal(r)
-		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: r.Name, Value: v, Keep: true}); err != nil {
+		if err := f.store.Write(ctx, records.Change{Kind: kindSession, Key: r.Name, Value: v, New: true, Keep: true}); err != nil {
 			f.mu.Lock()
 			delete(f.sessions, r.Name)
 			f.mu.Unlock()
+			if errors.Is(err, records.ErrExists) {
+				return problem(409, "INVALID_ARGUMENT", "sessionName", "a job session of this name exists")
+			}
 			return tryLater("the session could not be recorded: " + err.Error())
 		}
 	}
@@ -154,6 +228,10 @@
 
 // destroySession takes a session away (destroyJobSession), unless an instance is open or a job of it has not ended.
 func (f *Front) destroySession(ctx context.Context, name string) http1.Response {
+	elsewhere, err := f.busy(ctx, name)
+	if err != nil {
+		return tryLater("whether its jobs have ended can not be told: " + err.Error())
+	}
 	f.mu.Lock()
 	s := f.sessions[name]
 	open := 0
@@ -177,7 +255,7 @@
 	case len(s.instances) > 0:
 		f.mu.Unlock()
 		return problem(409, "INVALID_STATE", "sessionName", "an instance of the session is open")
-	case open > 0:
+	case open > 0 || elsewhere:
 		f.mu.Unlock()
 		return problem(409, "INVALID_STATE", "sessionName", "jobs of the session have not ended")
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -344,16 +344,7 @@
 // sent is told as UNDETERMINED, and what was on its way to the core without a send on record as unsent; neither is run
 // again. Members of an array that were never sent have their turn again.
 func (f *Front) load(ctx context.Context) error {
-	if err := f.pages(ctx, kindSession, "", func(r records.Row) error {
-		var x sessionRecord
-		if err := json.Unmarshal(r.Value, &x); err != nil {
-			return err
-		}
-		f.mu.Lock()
-		f.sessions[x.Name] = &session{r: x}
-		f.mu.Unlock()
-		return nil
-	}); err != nil {
+	if err := f.sessionsOnRecord(ctx, func(x sessionRecord) { f.sessions[x.Name] = &session{r: x} }); err != nil {
 		return err
 	}
 	if f.fleet != nil {
