Let an operator say what became of a job in doubt, and keep who said so

A job that was sent when its node was lost stayed UNDETERMINED for good. POST jobs/ID/resolve and gatetack job doubt list, show, resolve end the doubt as done, failed or unsent, by name and with a reason, once; unsent of a class that must never run twice asks for force; nothing is sent by it. Tests: refusals and an array's counts; three processes, one stopped and woken, resolved at another and told so at each.

--- a/cmd/gatetack/job.go
+++ b/cmd/gatetack/job.go
@@ -218,7 +218,7 @@
 	r := &remote{}
 	cmd := &cobra.Command{Use: "job", Short: "submit, watch and control batch jobs"}
 	r.flags(cmd)
-	cmd.AddCommand(r.submit(), r.bulk(), r.list(), r.show(), r.wait(), r.watch())
+	cmd.AddCommand(r.submit(), r.bulk(), r.list(), r.show(), r.wait(), r.watch(), r.doubt())
 	for _, x := range []struct{ name, help string }{{"hold", "keep jobs back that wait at the node"},
 		{"release", "let held jobs go"}, {"terminate", "end jobs of which nothing was sent to a box; one that was is not stopped"},
 		{"reap", "forget jobs that have ended"}} {
@@ -243,6 +243,43 @@
 	return cmd
 }
 
+// doubt is for jobs that may have run and of which nothing more will be told.
+func (r *remote) doubt() *cobra.Command {
+	cmd := &cobra.Command{Use: "doubt", Short: "list jobs that may have run, and say what became of them"}
+	cmd.AddCommand(&cobra.Command{Use: "list", Short: "list jobs in doubt, of all sessions", Args: noArgs,
+		RunE: r.run(func(ctx context.Context, c *drmaa2.Client, cmd *cobra.Command, _ []string) error {
+			list := []drmaa2.JobInfo{}
+			if err := c.Jobs(ctx, "state = UNDETERMINED", true, func(j drmaa2.JobInfo) bool { list = append(list, j); return true }); err != nil {
+				return err
+			}
+			return r.jobs(cmd.OutOrStdout(), list...)
+		})})
+	show := r.show()
+	show.Short = "tell all that is known of jobs"
+	cmd.AddCommand(show)
+	var x drmaa2.Resolution
+	resolve := &cobra.Command{Use: "resolve ID", Short: "say what became of a job; nothing is sent again by it",
+		Args: func(cmd *cobra.Command, a []string) error {
+			if len(a) != 1 || x.As == "" || x.By == "" {
+				return usageError{errors.New("resolve: one id, --as done, failed or unsent, and --by are expected")}
+			}
+			return nil
+		},
+		RunE: r.run(func(ctx context.Context, c *drmaa2.Client, cmd *cobra.Command, args []string) error {
+			j, err := c.Resolve(ctx, args[0], x)
+			if err != nil {
+				return err
+			}
+			return r.jobs(cmd.OutOrStdout(), j)
+		})}
+	resolve.Flags().StringVar(&x.As, "as", "", "done; failed: it ran, and did not end well; unsent: it never ran, and may be submitted again")
+	resolve.Flags().StringVar(&x.By, "by", "", "who says so")
+	resolve.Flags().StringVar(&x.Why, "why", "", "how that was found out")
+	resolve.Flags().BoolVar(&x.Force, "force", false, "also that a job never ran which must never run twice")
+	cmd.AddCommand(resolve)
+	return cmd
+}
+
 func someIDs(cmd *cobra.Command, args []string) error {
 	if len(args) == 0 {
 		return usageError{fmt.Errorf("%s: no id given", cmd.Name())}
--- a/drmaa2/client.go
+++ b/drmaa2/client.go
@@ -435,6 +435,21 @@
 	return err
 }
 
+// Resolution is what an operator says of a job in doubt: that it is done, failed or unsent, who says so, and why. Force is needed
+// to say that a job never ran which must never run twice.
+type Resolution struct {
+	As    string `json:"as"`
+	By    string `json:"by"`
+	Why   string `json:"why,omitempty"`
+	Force bool   `json:"force,omitempty"`
+}
+
+// Resolve ends the doubt of a job that may have run. Nothing is sent again by it.
+func (c *Client) Resolve(ctx context.Context, id string, r Resolution) (info JobInfo, err error) {
+	_, err = c.do(ctx, "POST", c.path("jobs", id, "resolve"), r, &info)
+	return info, err
+}
+
 // Reap forgets a job that has ended.
 func (c *Client) Reap(ctx context.Context, id string) error { return c.Control(ctx, id, "reap", false) }
 
--- /dev/null
+++ b/internal/batch/doubt.go
@@ -0,0 +1,76 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/brain"
+	"quincereach/internal/http1"
+)
+
+// resolve ends the doubt of a job that may have run: an operator who has found out says what became of it, under a name, and it
+// is on record who, when and why. Nothing is sent again here. That it never ran tells its client that it may be submitted
+// again, so for a class that must never run twice it has to be insisted on.
+func (f *Front) resolve(ctx context.Context, session, id string, body []byte) http1.Response {
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
+	}
+	v := gjson.ParseBytes(body)
+	as, by, why := v.Get("as").String(), v.Get("by").String(), v.Get("why").String()
+	switch {
+	case as != "done" && as != "failed" && as != "unsent":
+		return problem(400, "INVALID_ARGUMENT", "as", "none of done, failed and unsent")
+	case !http1.Visible(by) || len(by) > 64:
+		return problem(400, "INVALID_ARGUMENT", "by", "not a word of 1 to 64 visible characters: who decides is on record")
+	case len(why) > 256:
+		return problem(400, "INVALID_ARGUMENT", "why", "over 256 bytes")
+	}
+	j, r, ok := f.visible(ctx, session, id)
+	switch {
+	case !ok:
+		return unknown(id)
+	case r.State != Undetermined || j != nil || f.store == nil || r.Submitted.IsZero():
+		return conflict(r, "only a job on record that may have run, and of which nothing more will be told, can be resolved")
+	case f.foreign(id):
+		return conflict(r, "it is another node's job")
+	case as == "unsent" && !v.Get("force").Bool() && f.single(r.Category):
+		return conflict(r, "a job of category "+quote(r.Category)+" must never run twice, and as unsent it may be submitted again: force says that it never ran for certain")
+	}
+	now := time.Now()
+	switch as {
+	case "done":
+		r.State, r.SubState = Done, ""
+	case "failed":
+		r.State, r.SubState = Failed, subFailed
+	case "unsent":
+		r.State, r.SubState = Failed, subUnsent
+	}
+	r.Annotation = fmt.Sprintf("declared %s by %s at %s (%s); before: %s", as, by, now.UTC().Format(time.RFC3339), why, r.Annotation)
+	if r.Finished.IsZero() {
+		r.Finished = now
+	}
+	all := r.changes()
+	if a, found, err := f.arrayOf(ctx, r.Array); err == nil && found && as == "done" {
+		a.set(func(x *arrayRecord) { x.Done, x.Failed = x.Done+1, x.Failed-1 }) // it was counted as failed
+		all = append(all, a.change())
+	}
+	if err := f.store.Write(ctx, all...); err != nil {
+		return tryLater("the decision could not be recorded: " + err.Error())
+	}
+	f.events.add(&r)
+	f.log.Warn("a job in doubt was resolved", "job", id, "as", as, "by", by, "why", why)
+	return f.answer(200, r)
+}
+
+// single says whether a category's jobs must never run twice. One that is no longer known is taken for such.
+func (f *Front) single(category string) bool {
+	for i, name := range f.names().Classes {
+		if name == category {
+			return f.class(i).Effect == brain.Unsafe
+		}
+	}
+	return true
+}
--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -200,3 +200,46 @@
 	want(1, "GET", "/sessions/night", "", 404)
 	want(1, "POST", "/sessions/night/jobs", good, 404)
 }
+
+// A job in doubt is resolved by a decision that is whole, once, and by nobody unnamed; that one never ran which must never run
+// twice is taken only where it is insisted on. A member of an array is counted anew.
+func TestResolve(t *testing.T) {
+	m := &memory{values: map[string][]byte{}}
+	f := front(&engine{}, m, time.Now())
+	earlier := front(&engine{}, nil, time.Now().Add(-time.Hour))
+	put := func(category, array string) string {
+		r := Record{ID: earlier.ids.next(), State: Undetermined, Category: category, Session: defaultSession,
+			Submitted: time.Now(), Finished: time.Now(), Annotation: "the node ended after it sent the job, which may have run", Array: array}
+		if err := m.Write(t.Context(), r.changes()...); err != nil {
+			t.Fatal(err)
+		}
+		return r.ID
+	}
+	single, keyed := put("tile-charge", ""), put("area-render", "")
+	for _, x := range []struct {
+		id, body string
+		status   int
+	}{
+		{single, `[]`, 400}, {single, `{"as":"gone","by":"kadri"}`, 400}, {single, `{"as":"done"}`, 400}, {single, `{"as":"done","by":"a b"}`, 400},
+		{single, `{"as":"unsent","by":"kadri"}`, 409}, {single, `{"as":"unsent","by":"kadri","force":true}`, 200},
+		{single, `{"as":"done","by":"kadri"}`, 409}, {keyed, `{"as":"unsent","by":"kadri","why":"its box was off"}`, 200},
+		{"n0.9.9", `{"as":"done","by":"kadri"}`, 409}, {"no id", `{"as":"done","by":"kadri"}`, 404},
+	} {
+		if status, v, _ := call(f, "POST", "/jobs/"+x.id+"/resolve", x.body); status != x.status {
+			t.Errorf("%s %s: %d %s, want %d", x.id, x.body, status, v.Raw, x.status)
+		}
+	}
+	_, v, _ := call(f, "GET", "/jobs/"+keyed, "")
+	if v.Get("jobState").String() != "FAILED" || v.Get("jobSubState").String() != "unsent" || !strings.Contains(v.Get("annotation").String(), "its box was off") {
+		t.Errorf("%s", v.Raw)
+	}
+	_, made, _ := call(f, "POST", "/arrays", `{"jobTemplate":`+good+`,"endIndex":4}`)
+	id := made.Get("jobArrayId").String()
+	a, _, _ := f.arrayOf(t.Context(), id)
+	a.set(func(x *arrayRecord) { x.Failed = 1 })
+	member := put("tile-charge", id)
+	call(f, "POST", "/jobs/"+member+"/resolve", `{"as":"done","by":"kadri"}`)
+	if r := a.record(); r.Done != 1 || r.Failed != 0 {
+		t.Errorf("%d done and %d failed", r.Done, r.Failed)
+	}
+}
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -351,7 +351,7 @@
 		return f.arrayCall(ctx, session, p[1], "terminate")
 	case p[0] == "arrays" && len(p) == 2:
 		return get(m, func() http1.Response { return f.arrayCall(ctx, session, p[1], "") })
-	case p[0] == "arrays" && len(p) == 3 && calls[p[2]] == "POST" && p[2] != "reap":
+	case p[0] == "arrays" && len(p) == 3 && calls[p[2]] == "POST" && p[2] != "reap" && p[2] != "resolve":
 		if m.Method != "POST" {
 			return method("POST")
 		}
@@ -385,7 +385,7 @@
 
 // calls are what can be asked of a job by name, and how.
 var calls = map[string]string{"terminate": "POST", "hold": "POST", "release": "POST", "suspend": "POST", "resume": "POST",
-	"reap": "POST", "wait": "GET", "template": "GET", "state": "GET"}
+	"reap": "POST", "resolve": "POST", "wait": "GET", "template": "GET", "state": "GET"}
 
 func (f *Front) jobCall(ctx context.Context, m *http1.Message, session, id, call string) http1.Response {
 	switch call {
@@ -395,6 +395,8 @@
 		return f.hold(ctx, session, id, call == "hold")
 	case "reap":
 		return f.reap(ctx, session, id)
+	case "resolve":
+		return f.resolve(ctx, session, id, m.Body)
 	case "wait":
 		return f.wait(ctx, session, id, m.Target)
 	case "template":
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -162,6 +162,29 @@
 	if got := state(f[1], sent); got != "UNDETERMINED" {
 		t.Errorf("the job that was sent is told as %s after its old owner woke up", got)
 	}
+	// Who found out what became of the one in doubt says so at any node, and it is so at each, with who said it.
+	doubt := func(args ...string) (string, error) {
+		out, err := exec.Command(program, append([]string{"job", "doubt", "--addr", f[2].batch}, args...)...).CombinedOutput()
+		return string(out), err
+	}
+	if out, err := doubt("list"); err != nil || !strings.Contains(out, sent) {
+		t.Errorf("in doubt: %v %s", err, out)
+	}
+	if out, err := doubt("resolve", sent, "--as", "unsent", "--by", "kadri"); err == nil {
+		t.Errorf("a job that must never run twice is said never to have run, and nobody insists: %s", out)
+	}
+	if out, err := doubt("resolve", sent, "--as", "done", "--by", "kadri", "--why", "the tile is there"); err != nil {
+		t.Errorf("%v %s", err, out)
+	}
+	for _, s := range f {
+		s.until("it is told as done, and by whom", func() bool {
+			_, v := s.drmaa("GET", "/jobs/"+sent, "")
+			return v.Get("jobState").String() == "DONE" && strings.Contains(v.Get("annotation").String(), "by kadri")
+		})
+	}
+	if out, err := doubt("resolve", sent, "--as", "failed", "--by", "kadri"); err == nil {
+		t.Errorf("what is done is undone: %s", out)
+	}
 	// It does not claim back what it lost, and takes new work under a duty of its own.
 	id := old.take(t, fmt.Sprintf(template, "after", `,"submitAsHold":true`))
 	if status, v := old.drmaa("POST", "/jobs/"+id+"/terminate", ""); status != 200 {
