Show that a rolling upgrade, and a fleet stopped and started, put no job in doubt

Three nodes ended in order one by one, then all at once, with jobs held, waiting for their time and running: each ran once and none is UNDETERMINED.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -373,3 +373,59 @@
 	old.signal(syscall.SIGCONT)
 	old.until("the late one starts it again", func() bool { return f.starts("the job") == 2 })
 }
+
+// A fleet is upgraded one node after the other, each ended in order, and then stopped and started as a whole, while jobs are
+// held, wait for their time and run: each runs once, and none is in doubt.
+func TestRollingUpgrade(t *testing.T) {
+	f := newFleet(t, 3, 200*time.Millisecond)
+	jobs := map[string]string{} // ids by payload
+	submit := func(round string) {
+		for i, s := range f {
+			for _, x := range []struct{ what, more string }{
+				{"held", `,"submitAsHold":true`}, {"due", fmt.Sprintf(`,"startTime":%q`, time.Now().Add(2*time.Second).UTC().Format(time.RFC3339Nano))}, {"now", ""},
+			} {
+				p := fmt.Sprintf("%s %s %d", round, x.what, i)
+				jobs[p] = s.take(t, fmt.Sprintf(`{"jobCategory":"tile-charge","accountingId":"maavaade","payload":%q%s}`, p, x.more))
+			}
+		}
+	}
+	ended := func() {
+		t.Helper()
+		for p, id := range jobs {
+			s := f[len(p)%len(f)]
+			s.until(p+" is done", func() bool {
+				if strings.Contains(p, "held") {
+					s.call("POST", "/jobs/"+id+"/release", "")
+				}
+				_, v := s.call("GET", "/jobs/"+id, "")
+				if v.Get("jobState").String() == "UNDETERMINED" {
+					t.Fatalf("%s is in doubt: %s", p, v.Raw)
+				}
+				return v.Get("jobState").String() == "DONE"
+			})
+			if n := f.starts(p); n != 1 {
+				t.Errorf("%s started %d times", p, n)
+			}
+		}
+	}
+	for i, s := range f {
+		submit(fmt.Sprint("upgrade ", i))
+		if err := s.term(); err != nil {
+			t.Fatalf("%s: %v", s.name, err)
+		}
+		s.start()
+	}
+	ended()
+	submit("all")
+	done := make(chan error, len(f))
+	for _, s := range f {
+		go func() { done <- s.term() }()
+	}
+	for range f {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.startAll()
+	ended()
+}
