End a job's doubt by what its box tells after its node was lost

A box calls back up to ten times at the address that sent it the job; a process started there again answered and dropped it, and the job stayed UNDETERMINED though its end was known. A send's intent now names its trace id on record; a callback of no attempt that the process knows is looked up there, at no cost for those of no job on record, and is passed to the node that has the job. It counts only for the attempt and the box on record, and only while there is a doubt. Tests: three processes, one killed and started again beside a box that works on: done at all nodes, started once; a table of callbacks that change nothing.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	calls := relayed{exec: exec}
+	calls := relayed{exec: exec, late: &atomic.Pointer[batch.Front]{}}
 	if c.Passed >= 0 {
 		relay, err := handover.Open(filepath.Join(os.TempDir(), "gatetack-handover"), c.Limits.Follow, c.Limits.Stay, log)
 		if err != nil {
@@ -218,6 +218,7 @@
 		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
 		server := http1.NewServer(lim, jobs, core.Slow(), log)
 		fronts = append(fronts, server)
+		calls.late.Store(jobs)
 		if duties != nil {
 			duties.Connect(jobs, ring)
 			g.Go(func() error { return duties.Run(hard) })
@@ -263,6 +264,7 @@
 type relayed struct {
 	exec  *executor.Client
 	relay *handover.Relay
+	late  *atomic.Pointer[batch.Front]
 }
 
 func (r relayed) Callback(body []byte) error {
@@ -271,6 +273,9 @@
 		if r.relay != nil {
 			r.relay.Pass(body)
 		}
+		if jobs := r.late.Load(); jobs != nil {
+			jobs.Late(body)
+		}
 		return nil
 	}
 	return err
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -83,6 +83,9 @@
 	dirty chan *job // whose states are to be recorded
 	// How many are not on record yet; dirty is empty already while the last one is being written.
 	unsaved atomic.Int64
+
+	late     chan struct{} // a place for each late callback that is looked into
+	settling sync.Mutex    // one decision on a job in doubt at a time
 }
 
 // New makes a front for one life of a node.
@@ -91,7 +94,7 @@
 		version: o.Version, fleet: o.Fleet, ids: ids{node: o.Node}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
 		kick: make(chan struct{}, 1), jobs: map[string]*job{}, queue: release.New(), waits: map[string]*job{},
 		arrays: map[string]*array{}, sessions: map[string]*session{}, same: map[string]*job{},
-		dirty: make(chan *job, o.Limits.MaxOpen)}
+		dirty: make(chan *job, o.Limits.MaxOpen), late: make(chan struct{}, 64)}
 	f.ids.life.Store(o.Life.UnixMilli())
 	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.Life.UTC()}}
 	f.loaded = make(chan struct{})
@@ -360,7 +363,7 @@
 	}
 	if f.store != nil {
 		until := time.Now().Add(in.Left)
-		in.Before = func(executor string) error { return f.sending(j, executor, until) }
+		in.Before = func(executor string) error { return f.sending(j, executor, in.Trace, until) }
 	}
 	id, err := f.core.Submit(in, j)
 	if err != nil {
@@ -375,16 +378,24 @@
 
 // sending records a send before it is made: after a restart, a job with a send on record may have run, and one
 // without any has not.
-func (f *Front) sending(j *job, executor string, until time.Time) error {
+func (f *Front) sending(j *job, executor, trace string, until time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
+	j.mu.Lock()
+	was := j.r.Trace
+	j.r.Trace = trace
+	j.mu.Unlock()
+	var more []records.Change
+	if was != "" && was != trace {
+		more = append(more, records.Change{Kind: kindSent, Key: was})
+	}
 	err := f.put(ctx, j, func(r *Record) error {
 		if r.State.over() {
 			return errors.New("the job has ended")
 		}
 		r.SubState, r.Machines = subSent, []string{executor}
 		return nil
-	})
+	}, more...)
 	if err == nil {
 		stops.At(stops.Intent)
 	}
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -28,6 +28,8 @@
 	case len(why) > 256:
 		return problem(400, "INVALID_ARGUMENT", "why", "over 256 bytes")
 	}
+	f.settling.Lock()
+	defer f.settling.Unlock()
 	j, r, ok := f.visible(ctx, session, id)
 	switch {
 	case !ok:
@@ -52,15 +54,9 @@
 	if r.Finished.IsZero() {
 		r.Finished = now
 	}
-	all := r.changes()
-	if a, found, err := f.arrayOf(ctx, r.Array); err == nil && found && as == "done" {
-		a.set(func(x *arrayRecord) { x.Done, x.Failed = x.Done+1, x.Failed-1 }) // it was counted as failed
-		all = append(all, a.change())
-	}
-	if err := f.store.Write(ctx, all...); err != nil {
+	if err := f.decided(ctx, &r); err != nil {
 		return tryLater("the decision could not be recorded: " + err.Error())
 	}
-	f.events.add(&r)
 	f.log.Warn("a job in doubt was resolved", "job", id, "as", as, "by", by, "why", why)
 	return f.answer(200, r)
 }
--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -243,3 +243,40 @@
 		t.Errorf("%d done and %d failed", r.Done, r.Failed)
 	}
 }
+
+// A late callback ends a doubt only if it is of the attempt that stands on record, from the box that it went to, and while
+// there is a doubt; without a result nothing is done.
+func TestLateCallback(t *testing.T) {
+	m := &memory{values: map[string][]byte{}}
+	f := front(&engine{}, m, time.Now())
+	earlier := front(&engine{}, nil, time.Now().Add(-time.Hour))
+	put := func(state State) string {
+		r := Record{ID: earlier.ids.next(), State: state, Category: "tile-charge", Session: defaultSession, Submitted: time.Now(), Machines: []string{"s-1"}, Trace: "t1"}
+		if err := m.Write(t.Context(), r.changes()...); err != nil {
+			t.Fatal(err)
+		}
+		return r.ID
+	}
+	for _, x := range []struct {
+		was    State
+		body   string
+		status int
+		want   State
+	}{
+		{Undetermined, `{"id":"t2","from":"s-1","state":"done","result":"x"}`, 204, Undetermined},
+		{Undetermined, `{"id":"t1","from":"s-2","state":"done","result":"x"}`, 204, Undetermined},
+		{Undetermined, `{"id":"t1","from":"s-1","state":"done"}`, 204, Undetermined},
+		{Undetermined, `{"id":"t1","from":"s-1","state":"started"}`, 204, Undetermined},
+		{Failed, `{"id":"t1","from":"s-1","state":"done","result":"x"}`, 204, Failed},
+		{Running, `{"id":"t1","from":"s-1","state":"done","result":"x"}`, 503, Running},
+		{Undetermined, `{"id":"t1","from":"s-1","state":"done","result":"x"}`, 204, Done},
+		{Undetermined, `{"id":"t1","from":"s-1","state":"failed"}`, 204, Failed},
+		{Undetermined, `{"id":"t1","from":"s-1","state":"returned"}`, 204, Failed},
+	} {
+		id := put(x.was)
+		r := f.callback(t.Context(), id, []byte(x.body))
+		if got := parseRecord(m.values[kindJob+" "+key(id)]); r.Status != x.status || got.State != x.want {
+			t.Errorf("%s %s: %d and %s, want %d and %s", x.was, x.body, r.Status, got.State, x.status, x.want)
+		}
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -55,6 +55,7 @@
 	// On record alone.
 	Template json.RawMessage `json:"template,omitempty"`
 	Handed   bool            `json:"handed,omitempty"` // it was given to the core: from then on it may be sent
+	Trace    string          `json:"trace,omitempty"`  // under which it was sent
 	Same     string          `json:"same,omitempty"`   // the name of its idempotency key's record
 	Hash     string          `json:"hash,omitempty"`   // and of its template, which stands there
 	Size     int             `json:"-"`                // of the result that is kept
@@ -203,7 +204,7 @@
 
 // shown is a record as clients see it.
 func (r Record) shown() Record {
-	r.Template, r.Handed, r.Same, r.Hash = nil, false, "", ""
+	r.Template, r.Handed, r.Trace, r.Same, r.Hash = nil, false, "", "", ""
 	return r
 }
 
@@ -217,6 +218,13 @@
 	}
 	kept := !r.State.over() && r.State != Undetermined
 	out := []records.Change{{Kind: kindJob, Key: k, Value: v, Keep: kept}, open}
+	if r.Trace != "" { // also while it is in doubt: its box may tell
+		sent := records.Change{Kind: kindSent, Key: r.Trace, Keep: kept}
+		if !r.State.over() {
+			sent.Value = []byte(r.ID)
+		}
+		out = append(out, sent)
+	}
 	if r.Same != "" && !kept {
 		out = append(out, records.Change{Kind: kindSame, Key: r.Same, Value: sameRecord{r.ID, r.Hash}.json()})
 	}
--- /dev/null
+++ b/internal/batch/late.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincereach/internal/http1"
+	"quincereach/internal/records"
+)
+
+// kindSent says which job was sent under a trace id: a box that calls back after its sender was lost names nothing else.
+const kindSent = "sent" // by trace id, of jobs that have not ended: the id
+
+// local is a store that tells what this node has of it, at no cost: callbacks of no job on record come at any rate.
+type local interface {
+	Local(kind, key string) ([]byte, bool)
+}
+
+// Late takes a callback of an attempt that no process of this node knows: one of a life that is over, or of a node that is lost
+// and whose address this one took over. Where it is of a job in doubt, the doubt ends with it, at whichever node has the job.
+// It does not wait.
+func (f *Front) Late(body []byte) {
+	s, ok := f.store.(local)
+	v := gjson.ParseBytes(body)
+	trace, state := v.Get("id").String(), v.Get("state").String()
+	if !ok || trace == "" || state != "done" && state != "failed" && state != "returned" {
+		return
+	}
+	id, ok := s.Local(kindSent, trace)
+	if !ok {
+		return
+	}
+	select {
+	case f.late <- struct{}{}:
+	default:
+		return // as many as there may be are being looked into, and a doubt stays one
+	}
+	go func() {
+		defer func() { <-f.late }()
+		// Its partition may have no owner yet, or one that has not taken it up.
+		ctx, cancel := context.WithTimeout(context.Background(), 4*f.lim.LeaseTTL)
+		defer cancel()
+		for !f.settled(ctx, string(id), body) {
+			select {
+			case <-time.After(f.lim.StoreBeat):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// settled says whether nothing more is to be done about a late callback.
+func (f *Front) settled(ctx context.Context, id string, body []byte) bool {
+	part, ok := partitionOf(id)
+	if !ok {
+		return true
+	}
+	if f.fleet != nil {
+		addr, ours, known := f.fleet.Place(part)
+		if !known {
+			return true
+		}
+		if !ours {
+			if addr == "" {
+				return false
+			}
+			m, err := f.fleet.Pass(ctx, addr, &http1.Message{Method: "POST", Target: Prefix + "/jobs/" + id + "/callback", Body: body})
+			return err == nil && m.Status != 503
+		}
+	}
+	return f.callback(ctx, id, body).Status != 503
+}
+
+// callback ends the doubt of a job by what the box tells that it was last sent to. Anything else changes nothing: a job that
+// goes on here is told by the core, and an end is never changed.
+func (f *Front) callback(ctx context.Context, id string, body []byte) http1.Response {
+	f.settling.Lock()
+	defer f.settling.Unlock()
+	if f.foreign(id) || f.store == nil || !gjson.ValidBytes(body) {
+		return tryLater("it is not this node's job")
+	}
+	value, found, err := f.store.Get(ctx, kindJob, key(id))
+	if err != nil {
+		return tryLater(err.Error())
+	}
+	r, v := parseRecord(value), gjson.ParseBytes(body)
+	f.mu.Lock()
+	alive := f.jobs[id] != nil
+	f.mu.Unlock()
+	switch {
+	case !found || alive || r.State.over() || r.Trace != v.Get("id").String() || !slices.Contains(r.Machines, v.Get("from").String()):
+		return http1.Response{Status: 204}
+	case r.State != Undetermined:
+		return tryLater("the job has not been taken up yet")
+	}
+	result := v.Get("result")
+	switch state := v.Get("state").String(); {
+	case state == "done" && result.Type == gjson.String:
+		zero, text := 0, result.Str
+		r.State, r.ExitStatus, r.Result = Done, &zero, &text
+	case state == "failed":
+		r.State, r.SubState = Failed, subFailed
+	case state == "returned":
+		r.State, r.SubState = Failed, subUnsent
+	default:
+		return http1.Response{Status: 204}
+	}
+	r.Annotation, r.Finished = "told by its box after the node that sent it had ended", time.Now()
+	if err := f.decided(ctx, &r); err != nil {
+		return tryLater(err.Error())
+	}
+	f.log.Info("a box told of a job in doubt", "job", id, "from", v.Get("from").String(), "state", r.State)
+	return http1.Response{Status: 204}
+}
+
+// decided records the end of a job that was in doubt. Its array counted it as failed when it was taken up.
+func (f *Front) decided(ctx context.Context, r *Record) error {
+	all := r.changes()
+	if a, found, err := f.arrayOf(ctx, r.Array); err != nil {
+		return err
+	} else if found && r.State == Done {
+		x := a.record()
+		x.Done, x.Failed = x.Done+1, x.Failed-1
+		v, _ := json.Marshal(x)
+		all = append(all, records.Change{Kind: kindArray, Key: key(x.ID), Value: v, Keep: x.Done+x.Failed < x.Jobs})
+	}
+	if err := f.store.Write(ctx, all...); err != nil {
+		return err
+	}
+	if a, found, _ := f.arrayOf(ctx, r.Array); found && r.State == Done {
+		a.set(func(x *arrayRecord) { x.Done, x.Failed = x.Done+1, x.Failed-1 })
+	}
+	f.events.add(r)
+	return nil
+}
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -15,6 +15,7 @@
 	"quincereach/internal/filter"
 	"quincereach/internal/http1"
 	"quincereach/internal/node"
+	"quincereach/internal/owner"
 )
 
 // Capabilities are DRMAAv2's optional ones (GFD.194, section 4.5), and whether this node has them.
@@ -351,7 +352,7 @@
 		return f.arrayCall(ctx, session, p[1], "terminate")
 	case p[0] == "arrays" && len(p) == 2:
 		return get(m, func() http1.Response { return f.arrayCall(ctx, session, p[1], "") })
-	case p[0] == "arrays" && len(p) == 3 && calls[p[2]] == "POST" && p[2] != "reap" && p[2] != "resolve":
+	case p[0] == "arrays" && len(p) == 3 && calls[p[2]] == "POST" && p[2] != "reap" && p[2] != "resolve" && p[2] != "callback":
 		if m.Method != "POST" {
 			return method("POST")
 		}
@@ -385,7 +386,7 @@
 
 // calls are what can be asked of a job by name, and how.
 var calls = map[string]string{"terminate": "POST", "hold": "POST", "release": "POST", "suspend": "POST", "resume": "POST",
-	"reap": "POST", "resolve": "POST", "wait": "GET", "template": "GET", "state": "GET"}
+	"reap": "POST", "resolve": "POST", "callback": "POST", "wait": "GET", "template": "GET", "state": "GET"}
 
 func (f *Front) jobCall(ctx context.Context, m *http1.Message, session, id, call string) http1.Response {
 	switch call {
@@ -395,6 +396,11 @@
 		return f.hold(ctx, session, id, call == "hold")
 	case "reap":
 		return f.reap(ctx, session, id)
+	case "callback":
+		if m.Get(owner.Hop) == "" {
+			return problem(404, "INVALID_ARGUMENT", "", "boxes call the platform's front")
+		}
+		return f.callback(ctx, id, m.Body)
 	case "resolve":
 		return f.resolve(ctx, session, id, m.Body)
 	case "wait":
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -153,6 +153,14 @@
 	return o.store.Page(ctx, kind, after, limit)
 }
 
+// Local gives a value as this member has it, which may be old.
+func (o *Owner) Local(kind, key string) ([]byte, bool) {
+	if e, ok := o.store.View().Get(kind, key); ok {
+		return e.Value, true
+	}
+	return nil, false
+}
+
 // Ready says whether this life has its own duty, and all that earlier lives of this node left and nobody has was taken up.
 func (o *Owner) Ready() bool {
 	o.mu.Lock()
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -167,6 +167,12 @@
 	return value, found, err
 }
 
+// Local gives a value as it stands.
+func (b *Bolt) Local(kind, key string) ([]byte, bool) {
+	value, found, err := b.Get(context.Background(), kind, key)
+	return value, found && err == nil
+}
+
 // Page gives rows in the order of their keys.
 func (b *Bolt) Page(_ context.Context, kind, after string, limit int) (rows []Row, err error) {
 	err = b.db.View(func(tx *bolt.Tx) error {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -429,3 +429,31 @@
 	f.startAll()
 	ended()
 }
+
+// A node is lost while a box works on its job; another takes its duty over and tells of the job as in doubt. Once a process is
+// at the node's address again the box tells it how the job ended, and that is told at every node: it ran once, and is done.
+func TestBoxTellsAfterTheLoss(t *testing.T) {
+	f := newFleet(t, 3, 9*time.Second)
+	id := f[0].take(t, `{"jobCategory":"area-render","accountingId":"maavaade","payload":"long"}`)
+	f[0].until("it runs", func() bool { return f.starts("long") == 1 })
+	f[0].kill()
+	state := func(s *site) string {
+		_, v := s.call("GET", "/jobs/"+id, "")
+		return v.Get("jobState").String()
+	}
+	f[1].until("it is in doubt", func() bool { return state(f[1]) == "UNDETERMINED" })
+	f[0].start()
+	for _, s := range f {
+		s.until("it is done at "+s.name, func() bool { return state(s) == "DONE" })
+		if _, v := s.call("GET", "/jobs/"+id, ""); !strings.HasPrefix(v.Get("result").String(), "tile of ") {
+			t.Errorf("%s tells %s", s.name, v.Raw)
+		}
+	}
+	if n := f.starts("long"); n != 1 {
+		t.Errorf("it started %d times", n)
+	}
+	rows, _ := f[1].stored("list", "sent")
+	if strings.Contains(rows, id) {
+		t.Errorf("what it was sent under is still on record: %s", rows)
+	}
+}
