Say once what the change wrote twice: configurations, duty writes, accept loops, counts

Read-through; nothing behaves differently. A store's list of voters, the call for a change of membership, the writing of a duty by an operator, an array's record, the stand-ins' accept loop and a member's local read each had a twin; what a table would keep is counted in one pass in place of one for each operation; the class lookup of a resolution is the list's own; a clock field that nothing set is gone; the bound of late callbacks stands with the other limits. The tests keep their assertions; two share their beginning.

--- a/cmd/gatetack/duty.go
+++ b/cmd/gatetack/duty.go
@@ -67,18 +67,7 @@
 		}})
 	cmd.AddCommand(&cobra.Command{Use: "release DUTY", Short: "take a duty from its owner: another node claims it", Args: oneDuty,
 		RunE: func(cmd *cobra.Command, a []string) error {
-			path := "kv/" + owner.Duties + "/" + url.PathEscape(a[0])
-			v, _, err := r.call(cmd.Context(), "GET", path, nil)
-			if err != nil {
-				return err
-			}
-			none, _ := json.Marshal(duty.Life{})
-			was := v.Get("version").Raw
-			if _, _, err = r.call(cmd.Context(), "PUT", path+"?if="+was, none); err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s is nobody's; %s had it under epoch %s, and nothing it writes under that is taken any more\n", a[0], whose(lifeOf(v)), was)
-			return nil
+			return r.giveDuty(cmd, a[0], duty.Life{}, "is nobody's")
 		}})
 	cmd.AddCommand(&cobra.Command{Use: "move DUTY NODE", Short: "give a duty to a node that is alive",
 		Args: func(cmd *cobra.Command, a []string) error {
@@ -94,28 +83,31 @@
 // moveDuty writes a duty as that of a node's present life, which claims it under an epoch of its own as soon as it sees so. If
 // that life ends first the duty is as any whose owner has no lease.
 func (r *storeRemote) moveDuty(cmd *cobra.Command, key, to string) error {
-	life := duty.Life{Node: to}
-	if err := r.each(cmd.Context(), owner.Leases, "", false, func(e gjson.Result) {
-		if e.Get("key").String() == to {
-			life.Born = gjson.Get(e.Get("value").String(), "born").Int()
-		}
-	}); err != nil {
+	living, err := r.living(cmd)
+	if err != nil {
 		return err
 	}
-	if life.Born == 0 {
-		return usageError{fmt.Errorf("node %q has no lease: duty list names those that are alive", to)}
+	for life := range living {
+		if life.Node == to {
+			return r.giveDuty(cmd, key, life, "is for "+to+" to claim")
+		}
 	}
+	return usageError{fmt.Errorf("node %q has no lease: duty list names those that are alive", to)}
+}
+
+// giveDuty writes a duty as a life's, or nobody's, in the place of what stands there, and says what was done.
+func (r *storeRemote) giveDuty(cmd *cobra.Command, key string, to duty.Life, done string) error {
 	path := "kv/" + owner.Duties + "/" + url.PathEscape(key)
 	v, _, err := r.call(cmd.Context(), "GET", path, nil)
 	if err != nil {
 		return err
 	}
-	value, _ := json.Marshal(life)
+	value, _ := json.Marshal(to)
 	was := v.Get("version").Raw
 	if _, _, err := r.call(cmd.Context(), "PUT", path+"?if="+was, value); err != nil {
 		return err
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "%s is for %s to claim; %s had it under epoch %s, and nothing it writes under that is taken any more\n", key, to, whose(lifeOf(v)), was)
+	fmt.Fprintf(cmd.OutOrStdout(), "%s %s; %s had it under epoch %s, and nothing it writes under that is taken any more\n", key, done, whose(lifeOf(v)), was)
 	return nil
 }
 
@@ -138,16 +130,22 @@
 	return fmt.Sprintf("%s, begun %s", l.Node, time.UnixMilli(l.Born).UTC().Format(time.RFC3339))
 }
 
-func (r *storeRemote) duties(cmd *cobra.Command) ([]standing, error) {
-	living := map[duty.Life]string{}
-	if err := r.each(cmd.Context(), owner.Leases, "", false, func(e gjson.Result) {
+// living are the lives that have a lease, with where their batch fronts are.
+func (r *storeRemote) living(cmd *cobra.Command) (map[duty.Life]string, error) {
+	out := map[duty.Life]string{}
+	return out, r.each(cmd.Context(), owner.Leases, "", false, func(e gjson.Result) {
 		v := gjson.Parse(e.Get("value").String())
-		living[duty.Life{Node: e.Get("key").String(), Born: v.Get("born").Int()}] = v.Get("addr").String()
-	}); err != nil {
+		out[duty.Life{Node: e.Get("key").String(), Born: v.Get("born").Int()}] = v.Get("addr").String()
+	})
+}
+
+func (r *storeRemote) duties(cmd *cobra.Command) ([]standing, error) {
+	living, err := r.living(cmd)
+	if err != nil {
 		return nil, err
 	}
 	all := []standing{}
-	err := r.each(cmd.Context(), owner.Duties, "", false, func(e gjson.Result) {
+	err = r.each(cmd.Context(), owner.Duties, "", false, func(e gjson.Result) {
 		l := lifeOf(e)
 		of, _ := duty.ParsePartition(e.Get("key").String())
 		addr, alive := living[l]
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -58,6 +58,10 @@
 
 func (a *array) change() records.Change {
 	r := a.record()
+	return r.change()
+}
+
+func (r *arrayRecord) change() records.Change {
 	v, _ := json.Marshal(r)
 	return records.Change{Kind: kindArray, Key: key(r.ID), Value: v, Keep: r.Done+r.Failed < r.Jobs}
 }
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -94,7 +94,7 @@
 		version: o.Version, fleet: o.Fleet, ids: ids{node: o.Node}, events: newEvents(o.Life.UnixMilli(), o.Limits.BatchEvents),
 		kick: make(chan struct{}, 1), jobs: map[string]*job{}, queue: release.New(), waits: map[string]*job{},
 		arrays: map[string]*array{}, sessions: map[string]*session{}, same: map[string]*job{},
-		dirty: make(chan *job, o.Limits.MaxOpen), late: make(chan struct{}, 64)}
+		dirty: make(chan *job, o.Limits.MaxOpen), late: make(chan struct{}, o.Limits.BatchLate)}
 	f.ids.life.Store(o.Life.UnixMilli())
 	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.Life.UTC()}}
 	f.loaded = make(chan struct{})
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -63,10 +64,6 @@
 
 // single says whether a category's jobs must never run twice. One that is no longer known is taken for such.
 func (f *Front) single(category string) bool {
-	for i, name := range f.names().Classes {
-		if name == category {
-			return f.class(i).Effect == brain.Unsafe
-		}
-	}
-	return true
+	i := slices.Index(f.names().Classes, category)
+	return i < 0 || f.class(i).Effect == brain.Unsafe
 }
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"quincereach/internal/http1"
-	"quincereach/internal/records"
 )
 
 // kindSent says which job was sent under a trace id: a box that calls back after its sender was lost names nothing else.
@@ -121,19 +119,21 @@
 // decided records the end of a job that was in doubt. Its array counted it as failed when it was taken up.
 func (f *Front) decided(ctx context.Context, r *Record) error {
 	all := r.changes()
-	if a, found, err := f.arrayOf(ctx, r.Array); err != nil {
+	a, found, err := f.arrayOf(ctx, r.Array)
+	if err != nil {
 		return err
-	} else if found && r.State == Done {
+	}
+	recount := func(x *arrayRecord) { x.Done, x.Failed = x.Done+1, x.Failed-1 }
+	if found = found && r.State == Done; found {
 		x := a.record()
-		x.Done, x.Failed = x.Done+1, x.Failed-1
-		v, _ := json.Marshal(x)
-		all = append(all, records.Change{Kind: kindArray, Key: key(x.ID), Value: v, Keep: x.Done+x.Failed < x.Jobs})
+		recount(&x)
+		all = append(all, x.change())
 	}
 	if err := f.store.Write(ctx, all...); err != nil {
 		return err
 	}
-	if a, found, _ := f.arrayOf(ctx, r.Array); found && r.State == Done {
-		a.set(func(x *arrayRecord) { x.Done, x.Failed = x.Done+1, x.Failed-1 })
+	if found {
+		a.set(recount)
 	}
 	f.events.add(r)
 	return nil
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -226,6 +226,7 @@
 // full names a table that a transaction would put more into than may be kept there. What is there already can always be
 // changed, and let go of: what was promised must be able to end.
 func (s *State) full(t *Txn) string {
+	with := map[string]volume{} // by table, with what is new there so far
 	for i := range t.Ops {
 		op := &t.Ops[i]
 		if op.Verb != Put || !op.Keep {
@@ -234,18 +235,13 @@
 		if old, ok := s.entries.Get(path(op.Table, op.Key)); ok && old.Keep {
 			continue
 		}
-		v := volume{}
-		if at, ok := s.tables.Get([]byte(op.Table)); ok {
+		v, seen := with[op.Table]
+		if at, ok := s.tables.Get([]byte(op.Table)); ok && !seen {
 			v = *at
 		}
-		for k := range t.Ops[:i+1] { // with those before it that are new there as well
-			if x := &t.Ops[k]; x.Verb == Put && x.Keep && x.Table == op.Table {
-				if old, ok := s.entries.Get(path(x.Table, x.Key)); !ok || !old.Keep {
-					v.kept++
-					v.keptBytes += len(x.Key) + len(x.Value)
-				}
-			}
-		}
+		v.kept++
+		v.keptBytes += len(op.Key) + len(op.Value)
+		with[op.Table] = v
 		if s.bounds.Values > 0 && v.kept > s.bounds.Values || s.bounds.Bytes > 0 && v.keptBytes > s.bounds.Bytes {
 			return op.Table
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,6 +45,7 @@
 	BatchWaiting  int           // items - jobs and arrays - that wait here
 	BatchArray    int           // members of an array
 	BatchEvents   int           // changes of state kept for clients that come back
+	BatchLate     int           // callbacks of jobs in doubt that are looked into at a time
 	BatchSessions int           // job sessions
 	BatchPage     int           // jobs in an answer, and
 	BatchLook     int           // looked at for it
@@ -145,7 +146,7 @@
 		IdleConns: 32, GiveUps: giveUps, Operators: 16,
 		BatchConns: batch, BatchJobs: 4096, BatchBytes: 16 << 20, BatchWait: time.Minute, BatchDeadline: 15 * time.Minute,
 		BatchAhead: 30 * 24 * time.Hour, BatchAgain: 100 * time.Millisecond, BatchOut: 64, BatchWaiting: 10000, BatchArray: 1 << 20,
-		BatchEvents: 4096, BatchSessions: 256, BatchPage: 1000, BatchLook: 20000, BatchValues: 1 << 20, BatchRecords: 4 << 30,
+		BatchEvents: 4096, BatchLate: 64, BatchSessions: 256, BatchPage: 1000, BatchLook: 20000, BatchValues: 1 << 20, BatchRecords: 4 << 30,
 		BatchAge: 7 * 24 * time.Hour,
 
 		InventoryBytes: 1 << 20, InventoryRows: 4096, InventoryLook: 200 * time.Millisecond,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -38,6 +38,7 @@
 	records.Store
 	Txn(context.Context, *kv.Txn) (*kv.Result, error)
 	View() *kv.View
+	Local(kind, key string) ([]byte, bool)
 }
 
 // Front does the work that duties stand for: the jobs on record of one life of a node.
@@ -154,12 +155,7 @@
 }
 
 // Local gives a value as this member has it, which may be old.
-func (o *Owner) Local(kind, key string) ([]byte, bool) {
-	if e, ok := o.store.View().Get(kind, key); ok {
-		return e.Value, true
-	}
-	return nil, false
-}
+func (o *Owner) Local(kind, key string) ([]byte, bool) { return o.store.Local(kind, key) }
 
 // Ready says whether this life has its own duty, and all that earlier lives of this node left and nobody has was taken up.
 func (o *Owner) Ready() bool {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -48,6 +48,13 @@
 	return &r, nil
 }
 func (m *member) View() *kv.View { return m.view }
+func (m *member) Local(kind, key string) ([]byte, bool) {
+	e, ok := m.view.Get(kind, key)
+	if !ok {
+		return nil, false
+	}
+	return e.Value, true
+}
 func (m *member) Write(context.Context, ...records.Change) error {
 	return errors.New("an owner's writes are transactions")
 }
@@ -321,13 +328,7 @@
 // A node starts again, finds that its earlier life left a duty, and another node claims it first: it does not wait for it, or
 // it would never take a job again.
 func TestAnotherWasQuicker(t *testing.T) {
-	f := newFleet(t, 1, 2)
-	for range 40 {
-		f.step(false)
-	}
-	left := f.nodes[0].Owner.own.Partition()
-	f.boot(f.nodes[0])
-	x := f.nodes[0]
+	f, x, left := restarted(t, 2)
 	x.old, x.asked = []string{left}, true
 	other := f.nodes[1]
 	other.claim(t.Context(), duty.Action{Key: left, Mine: other.keeper.Mine(), If: f.epoch(left)}, "quicker")
@@ -339,6 +340,18 @@
 	}
 }
 
+// restarted is a fleet of which one node has just started again, and the duty that its earlier life left.
+func restarted(t *testing.T, n int) (f *fleet, x *one, left string) {
+	f = newFleet(t, 1, n)
+	for range 40 {
+		f.step(false)
+	}
+	x = f.nodes[0]
+	left = x.Owner.own.Partition()
+	f.boot(x)
+	return f, x, left
+}
+
 func (f *fleet) epoch(key string) uint64 {
 	if e, ok := f.s.state.Snapshot().Get(Duties, key); ok {
 		return e.Version
@@ -348,13 +361,7 @@
 
 // A duty of a life that is over goes once nothing of it is on record, and not before; the life's own stays.
 func TestRetire(t *testing.T) {
-	f := newFleet(t, 1, 1)
-	for range 40 {
-		f.step(false)
-	}
-	was := f.nodes[0].Owner.own.Partition()
-	f.boot(f.nodes[0])
-	x := f.nodes[0]
+	f, x, was := restarted(t, 1)
 	for range 80 {
 		f.step(false)
 	}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -30,22 +30,10 @@
 
 // NewLink starts a proxy in front of target.
 func NewLink(ctx context.Context, g *errgroup.Group, target string) (*Link, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	l := &Link{Addr: ln.Addr().String(), target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	g.Go(func() error { <-ctx.Done(); return ln.Close() })
-	g.Go(func() error {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return nil
-			}
-			g.Go(func() error { l.carry(ctx, c.(*net.TCPConn)); return nil })
-		}
-	})
-	return l, nil
+	l := &Link{target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	var err error
+	l.Addr, err = accept(ctx, g, func(c net.Conn) { l.carry(ctx, c.(*net.TCPConn)) })
+	return l, err
 }
 
 // Set changes the fault.
--- a/internal/standin/slow.go
+++ b/internal/standin/slow.go
@@ -46,11 +46,18 @@
 
 // NewSlow starts a proxy in front of target.
 func NewSlow(ctx context.Context, g *errgroup.Group, target string, up, down Script, seed uint64) (*Slow, error) {
+	s := &Slow{target: target, up: up, down: down, rng: rand.New(rand.NewPCG(seed, 1))}
+	var err error
+	s.Addr, err = accept(ctx, g, func(c net.Conn) { s.carry(ctx, c) })
+	return s, err
+}
+
+// accept listens at an address of its own, and has each connection served until the context ends.
+func accept(ctx context.Context, g *errgroup.Group, serve func(net.Conn)) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	s := &Slow{Addr: ln.Addr().String(), target: target, up: up, down: down, rng: rand.New(rand.NewPCG(seed, 1))}
 	g.Go(func() error { <-ctx.Done(); return ln.Close() })
 	g.Go(func() error {
 		for {
@@ -58,10 +65,10 @@
 			if err != nil {
 				return nil
 			}
-			g.Go(func() error { s.carry(ctx, c); return nil })
+			g.Go(func() error { serve(c); return nil })
 		}
 	})
-	return s, nil
+	return ln.Addr().String(), nil
 }
 
 // Set changes the scripts of connections to come, and of those under way from their next chunk on.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -90,6 +90,8 @@
 	return &Conn{c, http1.NewRing(4096), http1.NewParser(Lim, true), http1.NewWriter(c, 4096)}, nil
 }
 
+const answerWithin = 40 * time.Second // what a test waits for the answer to a call
+
 // Do sends a request and reads its answer.
 func (c *Conn) Do(method, target string, body []byte, fields ...http1.Field) (*http1.Message, error) {
 	fields = append(fields, http1.Field{Name: "Host", Value: "test"})
@@ -99,7 +101,7 @@
 	if err := c.w.Flush(); err != nil {
 		return nil, err
 	}
-	_ = c.SetReadDeadline(time.Now().Add(40 * time.Second))
+	_ = c.SetReadDeadline(time.Now().Add(answerWithin))
 	return c.p.Read(c.in, c.Conn)
 }
 
@@ -116,12 +118,7 @@
 
 // Call makes one request on a connection of its own.
 func Call(addr, method, target string, body []byte, fields ...http1.Field) (*http1.Message, error) {
-	c, err := Dial(addr)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = c.Close() }()
-	return c.Do(method, target, body, fields...)
+	return CallFor(addr, answerWithin, method, target, body, fields...)
 }
 
 // Start is a request that a box got whole.
@@ -333,28 +330,15 @@
 
 // NewList starts a list.
 func NewList(ctx context.Context, g *errgroup.Group) (*List, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	l := &List{Addr: ln.Addr().String(), entries: map[string]string{}, changed: make(chan struct{})}
-	g.Go(func() error { <-ctx.Done(); return ln.Close() })
-	g.Go(func() error {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return nil
-			}
-			g.Go(func() error {
-				stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-				defer stop()
-				defer func() { _ = c.Close() }()
-				l.serve(ctx, c)
-				return nil
-			})
-		}
+	l := &List{entries: map[string]string{}, changed: make(chan struct{})}
+	var err error
+	l.Addr, err = accept(ctx, g, func(c net.Conn) {
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+		defer stop()
+		defer func() { _ = c.Close() }()
+		l.serve(ctx, c)
 	})
-	return l, nil
+	return l, err
 }
 
 // Put sets an executor's row.
--- a/internal/store/clock.go
+++ b/internal/store/clock.go
@@ -33,7 +33,7 @@
 
 // now is the log's time, in Unix milliseconds. Only the very first of a store comes from the wall's clock.
 func (s *Store) now() int64 {
-	term, clock, stands := s.raft.CurrentTerm(), s.clock(), s.fsm.view().Now()
+	term, clock, stands := s.raft.CurrentTerm(), BootTime(), s.fsm.view().Now()
 	if stands == 0 {
 		stands = stops.Wall().UnixMilli()
 	}
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -127,12 +126,9 @@
 			}
 		}
 	}
-	body, _ := json.Marshal(map[string]any{"verb": "join", "name": s.cfg.Name, "address": s.cfg.Listen, "anew": true})
 	for n := 0; ; n++ {
 		at := to[n%len(to)]
-		cctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
-		m, err := Call(cctx, at, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
-		cancel()
+		m, err := s.askChange(ctx, at, map[string]any{"verb": "join", "anew": true})
 		if err == nil && m.Status == 200 {
 			s.log.Info("store: let in anew", "by", at)
 			s.mux.open.Store(true)
@@ -155,11 +151,15 @@
 
 // bootstrap begins the store. Every member begins with the same list, so that it does not matter which one is first.
 func (s *Store) bootstrap() error {
-	var all raft.Configuration
-	for _, name := range slices.Sorted(maps.Keys(s.cfg.Members)) {
-		all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(s.cfg.Members[name])})
+	return s.raft.BootstrapCluster(voters(s.cfg.Members)).Error()
+}
+
+// voters is a store of members by name, the same for all that have the same members.
+func voters(members map[string]string) (all raft.Configuration) {
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(members[name])})
 	}
-	return s.raft.BootstrapCluster(all).Error()
+	return all
 }
 
 // announce has the other members know this folder, once each: those of a version that had no identities, or that came later.
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -123,6 +123,15 @@
 	return nil
 }
 
+// askChange asks a member for a change of the membership that is about this one.
+func (s *Store) askChange(ctx context.Context, to string, call map[string]any) (*http1.Message, error) {
+	call["name"], call["address"] = s.cfg.Name, s.cfg.Listen
+	body, _ := json.Marshal(call)
+	ctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
+	defer cancel()
+	return Call(ctx, to, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
+}
+
 // join asks to be a member, and then to vote once it has caught up, until it votes or there is no place for another voter.
 func (s *Store) join(ctx context.Context, to string) {
 	for ctx.Err() == nil {
@@ -138,15 +147,12 @@
 				}
 			}
 		}
-		body, _ := json.Marshal(map[string]any{"verb": verb, "name": s.cfg.Name, "address": s.cfg.Listen, "applied": s.raft.AppliedIndex()})
 		if in {
 			if leader, _ := s.raft.LeaderWithID(); leader != "" {
 				to = string(leader)
 			}
 		}
-		cctx, cancel := context.WithTimeout(ctx, s.lim.StoreCall)
-		m, err := Call(cctx, to, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
-		cancel()
+		m, err := s.askChange(ctx, to, map[string]any{"verb": verb, "applied": s.raft.AppliedIndex()})
 		switch {
 		case err != nil:
 			s.log.Info("store: joining", "by", to, "err", err)
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -70,11 +70,7 @@
 		fmt.Fprintln(w, "nothing was changed")
 		return nil
 	}
-	var to raft.Configuration
-	for _, id := range slices.Sorted(maps.Keys(members)) {
-		to.Servers = append(to.Servers, raft.Server{ID: raft.ServerID(id), Address: raft.ServerAddress(members[id])})
-	}
-	if err := raft.RecoverCluster(c, newFSM(lim), log, log, snaps, trans, to); err != nil {
+	if err := raft.RecoverCluster(c, newFSM(lim), log, log, snaps, trans, voters(members)); err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
 	fmt.Fprintln(w, "done: start its node")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -54,8 +54,7 @@
 	mu   sync.Mutex
 	dead map[raft.ServerID]bool // members whose heartbeats fail, as this one sees it while it leads
 
-	clock func() time.Duration // counts while the machine sleeps, and is never set
-	time  logTime
+	time logTime
 }
 
 // ErrNoLeader says that the store has no leader, so that nothing can be written or told for certain.
@@ -78,7 +77,7 @@
 		under = cfg.Keys.Listen(ln)
 	}
 	lim.Body = max(lim.StoreBody*2, 1<<20) // a call holds a transaction
-	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(under, cfg.Keys, lim), dead: map[raft.ServerID]bool{}, clock: BootTime}
+	s := &Store{cfg: cfg, lim: lim, log: log, fsm: newFSM(lim), mux: newMux(under, cfg.Keys, lim), dead: map[raft.ServerID]bool{}}
 	if err := s.open(); err != nil {
 		_ = ln.Close()
 		if s.bolt != nil {
