--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -419,7 +419,11 @@
 		defer j.putting.Unlock()
 	}
 	if f.store != nil {
-		if err := f.store.Write(ctx, records.Change{Kind: kindJob, Key: key(id)}, records.Change{Kind: kindOpen, Key: key(id)}); err != nil {
+		gone := []records.Change{{Kind: kindJob, Key: key(id)}, {Kind: kindOpen, Key: key(id)}}
+		if r.Trace != "" { // of one in doubt
+			gone = append(gone, records.Change{Kind: kindSent, Key: r.Trace})
+		}
+		if err := f.store.Write(ctx, gone...); err != nil {
 			return tryLater("its end could not be recorded: " + err.Error())
 		}
 	}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -185,6 +185,11 @@
 			}
 			return tryLater("the session could not be recorded: " + err.Error())
 		}
+		f.mu.Lock()
+		if f.sessions[r.Name] == nil { // a call that came before it was on record took it for destroyed
+			f.sessions[r.Name] = s
+		}
+		f.mu.Unlock()
 	}
 	return f.openSession(r.Name, 201)
 }
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -424,7 +424,11 @@
 			}
 		}
 		changes := r.changes()
-		changes[1].Value = nil // nothing of it is open in this life
+		for i := range changes { // nothing of it is open in this life, and a box may tell only of one that is in doubt
+			if k := changes[i].Kind; k == kindOpen || k == kindSent && r.State != Undetermined {
+				changes[i].Value = nil
+			}
+		}
 		return f.store.Write(ctx, changes...)
 	}); err != nil {
 		return 0, err
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -269,11 +269,13 @@
 	v := o.view()
 	o.begin(ctx, v)
 	o.mu.Lock()
-	for _, d := range v.Duties {
-		// What an earlier life left and another node was quicker to claim is that one's to take up: waited for here, this
-		// life would take no job ever.
-		if l, ok := v.Leases[d.Owner.Node]; ok && l.Life == d.Owner && d.Owner != o.own {
-			o.old = slices.DeleteFunc(o.old, func(key string) bool { return key == d.Key })
+	if len(o.old) > 0 {
+		for _, d := range v.Duties {
+			// What an earlier life left and another node has or was quicker to claim is that one's to take up: waited for
+			// here, this life would take no job ever. An earlier life of our own, whose lease may still stand, is not another.
+			if l, ok := v.Leases[d.Owner.Node]; ok && l.Life == d.Owner && d.Owner.Node != o.name {
+				o.old = slices.DeleteFunc(o.old, func(key string) bool { return key == d.Key })
+			}
 		}
 	}
 	v.Duties = append(v.Duties, o.unborn(v)...)
@@ -308,23 +310,13 @@
 		if err != nil {
 			return
 		}
-		left := map[string]bool{}
-		for _, p := range parts {
-			left[p] = p != own.Partition()
-		}
 		for _, d := range v.Duties {
-			if l, ok := v.Leases[d.Owner.Node]; d.Owner.Node == o.name && d.Key != own.Partition() {
-				left[d.Key] = true
-			} else if ok && l.Life == d.Owner {
-				left[d.Key] = false // another has it
+			if d.Owner.Node == o.name && !slices.Contains(parts, d.Key) {
+				parts = append(parts, d.Key)
 			}
 		}
 		o.mu.Lock()
-		for p, ours := range left {
-			if ours {
-				o.old = append(o.old, p)
-			}
-		}
+		o.old = slices.DeleteFunc(parts, func(p string) bool { return p == own.Partition() })
 		o.asked = true
 		o.mu.Unlock()
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -340,6 +340,21 @@
 	}
 }
 
+// A node that starts again while its earlier life's lease still stands waits for what that life left, until it has it.
+func TestOwnLeaseStillStands(t *testing.T) {
+	f, x, left := restarted(t, 1)
+	x.old, x.asked = []string{left}, true
+	if x.step(t.Context()); x.Ready() || !slices.Contains(x.old, left) {
+		t.Fatalf("it does not wait for %s: %v", left, x.old)
+	}
+	for range 80 {
+		f.step(false)
+	}
+	if !x.Ready() || !x.w.adopted[left] {
+		t.Errorf("it has not taken up %s: %v", left, x.old)
+	}
+}
+
 // restarted is a fleet of which one node has just started again, and the duty that its earlier life left.
 func restarted(t *testing.T, n int) (f *fleet, x *one, left string) {
 	f = newFleet(t, 1, n)
