See a client's close behind its bytes, and end connections so that no reset eats an answer

While a request was handled one read was out for the client's end; any byte behind the request used it up, and with bytes in the ring none was begun. So a client that sent half a request more, or a flood, and closed was not seen to go: its job was begun and begun again for nobody, up to its deadline. The last answer of a connection was followed by close(): over unread bytes that is a reset, and on the way it takes the answer along. And an idle connection was shut though a request stood in the kernel.

Now the reader goes on while a request is handled (what the ring does not hold is dropped, and the connection ends with the answer); a last answer is followed by a half-close, and what still comes is taken in unread for 0.5 s at most; idle is who has sent nothing.

Tests with real connections, the order forced: without the mend the handler is not told (5 cases), the client sees ECONNRESET (both cases), the spoken-to connection is closed.

--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,183 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"quincereach/internal/pace"
+)
+
+// conn is one client's connection. One goroutine reads, when it is asked to, and one parses, handles and
+// answers: so that a client that goes away is seen while its request is being handled.
+type conn struct {
+	*Paced
+	in    *Ring
+	want  chan struct{}
+	got   chan struct{}
+	err   error // of the read that got told of
+	asked bool  // a read is under way, and the ring is the reader's
+
+	// What the reader does while a request is handled.
+	mu      sync.Mutex
+	handled bool // one is
+	came    bool // bytes behind it came
+	over    bool // more than the ring holds: the rest is dropped, and the connection ends with the answer
+	pause   time.Duration
+
+	// Under the server's lock.
+	phase  phase
+	since  time.Time // when it entered the phase; of a new one, when it was taken
+	served bool      // a request came whole
+	known  bool      // and was one of the front's own clients'
+	unread bool      // the last answer is finished and not acknowledged
+	share  string    // the peer that it counts for
+	why    *pace.Slow
+}
+
+type phase uint8
+
+const (
+	idle      phase = iota // nothing of a request has come
+	reading                // a part has
+	busy                   // one that came whole is being handled
+	answering              // its answer is being written: it holds no job and no request's place
+	lingering              // its last answer is written, and nothing more is taken from it
+	closed
+)
+
+func newConn(c net.Conn, ring int, in, out pace.Rate, pause time.Duration) *conn {
+	return &conn{Paced: NewPaced(c, in, out), in: NewRing(ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1),
+		pause: pause, phase: idle}
+}
+
+// read makes the reads that are asked for.
+func (c *conn) read(gone context.CancelFunc) {
+	for range c.want {
+		c.err = c.fill()
+		if c.err != nil && !timeout(c.err) {
+			gone()
+		}
+		c.got <- struct{}{}
+	}
+}
+
+// fill reads once, and while a request is handled for as long as bytes come: the client's end can stand behind any number of
+// them, and is seen only by who reads them.
+func (c *conn) fill() error {
+	for {
+		var err error
+		if c.in.Free() > 0 {
+			_, err = c.in.Fill(c.Paced)
+		} else {
+			err = c.drop()
+		}
+		if err != nil || !c.more() {
+			return err
+		}
+	}
+}
+
+// drop takes in bytes for which there is no place, not faster than a flood may cost.
+func (c *conn) drop() error {
+	var b [4 << 10]byte
+	_, err := c.Paced.Read(b[:])
+	if err == nil {
+		c.mu.Lock()
+		c.over = true
+		c.mu.Unlock()
+		time.Sleep(c.pause)
+	}
+	return err
+}
+
+// more notes that bytes came and says whether a request is still handled.
+func (c *conn) more() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.came = c.handled
+	return c.handled
+}
+
+func (c *conn) ask() {
+	if !c.asked {
+		c.asked = true
+		c.want <- struct{}{}
+	}
+}
+
+// watch has the client's end seen while a request of it is handled.
+func (c *conn) watch() {
+	c.mu.Lock()
+	c.handled, c.came, c.over = true, c.in.Len() > 0, false
+	c.mu.Unlock()
+	c.ask()
+}
+
+// unwatch ends that and says whether bytes were dropped. What came behind the request is parsed without a wait for more.
+func (c *conn) unwatch() (over bool) {
+	c.mu.Lock()
+	c.handled = false
+	came, over := c.came, c.over
+	c.mu.Unlock()
+	if came {
+		c.ReadBy(time.Unix(1, 0)) // calls off the read for more
+		<-c.got
+		c.asked = false
+		if timeout(c.err) {
+			c.err = nil
+		}
+		c.ReadBy(time.Time{})
+	}
+	return over
+}
+
+// closeWrite says that no more answers come.
+func (c *conn) closeWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return net.ErrClosed // a pipe of a test: it is closed whole
+}
+
+// worth orders connections by what closing them costs: those whose client leaves an answer unread, strangers, idle ones.
+// From kept on they stay: a request comes, or is handled, or its answer is being written to a client that reads.
+func (c *conn) worth() worth {
+	switch c.phase {
+	case lingering:
+		return unreadIdle
+	case idle:
+		switch {
+		case c.unread:
+			return unreadIdle
+		case c.known:
+			return knownIdle
+		}
+		return stranger
+	case reading:
+		if !c.known {
+			return stranger
+		}
+	case answering:
+		if c.Stalled(time.Now()) > stalledFor {
+			return stalled
+		}
+	}
+	return kept
+}
+
+// worth is what a connection is worth to the node.
+type worth uint8
+
+const (
+	unreadIdle worth = iota
+	stranger
+	knownIdle
+	stalled
+	kept
+)
+
+// stalledFor is how long a client must have read nothing of an answer that is being written, while the kernel's buffers
+// are full, before it may make place for another.
+const stalledFor = 500 * time.Millisecond
--- /dev/null
+++ b/internal/http1/races_test.go
@@ -0,0 +1,179 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincereach/internal/sock"
+)
+
+const get = "GET / HTTP/1.1\r\n\r\n"
+
+// A client's end is seen while its request is handled though bytes stand before it: half a request, some requests, more than
+// the ring holds, more than the kernel hands over at a time.
+func TestServerSeesClientsLeaveBehindBytes(t *testing.T) {
+	for _, behind := range []int{1, 200, lim.Ring, lim.Ring + 1, 300 << 10} {
+		t.Run(fmt.Sprint(behind, " bytes"), func(t *testing.T) {
+			began, left := make(chan bool, 100), make(chan bool, 100)
+			_, addr := serve(t, lim, func(ctx context.Context, _ *Message) Response {
+				began <- true
+				<-ctx.Done()
+				left <- true
+				return Response{Status: 200}
+			})
+			c := dial(t, addr)
+			_, _ = io.WriteString(c, get)
+			<-began // from here on the request is handled: what follows stands behind it
+			if _, err := io.WriteString(c, strings.Repeat(get, behind/len(get)+1)[:behind]); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.Close()
+			select {
+			case <-left:
+			case <-time.After(20 * time.Second):
+				t.Fatal("the handler was not told")
+			}
+			if len(began) > 0 {
+				t.Error("a request of a client that has gone was handled")
+			}
+		})
+	}
+}
+
+// What came behind a request that is still handled is answered in its turn, without a wait for more: whole requests, and one
+// whose rest comes later.
+func TestServerAnswersWhatCameBehind(t *testing.T) {
+	began, on := make(chan bool, 100), make(chan bool)
+	s, addr := serve(t, lim, func(context.Context, *Message) Response {
+		began <- true
+		<-on
+		return Response{Status: 200}
+	})
+	c := dial(t, addr)
+	in := bufio.NewReader(c)
+	answered := func() {
+		t.Helper()
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			if line == "\r\n" {
+				return
+			}
+		}
+	}
+	_, _ = io.WriteString(c, get)
+	<-began
+	_, _ = io.WriteString(c, get+get+get[:7])
+	waitFor(t, "the server has the bytes", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for x := range s.conns {
+			x.mu.Lock()
+			came := x.came
+			x.mu.Unlock()
+			return came && sock.Quiet(x.Conn)
+		}
+		return false
+	})
+	for range 3 {
+		on <- true
+		answered()
+	}
+	_, _ = io.WriteString(c, get[7:])
+	on <- true
+	answered()
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain:", what)
+		}
+	}
+}
+
+// The last answer of a connection comes whole, and then its end and no reset, though the client had sent more than was read:
+// before the answer, and after it.
+func TestLastAnswerIsNotReset(t *testing.T) {
+	for _, x := range []struct {
+		what, request string
+		status        int
+	}{
+		{"a request that asks for the end", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", 200},
+		{"a bad request", "BAD\r\n\r\n", 400},
+	} {
+		t.Run(x.what, func(t *testing.T) {
+			_, addr := serve(t, lim, func(context.Context, *Message) Response {
+				return Response{Status: 200, Body: []byte(strings.Repeat("x", 1000))}
+			})
+			c := dial(t, addr)
+			if _, err := io.WriteString(c, x.request+strings.Repeat("y", 2*lim.Ring)); err != nil {
+				t.Fatal(err)
+			}
+			in := bufio.NewReader(c)
+			line, err := in.ReadString('\n')
+			if err != nil || !strings.Contains(line, fmt.Sprint(x.status)) {
+				t.Fatalf("%q %v", line, err)
+			}
+			if _, err := io.WriteString(c, strings.Repeat("z", 2*lim.Ring)); err != nil { // crosses the end
+				t.Errorf("what the client sent on: %v", err)
+			}
+			if _, err = io.Copy(io.Discard, in); errors.Is(err, syscall.ECONNRESET) || err != nil {
+				t.Errorf("the connection ended with %v", err)
+			}
+		})
+	}
+}
+
+// A request that comes after its connection's last answer is not handled: its client sends it elsewhere, and it would run twice.
+func TestNothingIsTakenAfterTheLastAnswer(t *testing.T) {
+	began := make(chan bool, 10)
+	_, addr := serve(t, lim, func(context.Context, *Message) Response { began <- true; return Response{Status: 200, Close: true} })
+	c := dial(t, addr)
+	_, _ = io.WriteString(c, get+get)
+	if all, err := io.ReadAll(c); err != nil || strings.Count(string(all), "200 OK") != 1 {
+		t.Errorf("%v %q", err, all)
+	}
+	if len(began) != 1 {
+		t.Errorf("%d requests were handled", len(began))
+	}
+}
+
+// A resting connection on which bytes have come is not closed as idle, though nobody has read them yet: here nobody reads.
+func TestCloseIdleSparesWhatHasCome(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	s := NewServer(lim, nil, nil, quietLog)
+	var server [2]*conn
+	for i := range server {
+		c := dial(t, ln.Addr().String())
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		server[i] = newConn(nc, lim.Ring, lim.Pace.ClientIn, lim.Pace.ClientOut, 0)
+		s.admit(server[i])
+		if i == 0 {
+			_, _ = io.WriteString(c, get[:1])
+			waitFor(t, "the byte has come", func() bool { return !sock.Quiet(nc) })
+		}
+	}
+	s.CloseIdle()
+	if server[0].phase != idle || server[1].phase != closed {
+		t.Errorf("phases %d and %d", server[0].phase, server[1].phase)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -81,7 +81,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.phase == idle {
+		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
+		if c.phase == idle && sock.Quiet(c.Conn) {
 			s.shut(c)
 		}
 	}
@@ -193,45 +194,6 @@
 	return within
 }
 
-// worth orders connections by what closing them costs: those whose client leaves an answer unread, strangers, idle ones.
-// From kept on they stay: a request comes, or is handled, or its answer is being written to a client that reads.
-func (c *conn) worth() worth {
-	switch c.phase {
-	case idle:
-		switch {
-		case c.unread:
-			return unreadIdle
-		case c.known:
-			return knownIdle
-		}
-		return stranger
-	case reading:
-		if !c.known {
-			return stranger
-		}
-	case answering:
-		if c.Stalled(time.Now()) > stalledFor {
-			return stalled
-		}
-	}
-	return kept
-}
-
-// worth is what a connection is worth to the node.
-type worth uint8
-
-const (
-	unreadIdle worth = iota
-	stranger
-	knownIdle
-	stalled
-	kept
-)
-
-// stalledFor is how long a client must have read nothing of an answer that is being written, while the kernel's buffers
-// are full, before it may make place for another.
-const stalledFor = 500 * time.Millisecond
-
 // full says whether there is no descriptor for one more connection, however short.
 func (s *Server) full() bool {
 	s.mu.Lock()
@@ -298,8 +260,7 @@
 			}
 			sock.Bound(c, s.lim.Pace.SendBuf, 0)
 			sock.Forget(c, s.lim.Pace.Forget)
-			nc := &conn{Paced: NewPaced(c, s.lim.Pace.ClientIn, s.lim.Pace.ClientOut), in: NewRing(s.lim.Ring),
-				want: make(chan struct{}, 1), got: make(chan struct{}, 1), phase: idle}
+			nc := newConn(c, s.lim.Ring, s.lim.Pace.ClientIn, s.lim.Pace.ClientOut, s.lim.DropPause)
 			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too there
 			// is no descriptor for one more: it waits until another ends, since to close it would lose what came.
 			within := s.admit(nc)
@@ -319,53 +280,6 @@
 	return nil
 }
 
-// conn is one client's connection. One goroutine reads, when it is asked to, and one parses, handles and
-// answers: so that a client that goes away is seen while its request is being handled.
-type conn struct {
-	*Paced
-	in    *Ring
-	want  chan struct{}
-	got   chan struct{}
-	err   error // of the read that got told of
-	asked bool  // a read is under way
-
-	// Under the server's lock.
-	phase  phase
-	since  time.Time // when it entered the phase; of a new one, when it was taken
-	served bool      // a request came whole
-	known  bool      // and was one of the front's own clients'
-	unread bool      // the last answer is finished and not acknowledged
-	share  string    // the peer that it counts for
-	why    *pace.Slow
-}
-
-type phase uint8
-
-const (
-	idle      phase = iota // nothing of a request has come
-	reading                // a part has
-	busy                   // one that came whole is being handled
-	answering              // its answer is being written: it holds no job and no request's place
-	closed
-)
-
-func (c *conn) read(gone context.CancelFunc) {
-	for range c.want {
-		_, c.err = c.in.Fill(c.Paced)
-		if c.err != nil && !timeout(c.err) {
-			gone()
-		}
-		c.got <- struct{}{}
-	}
-}
-
-func (c *conn) ask() {
-	if !c.asked && c.in.Free() > 0 {
-		c.asked = true
-		c.want <- struct{}{}
-	}
-}
-
 func (s *Server) serve(ctx context.Context, c *conn, once bool) {
 	ctx, gone := context.WithCancel(ctx)
 	var g errgroup.Group
@@ -398,28 +312,28 @@
 				s.log.Debug("bad request", "err", err)
 				r := Text(bad.Status, "%s", bad.Text)
 				r.Close = true
-				s.write(ctx, c, w, &r)
+				if s.write(ctx, c, w, &r) {
+					s.linger(c)
+				}
 			}
 			return
 		}
-		if !s.enter(c, busy) {
+		// A client that has closed is gone, whatever of its requests came before the close.
+		if ctx.Err() != nil || !s.enter(c, busy) {
 			return
 		}
 		s.busy.Add(1)
 		s.touch()
 		c.Rest()
 		c.ReadBy(time.Time{})
-		// While a read is under way the ring is the reader's. A request that came along with this one must be
-		// parsed without waiting for more bytes, so with one in the ring no read is begun.
-		if c.in.Len() == 0 {
-			c.ask()
-		}
+		c.watch()
 		r := s.h.Handle(ctx, m)
+		over := c.unwatch()
 		if ctx.Err() != nil {
 			s.busy.Add(-1)
 			return
 		}
-		r.Close = r.Close || m.Close || once || s.draining.Load()
+		r.Close = r.Close || m.Close || once || over || s.draining.Load()
 		p.Release()
 		s.busy.Add(-1)
 		ok := s.enter(c, answering) && s.write(ctx, c, w, &r)
@@ -433,11 +347,33 @@
 			s.mu.Unlock()
 		}
 		if !ok || r.Close {
+			if ok {
+				s.linger(c)
+			}
 			return
 		}
 	}
 }
 
+// linger ends a connection after its last answer: it says so, and takes in unread what the client still sends until that has
+// seen the end, or for a bounded time. To close over unread bytes would reset the connection, and an answer that is on its way
+// goes with a reset. What is read here was not taken: its client sends it once more elsewhere.
+func (s *Server) linger(c *conn) {
+	if !s.enter(c, lingering) || c.closeWrite() != nil {
+		return
+	}
+	c.Rest()
+	for by := time.Now().Add(s.lim.Linger); c.err == nil && time.Now().Before(by); {
+		c.ReadBy(by)
+		if !c.asked {
+			c.in.Drop(c.in.Len())
+		}
+		c.ask()
+		<-c.got
+		c.asked = false
+	}
+}
+
 // room takes n bytes for bodies, or gives them back, and says whether they were to be had. Beyond it a body is turned
 // away: hundreds of connections with a large one each would take the memory of all.
 func (s *Server) room(n int) bool {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -70,6 +70,8 @@
 	// Times.
 	ClientIdle   time.Duration // a client's connection between requests,
 	StrangerIdle time.Duration // and one that carried nothing that the front took for its clients'
+	Linger       time.Duration // after a connection's last answer, what its client still sends is taken in unread
+	DropPause    time.Duration // between reads of what a client sends behind an open request and beyond its ring
 	Write        time.Duration // of one short message to another member, and past an attempt's end
 	Connect      time.Duration // to an executor; the settings' connectTimeout
 	SettleLeast  time.Duration // the last byte of a request to an executor waits for a round trip,
@@ -79,6 +81,7 @@
 	KeptMemory   time.Duration // over which half of what was learned is forgotten,
 	KeptSure     float64       // uses that stand for none having broken,
 	KeptBroken   float64       // and the share of broken ones from which on a new connection is made instead
+	Rest         time.Duration // after an answer, a second one may come on a connection to an executor: for so long it carries nothing new
 	WorkerIdle   time.Duration // an idle connection to an executor is not used after it: well before connIdle
 	Probe        time.Duration // of a probe, and of giving up an attempt
 	ListCall     time.Duration // of one call for the whole list, and of a connection to it
@@ -160,10 +163,10 @@
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second, LeaseTTL: 3 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
-		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Write: 5 * time.Second,
+		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Linger: 500 * time.Millisecond, DropPause: time.Millisecond, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
-		Connect: connectTimeout, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
+		Connect: connectTimeout, Rest: 50 * time.Millisecond, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, Told: toldFigures, PushAgain: 100 * time.Millisecond, DrainSpare: drainGrace / 2,
 		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
 		Follow: 20 * time.Millisecond, Retired: 3 * time.Second,
