Ask in one place whether an attempt may still go: client, deadline, drain, window, life, epoch

The reasons stood apart: drain and deadline in postOn, given up under the try's lock, client gone only once the core had been told and the module had cancelled (which it does not where the settings forbid cancelling), the window of repeats and the executor's life nowhere after the decision. A dial of up to connectTimeout and the held-back byte lie between.

internal/gate has the question with all reasons; executor.may asks it before each dial, before the first byte and before the last, where the attempt is committed under its lock. An executor that began another life is not sent what was decided for the one before, and its idle connections are closed.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -17,6 +17,7 @@
 
 	"quincereach/brain"
 	"quincereach/internal/comeback"
+	"quincereach/internal/gate"
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
@@ -393,13 +394,20 @@
 		until := time.Now().Add(in.Left)
 		in.Before = func(executor string) error { return f.sending(j, executor, in.Trace, until) }
 	}
-	id, err := f.core.Submit(in, j)
+	id := j.record().ID
+	in.Still = func() gate.Reason {
+		if f.foreign(id) {
+			return gate.Lost
+		}
+		return gate.May
+	}
+	core, err := f.core.Submit(in, j)
 	if err != nil {
 		j.Answer(node.Answer{End: node.Refused, RetryAfter: f.lim.BatchAgain, Why: err.Error()})
 		return err
 	}
 	j.mu.Lock()
-	j.core = id
+	j.core = core
 	j.mu.Unlock()
 	return nil
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"quincereach/brain"
+	"quincereach/internal/gate"
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
@@ -53,6 +53,7 @@
 type worker struct {
 	name, addr string
 	stopAt     time.Time // nothing new is written after it; zero while the worker takes work
+	born       float64   // when its life began, as the list has it
 	heard      time.Time // its last answer, callback or new connection
 }
 
@@ -87,10 +88,16 @@
 		w = &worker{name: e.Name}
 		c.workers[id] = w
 	}
-	if e.Address != "" && e.Address != w.addr {
-		c.pool.drop(w.addr)
+	listed := e.Condition() != brain.Gone
+	if e.Address != "" && e.Address != w.addr || listed && e.SinceMS != w.born {
+		c.pool.drop(w.addr) // they lead to another machine, or to a process that has ended
+	}
+	if e.Address != "" {
 		w.addr = e.Address
 	}
+	if listed {
+		w.born = e.SinceMS
+	}
 	switch {
 	case e.Condition() == brain.Ready:
 		w.stopAt = time.Time{}
@@ -102,15 +109,53 @@
 	}
 }
 
-// address of a worker, and whether a send that is written now still keeps its drain.
-func (c *Client) address(id uint32) (string, bool) {
+// address of a worker.
+func (c *Client) address(id uint32) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.workers[id]
-	if w == nil {
-		return "", false
+	if w := c.workers[id]; w != nil {
+		return w.addr
+	}
+	return ""
+}
+
+// may asks, with what stands at this moment, whether an attempt may still go, and where to. It is the only place that asks,
+// before each connection and again after whatever takes a while. A try's lock is held, or nobody else knows of the try.
+func (c *Client) may(t *try) (string, gate.Reason) {
+	why := gate.May
+	if t.Job.Still != nil {
+		why = t.Job.Still() // it may take a lock: what follows is looked at after it
+	}
+	a := gate.Ask{Now: time.Now(), Over: t.over || t.Answered != nil && t.Answered.Load(), Job: why, Deadline: t.Deadline, Was: t.Born, Rules: t.Rules}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr := ""
+	if w := c.workers[t.Worker]; w != nil {
+		addr, a.Listed, a.StopAt, a.Began = w.addr, true, w.stopAt, w.born
 	}
-	return w.addr, w.stopAt.IsZero() || time.Now().Before(w.stopAt)
+	if why = a.May(); why != gate.May {
+		c.log.Debug("an attempt does not go", "job", t.Job.Trace, "to", t.key.from, "why", why)
+	}
+	return addr, why
+}
+
+// still is may for a try that others know of.
+func (c *Client) still(t *try) (addr string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addr, why := c.may(t)
+	return addr, why == gate.May
+}
+
+// commit is may for the last time: if the attempt goes, it counts as written from here on, before its last byte is.
+func (c *Client) commit(t *try) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, why := c.may(t); why != gate.May {
+		return false
+	}
+	t.written, t.wrote = true, time.Now()
+	return true
 }
 
 // heard takes in a sign of life of a worker.
@@ -191,7 +236,7 @@
 // job: what becomes of it comes by callback.
 func (c *Client) post(ctx context.Context, t *try) (brain.Outcome, []float32) {
 	for n := 0; ; n++ {
-		addr, ok := c.address(t.Worker)
+		addr, ok := c.still(t)
 		if !ok {
 			return brain.Moot, nil
 		}
@@ -227,17 +272,12 @@
 			c.pool.close(conn)
 		}
 	}()
-	// A drain may have been told while the connection was being made: this is the moment of sending.
-	if _, ok := c.address(t.Worker); !ok {
+	// Much may have been told while the connection was being made: a drain is counted from the first byte.
+	if _, ok := c.still(t); !ok {
 		keep = true
 		return brain.Moot, nil
 	}
-	left := time.Until(t.Deadline)
-	if left <= 0 {
-		keep = true
-		return brain.Moot, nil
-	}
-	j := t.Job
+	left, j := time.Until(t.Deadline), t.Job
 	fields := append(make([]http1.Field, 0, 5), http1.Field{Name: "Host", Value: "api.internal"},
 		http1.Field{Name: "X-Trace-Id", Value: j.Trace},
 		http1.Field{Name: "X-Expires-In-Ms", Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)})
@@ -266,18 +306,10 @@
 		}
 		return brain.ConnectFailed, nil
 	}
-	// All that may take a while lies behind: the drain's time and the attempt's are looked at once more.
-	if _, ok := c.address(t.Worker); !ok {
+	// All that may take a while lies behind.
+	if !c.commit(t) {
 		return brain.Moot, nil
 	}
-	t.mu.Lock()
-	given := t.over
-	t.written = !given
-	t.wrote = time.Now()
-	t.mu.Unlock()
-	if given {
-		return brain.Cancelled, nil
-	}
 	c.owed.sent(t) // before the byte that a callback can follow
 	if err = conn.out.Flush(); err != nil {
 		return brain.ConnectFailed, nil
@@ -316,22 +348,6 @@
 	}
 }
 
-// header reads a load report from an answer: TEXT name=value, name=value.
-func (c *Client) header(m *http1.Message) []float32 {
-	text := strings.TrimPrefix(m.Get("Endpoint-Load-Metrics"), "TEXT ")
-	if text == "" {
-		return nil
-	}
-	values := map[string]float64{}
-	for pair := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			values[name] = v
-		}
-	}
-	return c.names.Report(func(name string) (float64, bool) { v, ok := values[name]; return v, ok })
-}
-
 // GiveUp ends an attempt without a result: before the 202 by closing its connection, later by DELETE.
 func (c *Client) GiveUp(id uint64) {
 	c.mu.Lock()
@@ -399,11 +415,13 @@
 	return m, err
 }
 
+var errConnect = errors.New("no connection")
+
 // Probe asks an executor for its load.
 func (c *Client) Probe(id uint32) {
 	c.g.Go(func() error {
 		began := time.Now()
-		addr, _ := c.address(id)
+		addr := c.address(id)
 		ctx, cancel := context.WithTimeout(c.ctx, c.lim.Probe)
 		defer cancel()
 		m, err := c.ask(ctx, addr, "GET", "/load")
@@ -427,74 +445,7 @@
 
 // CloseIdle closes an executor's idle connections.
 func (c *Client) CloseIdle(id uint32) {
-	if addr, _ := c.address(id); addr != "" {
+	if addr := c.address(id); addr != "" {
 		c.pool.drop(addr)
 	}
 }
-
-func (c *Client) object(v gjson.Result) []float32 {
-	if !v.IsObject() {
-		return nil
-	}
-	return c.names.Report(func(name string) (float64, bool) {
-		x := v.Get(name)
-		return x.Float(), x.Type == gjson.Number
-	})
-}
-
-// ErrNotOurs is the answer to a callback of an attempt that this process does not know: stale, or of another process
-// of the node that stands on the same socket.
-var ErrNotOurs = errors.New("executor: a callback of an attempt that is not this process's")
-
-// Callback takes what an executor tells of a job. The call is answered alike whether it fits a live attempt or
-// not: it may be a repeat, or be about an attempt that is over. ErrNotOurs says that no attempt here has its id and
-// executor.
-func (c *Client) Callback(body []byte) error {
-	if !gjson.ValidBytes(body) {
-		return errors.New("a callback that is not JSON")
-	}
-	v := gjson.ParseBytes(body)
-	key := liveKey{v.Get("id").String(), v.Get("from").String()}
-	c.mu.Lock()
-	t := c.byName[key]
-	c.mu.Unlock()
-	if t == nil {
-		return ErrNotOurs
-	}
-	t.mu.Lock()
-	written := t.written
-	t.mu.Unlock()
-	if written {
-		c.heard(t.Worker)
-		c.owed.signed(t, time.Now()) // whatever it says of the job, it has it
-	} else {
-		return nil // stale: of an earlier attempt there, since nothing of this one was written
-	}
-	report := c.object(v.Get("load"))
-	switch v.Get("state").String() {
-	case "started":
-		c.sink.Result(node.Result{Attempt: t.ID, Topic: brain.NoteStarted})
-	case "running":
-		c.sink.Result(node.Result{Attempt: t.ID, Topic: brain.NoteProgress, Amount: v.Get("share").Float()})
-	case "done":
-		result := v.Get("result")
-		if result.Type != gjson.String {
-			// Whatever was passed on for it would be a result that no executor made.
-			c.log.Warn("a callback says done without a result", "from", key.from, "job", key.trace)
-			c.end(t, brain.Errored, report, nil)
-			break
-		}
-		c.end(t, brain.Served, report, []byte(result.Str))
-	case "failed":
-		c.end(t, brain.Errored, report, nil)
-	case "returned":
-		c.end(t, brain.Full, report, nil)
-	case "lost":
-		c.end(t, brain.Reset, report, nil)
-	default:
-		c.log.Warn("a callback with an unknown state", "state", v.Get("state").String())
-	}
-	return nil
-}
-
-var errConnect = errors.New("no connection")
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -57,6 +57,13 @@
 	return c, s
 }
 
+// restless are limits by which a connection is used again at once, for tests of what is seen of the connection itself.
+func restless() limits.Limits {
+	lim := standin.Lim
+	lim.Rest = 0
+	return lim
+}
+
 func attempt(id uint64) node.Attempt {
 	return node.Attempt{ID: id, Worker: 7, Deadline: time.Now().Add(10 * time.Second),
 		Job: &node.Job{Trace: "00000000000000aa", Method: "POST", Target: "/tile-charge/x", Body: []byte("body")}}
@@ -270,7 +277,7 @@
 
 // A connection that the executor closed while it stood idle is not used: what is written to it counts as sent.
 func TestClosedIdleConnections(t *testing.T) {
-	c, s := setup(t, standin.Lim)
+	c, s := setup(t, restless())
 	closed := make(chan bool)
 	n := box(t, c, func(conn net.Conn) { says(accepted)(conn); _ = conn.Close(); close(closed) }, says(accepted, accepted))
 	c.Send(attempt(1))
@@ -312,7 +319,7 @@
 		came <- string(b[:k])
 		_, _ = conn.Read(b)
 	})
-	addr, _ := c.address(7)
+	addr := c.address(7)
 	var kept []*conn
 	for range 2 {
 		conn, err := c.pool.get(context.Background(), addr)
@@ -382,7 +389,7 @@
 
 // Attempts follow one another on one connection; one that has stood idle for too long is not used again.
 func TestConnectionsAreKept(t *testing.T) {
-	lim := standin.Lim
+	lim := restless()
 	lim.WorkerIdle = time.Hour
 	c, s := setup(t, lim)
 	n := box(t, c, says(accepted, accepted, accepted))
@@ -412,7 +419,7 @@
 
 // An address where nobody listens: never ran. No executor of that number: never sent.
 func TestNoConnection(t *testing.T) {
-	c, s := setup(t, standin.Lim)
+	c, s := setup(t, restless())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -431,7 +438,7 @@
 
 // Giving up: before the 202 by closing the connection, after it by DELETE. Neither has an outcome of its own.
 func TestGiveUp(t *testing.T) {
-	c, s := setup(t, standin.Lim)
+	c, s := setup(t, restless())
 	got, ended := make(chan string, 4), make(chan bool, 1)
 	box(t, c, func(conn net.Conn) {
 		r := bufio.NewReader(conn)
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,9 +175,15 @@
 	if len(l) == 0 {
 		return nil
 	}
-	c := l[len(l)-1]
-	p.idle[addr] = l[:len(l)-1]
-	return c
+	// The one used last that has rested: a second answer can follow the first by some milliseconds, and would be taken for
+	// that of the next request, which then runs here and is sent elsewhere too, or is waited for in vain.
+	for i := len(l) - 1; i >= 0; i-- {
+		if c := l[i]; time.Since(c.idle) >= p.lim.Rest {
+			p.idle[addr] = slices.Delete(l, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // reserve counts a connection about to be made. At the budget it closes an idle one of another executor.
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -14,6 +14,7 @@
 
 	"quincereach/brain"
 	"quincereach/internal/comeback"
+	"quincereach/internal/gate"
 	"quincereach/internal/limits"
 	"quincereach/internal/pace"
 )
@@ -68,8 +69,9 @@
 	client   Client
 	taken    time.Time
 	deadline time.Time
-	answered bool // or gone: nothing is owed
-	live     int  // attempts out
+	rules    *Rules
+	answered atomic.Bool // or gone: nothing is owed
+	live     int         // attempts out
 	ran      bool
 	tries    []*attempt
 }
@@ -81,6 +83,7 @@
 	worker  uint32
 	sent    time.Time
 	over    bool
+	ran     bool // it is out, or may have run
 	started bool
 }
 
@@ -351,7 +354,7 @@
 	case submitted:
 		c.submitted(ev.j, now)
 	case gone:
-		if j := c.jobs[uint32(ev)]; j != nil && !j.answered {
+		if j := c.jobs[uint32(ev)]; j != nil && !j.answered.Load() {
 			c.counts.Gone++
 			c.settle(j)
 			c.event(brain.Event{Kind: brain.EvGone, Job: j.id})
@@ -370,7 +373,7 @@
 	case leave:
 		c.leaving = true
 		for _, j := range c.jobs {
-			if !j.answered && (j.taken.After(time.Time(ev)) || j.live == 0 && !j.ran) {
+			if !j.answered.Load() && (j.taken.After(time.Time(ev)) || j.live == 0 && !j.ran) {
 				c.cut(j, leaves)
 			}
 		}
@@ -402,7 +405,7 @@
 		n.Knows = c.book.Tell(now.Sub(c.start))
 		n.Open = c.Open()
 		for _, j := range c.jobs {
-			if !j.answered && j.live > 0 {
+			if !j.answered.Load() && j.live > 0 {
 				n.Running++
 			}
 		}
@@ -424,6 +427,7 @@
 		c.answer(j, Answer{End: Refused, RetryAfter: Span(c.s.MaxRetryAfter), Why: leaves})
 		return
 	}
+	j.rules = c.rules.Load()
 	c.jobs[j.id], c.traces[j.in.Trace] = j, j
 	flags := uint8(0)
 	if j.in.Work > 0 {
@@ -445,13 +449,13 @@
 
 // settle marks that nothing more is owed for a job.
 func (c *Core) settle(j *job) {
-	j.answered = true
+	j.answered.Store(true)
 	c.free(j)
 }
 
 // answer gives a job's final answer, once.
 func (c *Core) answer(j *job, a Answer) {
-	if j.answered {
+	if j.answered.Load() {
 		return
 	}
 	c.settle(j)
@@ -471,7 +475,7 @@
 
 // forget drops a job that is answered once nothing of it is out.
 func (c *Core) forget(j *job) {
-	if j.answered && j.live == 0 && c.jobs[j.id] == j {
+	if j.answered.Load() && j.live == 0 && c.jobs[j.id] == j {
 		delete(c.jobs, j.id)
 		delete(c.traces, j.in.Trace)
 	}
@@ -480,7 +484,7 @@
 func (c *Core) terminate(id uint32) error {
 	j := c.jobs[id]
 	switch {
-	case j == nil || j.answered:
+	case j == nil || j.answered.Load():
 		return ErrUnknown
 	case j.live > 0 || j.ran:
 		return ErrRunning
@@ -501,7 +505,7 @@
 	if r.Outcome == 0 {
 		if r.Topic == brain.NoteStarted && !a.started {
 			a.started = true
-			if !a.j.answered {
+			if !a.j.answered.Load() {
 				a.j.client.Started()
 			}
 		}
@@ -516,17 +520,17 @@
 	a.over = true
 	j.live--
 	delete(c.attempts, a.id)
-	if !o.NeverRan() {
+	if a.ran = !o.NeverRan(); a.ran {
 		j.ran = true
 	}
 	if o == brain.Served {
 		c.answer(j, Answer{End: Served, Result: body})
 	}
-	if !j.answered && j.live == 0 {
+	if !j.answered.Load() && j.live == 0 {
 		j.client.Returned(!j.ran)
 	}
 	c.event(brain.Event{Kind: brain.EvOutcome, Job: j.id, Attempt: a.n, Worker: a.worker, Outcome: o,
-		Elapsed: millis(now.Sub(a.sent)), Final: j.answered, Report: report})
+		Elapsed: millis(now.Sub(a.sent)), Final: j.answered.Load(), Report: report})
 	c.forget(j)
 }
 
@@ -633,7 +637,8 @@
 		return
 	}
 	c.lastTry++
-	t := &attempt{id: c.lastTry, n: uint16(len(j.tries)), j: j, worker: a.Worker, sent: now}
+	t := &attempt{id: c.lastTry, n: uint16(len(j.tries)), j: j, worker: a.Worker, sent: now, ran: true}
+	rules := j.repeats()
 	j.tries = append(j.tries, t)
 	j.live++
 	c.attempts[t.id] = t
@@ -642,14 +647,27 @@
 	if a.For > 0 {
 		until = earlier(until, now.Add(Span(a.For)))
 	}
-	if j.answered || !ok || !until.After(now) {
+	if j.answered.Load() || !ok || !until.After(now) {
 		c.end(t, brain.Moot, nil, nil, now)
 		return
 	}
 	c.counts.Sends++
 	j.client.Sent(w.Name)
 	c.at(until, timeout(t.id))
-	c.exec.Send(Attempt{ID: t.id, Worker: a.Worker, Deadline: until, Job: &j.in})
+	c.exec.Send(Attempt{ID: t.id, Worker: a.Worker, Deadline: until, Job: &j.in, Answered: &j.answered, Born: w.SinceMS, Rules: rules})
+}
+
+// repeats are the rules for the next attempt of a job, by those it came under and what became of the ones before.
+func (j *job) repeats() gate.Rules {
+	s := &j.rules.Settings
+	class := s.Classes[min(j.in.Class, len(s.Classes)-1)]
+	r := gate.Rules{Number: len(j.tries) + 1, Most: s.MaxAttempts, Effect: class.Effect}
+	for _, t := range j.tries { // in the order of their sending: the first that counts is the earliest
+		if t.ran && !r.Ran {
+			r.Ran, r.RepeatBy = true, t.sent.Add(Span(class.Window))
+		}
+	}
+	return r
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -706,7 +724,7 @@
 // step after its time-outs.
 func (c *Core) overdue(id uint32, now time.Time) {
 	j := c.jobs[id]
-	if j == nil || j.answered {
+	if j == nil || j.answered.Load() {
 		return
 	}
 	last := j.deadline.Add(-c.lim.AnswerEarly / 3)
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -9,11 +9,13 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"quincereach/brain"
+	"quincereach/internal/gate"
 )
 
 // Names are the names that the settings give to the positions the decision module counts by.
@@ -138,6 +140,8 @@
 
 	// Before, if set, is called before each send, and the send is not made if it fails.
 	Before func(executor string) error
+	// Still, if set, is asked at the last moment before a send's bytes: May, or why the job is its front's no longer.
+	Still func() gate.Reason
 }
 
 // End is how a job ended.
@@ -173,6 +177,9 @@
 	Worker   uint32
 	Deadline time.Time
 	Job      *Job
+	Answered *atomic.Bool // nothing is owed for the job any more
+	Born     float64      // when the executor's life began for which this was decided, as the list has it
+	Rules    gate.Rules
 }
 
 // Result is what came of an attempt, a note on its way, or of a probe.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"quincereach/internal/gate"
 	"quincereach/internal/http1"
 	"quincereach/internal/limits"
 	"quincereach/internal/node"
@@ -83,6 +84,12 @@
 	if err != nil {
 		return http1.Text(400, "%v", err)
 	}
+	j.Still = func() gate.Reason {
+		if ctx.Err() != nil {
+			return gate.Left
+		}
+		return gate.May
+	}
 	w := make(waiter, 1)
 	id, err := f.core.Submit(j, w)
 	if err != nil {
