Give a test's bad disk to the store before it starts: setting it later raced with its writes

TestFollowerWithAFullDisk failed under -race in one of two whole runs: the test set what a write meets in a member that was being sent entries. The seam is now in the store's configuration, filled by tests alone before the start; what the disk does is changed through an atomic pointer, as before. No assertion changed. The package's tests of disks, bytes and leaders: ok with -race, 44 s.

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -24,7 +24,7 @@
 	*boltdb.BoltStore
 	raft.SnapshotStore
 	mark  *mark
-	meets func() stops.Disk // what a write meets, in tests
+	meets func() stops.Disk // what a write meets, in tests; nil: nothing
 
 	mu   sync.Mutex
 	busy time.Time // since when a write is under way, zero for none
@@ -35,8 +35,8 @@
 	dead   atomic.Bool // it was closed with a write that did not come back: nothing is told to the others any more
 }
 
-func newDisk(log *boltdb.BoltStore) *disk {
-	return &disk{BoltStore: log, meets: func() stops.Disk { return stops.Disk{} }, closed: make(chan struct{})}
+func newDisk(log *boltdb.BoltStore, meets func() stops.Disk) *disk {
+	return &disk{BoltStore: log, meets: meets, closed: make(chan struct{})}
 }
 
 // Close ends the files.
@@ -67,6 +67,9 @@
 }
 
 func (d *disk) meet() error {
+	if d.meets == nil {
+		return nil
+	}
 	x := d.meets()
 	if x.Waits != 0 {
 		var over <-chan time.Time
--- a/internal/store/lies_test.go
+++ b/internal/store/lies_test.go
@@ -35,12 +35,7 @@
 }
 
 // faulty has a member's writes meet what is set, from now on.
-func faulty(m *node) *atomic.Pointer[stops.Disk] {
-	var x atomic.Pointer[stops.Disk]
-	x.Store(&stops.Disk{})
-	m.s.disk.meets = func() stops.Disk { return *x.Load() }
-	return &x
-}
+func faulty(m *node) *atomic.Pointer[stops.Disk] { return &m.disk }
 
 // A leader whose disk fails a write, is full, takes two seconds for each, or never comes back with one, does not keep the store:
 // the others write, and what was acknowledged before stands. Once the disk does again, it has what it missed.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,6 +24,7 @@
 	"quincereach/internal/limits"
 	"quincereach/internal/member"
 	"quincereach/internal/pace"
+	"quincereach/internal/stops"
 )
 
 // Config is one member's.
@@ -36,6 +37,8 @@
 	Join    string            // a member of a store that is there, which this one is to join; empty: it begins with Members
 	Marks   string            // a folder in the machine's memory, where how far this member got is kept; empty: nowhere
 	Trust   bool              // the disk's word is taken where no mark is found
+
+	meets func() stops.Disk // what a write of the log meets: only tests fill it, before the start
 }
 
 // Store is one member.
@@ -111,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	s.disk = newDisk(log)
+	s.disk = newDisk(log, s.cfg.meets)
 	if s.disk.SnapshotStore, err = raft.NewFileSnapshotStoreWithLogger(s.cfg.Dir, 2, quiet); err != nil {
 		return err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"quincereach/internal/kv"
 	"quincereach/internal/records"
 	"quincereach/internal/standin"
+	"quincereach/internal/stops"
 )
 
 // member is one that a test can end and start anew.
@@ -28,12 +30,16 @@
 	cfg  Config
 	s    *Store
 	stop func()
+	disk atomic.Pointer[stops.Disk] // what writes of its log meet
 }
 
 func (m *node) start(t *testing.T) {
 	t.Helper()
 	lim := standin.Lim
 	lim.StoreCall = 20 * time.Second
+	// Filled before the first write: a member writes whenever others send, also while a test changes what its disk does.
+	m.disk.Store(&stops.Disk{})
+	m.cfg.meets = func() stops.Disk { return *m.disk.Load() }
 	s, err := Open(m.cfg, lim, nil, standin.Quiet)
 	if err != nil {
 		t.Fatal(err)
