Bound a node's part of a cold executor's budget: by traffic alone all nodes together outgrew it

A node's part is half even, half by its traffic against the quota. While the traffic stands at the quota the parts sum to 1; at five times the quota (a burst with clients' retries) they sum to 3, and 20 nodes that know nothing of one another sent 1.56 times a cold executor's budget, 37 requests more than it bears. A node now has 1.6 even parts at most, under 1/coldSafety, so the sum stays within the budget whatever comes. Bound at 2 the worst case still went over by 0.3 requests (30 nodes).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -60,6 +60,7 @@
 	tieLoss      = 0.01  // random part that keeps nodes from choosing alike
 	coldSafety   = 0.6   // part of a cold worker's budget that is used: heavy tails need the rest
 	coldKnown    = 0.8   // likewise while the hub tells what all nodes have there: room bounds what is sent
+	coldPart     = 1.6   // even parts a node has at most, under 1/coldSafety: else all at once outgrow it
 	coldBurst    = 0.5   // of its span, what may be saved up: more fills sooner, and pushes over
 	silentAfter  = 2.5   // progress periods without a sign of life before a worker counts as standing still
 	queueWaits   = 8     // usual waits that a queued job may have: fewer finds the dead sooner, and copies
@@ -733,7 +734,8 @@
 	if w.coldAt < w.born { // what the list did not tell in time is ours to send as well, in part
 		w.coldAt, w.coldCredit = max(w.born, d.now-coldBurst*d.s.Fall), -d.random()*d.held
 	}
-	rate := d.safety() * d.ourPart() * d.s.FallMultiple * share * max(1, w.slots, d.kinds[w.kind].slots)
+	part := min(d.ourPart(), coldPart/float64(d.s.Balancers))
+	rate := d.safety() * part * d.s.FallMultiple * share * max(1, w.slots, d.kinds[w.kind].slots)
 	most := rate * d.s.Fall * coldBurst
 	if w.coldCredit += rate * (d.now - w.coldAt); w.coldCredit > most {
 		w.coldCredit = min(most, w.coldCredit-max(0, d.held-most)) // else all keep a turn, and use it at once
