Hold the next good look at the list to one deadline, however calls fail and whoever asks

The module's turns to ask go up to the time to ask within (10 s in every configuration seen), after a failure and at the start of a process with many nodes; the clock bounded only what a silent or cut watch owed. So a node whose call was refused, or which had just started, could be held to drains for 4 s that it had not heard of.

told.Clock now has one deadline: 6 s after the last good look, less an answer's wait; past it calls are made so often that one which began too early for the list's return and the next both fit. The carrier keeps one watch from its start on and calls by that time if the module has not; a call that waits for its turn is not given up for another that the module asks for. What the module hears of failures stays as it was. A list that moves is called at once by one look at the place, in place of a second channel.

Tests: any chain of failed calls, then the list within reach (found two gaps of the first form: 2 s between calls is too long by a millisecond); calls made here with a module that asks nothing; one call at a time.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -36,9 +36,11 @@
 	slow  *pace.Tally
 	log   *slog.Logger
 	calls chan call
-	moved chan struct{}
 	index atomic.Uint64 // of the list last held
 
+	clock   told.Clock  // that of the watch which runs: one at a time
+	calling atomic.Bool // a call of it is under way
+
 	mu sync.Mutex
 	at place
 }
@@ -61,7 +63,8 @@
 // address is that of an agent on the node's own machine, which tells what it was sent to whoever watches, at no cost, and
 // the module asks for nothing. A watch on it is kept from the start on.
 func New(addr string, index uint64, pushed bool, lim limits.Limits, sink Sink, slow *pace.Tally, log *slog.Logger) *Client {
-	c := &Client{lim: lim, push: pushed, sink: sink, slow: slow, log: log, calls: make(chan call, 16), moved: make(chan struct{}, 1), at: newPlace(addr)}
+	c := &Client{lim: lim, push: pushed, sink: sink, slow: slow, log: log, calls: make(chan call, 16), at: newPlace(addr)}
+	c.clock.Figures = lim.Told
 	c.index.Store(index)
 	return c
 }
@@ -76,10 +79,6 @@
 	}
 	c.at.leave()
 	c.at = newPlace(addr)
-	select {
-	case c.moved <- struct{}{}:
-	default: // the last one is still to be seen to, and goes to this address
-	}
 }
 
 func (c *Client) place() place {
@@ -101,52 +100,39 @@
 	}
 }
 
-// Run makes the calls until the context ends. One watch runs at a time.
+// Run makes the calls until the context ends. One watch runs at a time, and from the start on until it is called off: the module
+// says when it would call, and the clock when it must.
 func (c *Client) Run(ctx context.Context) error {
 	var watch, fetches errgroup.Group
-	stop, ended := func() {}, make(chan struct{})
-	close(ended)
+	stop := func() {}
 	defer func() { stop(); _ = watch.Wait(); _ = fetches.Wait() }()
-	wanted := false
-	begin := func() {
+	begin := func(at time.Time) {
 		stop()
 		_ = watch.Wait() // one watch at a time
 		wctx, cancel := context.WithCancel(ctx)
-		done := make(chan struct{})
-		stop, ended = cancel, done
+		stop = cancel
 		watch.Go(func() error {
-			defer close(done)
-			for c.watch(wctx); c.push && again(wctx, c.lim.PushAgain); c.watch(wctx) {
-			}
+			c.watch(wctx, at)
 			return nil
 		})
 	}
+	now := time.Now()
+	first := c.clock.Begin(now, rand.Float64())
 	if c.push {
-		wanted = true
-		begin()
+		first = now // the agent's word counts from the first moment on, and costs it nothing
 	}
+	begin(first)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-c.moved:
-			// A watch that stands moves by itself. One that failed lately is not left to the module's next
-			// call, which waits longer with each failure.
-			select {
-			case <-ended:
-				if wanted {
-					begin()
-				}
-			default:
-			}
 		case k := <-c.calls:
 			switch {
 			case k.watch && c.push: // it is followed as it is
+			case k.watch && k.on && c.calling.Load(): // it answers this one too; another would lose its turn
 			case k.watch && k.on:
-				wanted = true
-				begin()
+				begin(time.Now())
 			case k.watch:
-				wanted = false
 				stop()
 			default:
 				fetches.Go(func() error {
@@ -158,56 +144,75 @@
 	}
 }
 
-// again waits before a watch on the agent is begun anew; false once it is no longer wanted.
-func again(ctx context.Context, d time.Duration) bool {
+func (c *Client) failed(what string, err error) {
+	c.log.Info("discovery", "call", what, "err", err)
+	if c.push {
+		return // who did not ask is told of no failure: the old list stands
+	}
+	c.sink.List(node.List{Form: brain.ListFailed})
+}
+
+// watch follows changes from a moment on until it is called off. When calls are given up, which of their ends the module is told
+// of, and when the next is made at the latest, package told decides.
+func (c *Client) watch(ctx context.Context, from time.Time) {
+	for at := c.place(); c.rest(ctx, at, time.Until(from)); {
+		at = c.place()
+		from = c.call(ctx, at)
+	}
+}
+
+// rest waits before a call, or until the list has moved since the last: then the next is made there at once. False once no more
+// are wanted.
+func (c *Client) rest(ctx context.Context, at place, d time.Duration) bool {
 	select {
 	case <-time.After(d):
-		return true
+	case <-at.ctx.Done():
+		c.clock.Moved(time.Now())
 	case <-ctx.Done():
-		return false
 	}
+	return ctx.Err() == nil
 }
 
-func (c *Client) failed(what string, err error) {
-	c.log.Info("discovery", "call", what, "err", err)
+// call follows changes for as long as one call stands, and says when the next is made.
+func (c *Client) call(ctx context.Context, at place) time.Time {
+	here, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(at.ctx, cancel)
+	c.calling.Store(true)
+	defer c.calling.Store(false)
+	c.clock.Call(time.Now())
+	err := c.list(here, at.addr, "/v1/servers?stream=1&index="+strconv.FormatUint(c.index.Load(), 10), &c.clock)
+	stop()
+	cancel()
+	now := time.Now()
+	if at.ctx.Err() != nil {
+		return now // rest notes it
+	}
+	next := c.clock.Ended(now, endOf(err), rand.Float64())
+	if ctx.Err() != nil {
+		return now
+	}
+	if err == nil {
+		err = errors.New("it ended")
+	}
+	if !next.Mine {
+		c.calling.Store(false) // before the module hears of it: what it asks for then is another call
+		c.failed("watch", err)
+	} else {
+		c.log.Info("discovery", "call", "watch", "err", err, "begun", "anew", "in", next.At.Sub(now).Round(time.Millisecond))
+	}
 	if c.push {
-		return // who did not ask is told of no failure: the old list stands
+		return later(now.Add(c.lim.PushAgain), next, now)
 	}
-	c.sink.List(node.List{Form: brain.ListFailed})
+	return next.At
 }
 
-// watch follows changes until it is called off, or until a call ends of which the module is to say when the next is made.
-// When calls are given up, and which are made again here, package told decides.
-func (c *Client) watch(ctx context.Context) {
-	clock := told.Clock{Figures: c.lim.Told}
-	for ctx.Err() == nil {
-		at := c.place()
-		here, cancel := context.WithCancel(ctx)
-		stop := context.AfterFunc(at.ctx, cancel)
-		clock.Call(time.Now())
-		err := c.list(here, at.addr, "/v1/servers?stream=1&index="+strconv.FormatUint(c.index.Load(), 10), &clock)
-		stop()
-		cancel()
-		if at.ctx.Err() != nil {
-			clock.Moved(time.Now())
-			continue
-		}
-		next := clock.Ended(time.Now(), endOf(err), rand.Float64())
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			err = errors.New("it ended")
-		}
-		if !next.Mine {
-			c.failed("watch", err)
-			return
-		}
-		c.log.Info("discovery", "call", "watch", "err", err, "begun", "anew", "in", time.Until(next.At).Round(time.Millisecond))
-		if !again(ctx, time.Until(next.At)) {
-			return
-		}
+// later is when the agent of a pushed list is called again: it bears any number of calls, so only those that must come at once
+// come sooner than that.
+func later(usual time.Time, next told.Next, now time.Time) time.Time {
+	if next.Mine && next.At.Before(usual) {
+		return next.At
 	}
+	return usual
 }
 
 // endOf says how a call ended that had this error.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -51,8 +51,9 @@
 	standin.Until(t, "the list once", func() bool { return len(s.All()) == 3 })
 }
 
-// served is a list whose calls a test answers by itself: serve has each with its number, and ends once ctx does.
-func served(t *testing.T, serve func(ctx context.Context, n int, conn net.Conn)) (s *standin.Lists, run func(limits.Limits)) {
+// served is a list whose calls a test answers by itself: serve has each with its number, and ends once ctx does. Unasked says
+// that the module asks for no watch.
+func served(t *testing.T, unasked bool, serve func(ctx context.Context, n int, conn net.Conn)) (s *standin.Lists, run func(limits.Limits)) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,8 +80,66 @@
 	return s, func(lim limits.Limits) {
 		c := New(ln.Addr().String(), 0, false, lim, s, nil, standin.Quiet)
 		g.Go(func() error { return c.Run(ctx) })
+		if !unasked {
+			c.Watch(true)
+		}
+	}
+}
+
+// A module that asks for nothing, as one whose next turn is far away, does not keep the node from the list: the first call is
+// made here in time, and so is each after calls that were turned away, broke off or found nobody. (The settings give ten seconds
+// for asking, and the module's turns go up to that; changes count as told after six.)
+func TestCallsThatMustBeMadeAreMadeHere(t *testing.T) {
+	lim := standin.Lim
+	lim.Told.Silence, lim.Told.Wait, lim.Told.Slow = 60*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond
+	line := `{"index":3,"snapshot":false,"endpoints":[]}`
+	s, run := served(t, true, func(ctx context.Context, n int, conn net.Conn) {
+		switch n {
+		case 0:
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy")
+		case 1: // closed with nothing said
+		case 2:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		default:
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+			<-ctx.Done()
+		}
+	})
+	run(lim)
+	standin.Until(t, "the list", func() bool { l := s.All(); return len(l) == 4 && l[3].Index == 3 })
+	for i, l := range s.All()[:3] {
+		if l.Form != brain.ListFailed {
+			t.Errorf("call %d: %+v", i, l)
+		}
+	}
+}
+
+// A call that waits for its turn is not given up for one that the module asks for meanwhile: that would begin to wait anew.
+func TestOneCallAtATime(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	defer func() { cancel(); _ = ln.Close(); _ = g.Wait() }()
+	s := &standin.Lists{}
+	c := New(ln.Addr().String(), 0, false, standin.Lim, s, nil, standin.Quiet)
+	g.Go(func() error { return c.Run(ctx) })
+	c.Watch(true)
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Read(make([]byte, 1000)) // from here on it waits
+	for range cap(c.calls) {
 		c.Watch(true)
 	}
+	standin.Until(t, "all are looked at", func() bool { return len(c.calls) == 0 })
+	line := `{"index":3,"snapshot":false,"endpoints":[]}`
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+	standin.Until(t, "the list by the first call", func() bool { return len(s.All()) == 1 && s.All()[0].Index == 3 })
 }
 
 // A watch falls silent at any point: while the call waits, after the head, within a line, between lines. It is given up and
@@ -103,7 +162,7 @@
 		t.Run(name, func(t *testing.T) {
 			lim := standin.Lim
 			lim.Told.Beat, lim.Told.Late, lim.Told.Wait, lim.Told.Slow, lim.Told.Least = 20*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond, 20*time.Millisecond, time.Millisecond
-			s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
+			s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
 				switch {
 				case n == 0:
 					_, _ = io.WriteString(conn, x.says)
@@ -137,7 +196,7 @@
 	lim := standin.Lim
 	lim.Told.Stood = 0
 	var s *standin.Lists
-	s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
+	s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
 		text := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, n+1)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(text)+1, text)
 		if n < 2 { // and then no line break
@@ -160,8 +219,10 @@
 // Where discovery moves, the watch goes on at the new address, be the old one deaf, mute or gone, and no failure is
 // told: the module would wait before it asks again, while drains count as told.
 func TestMove(t *testing.T) {
+	lim := standin.Lim
+	lim.Told.Silence = time.Hour // no call is made but those that are asked for, and at moves
 	for _, old := range []string{"serves", "mute", "deaf", "gone"} {
-		c, s, list, box := start(t, standin.Lim)
+		c, s, list, box := start(t, lim)
 		ctx, cancel := context.WithCancel(context.Background())
 		var g errgroup.Group
 		next, err := standin.NewList(ctx, &g)
@@ -170,7 +231,10 @@
 		}
 		next.Put(box, "draining")
 		switch old {
-		case "deaf", "gone": // takes connections and says nothing, or takes none
+		case "deaf", "gone": // takes connections and says nothing, or takes none; a watch that stood moves there by itself
+			list.Mute(true)
+			c.Watch(true)
+			standin.Until(t, "the watch", func() bool { return list.Watches() == 1 })
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -184,8 +248,8 @@
 		default:
 			list.Mute(old == "mute")
 			list.Put(box, "ready")
+			c.Watch(true)
 		}
-		c.Watch(true)
 		switch old {
 		case "serves":
 			standin.Until(t, "the list", func() bool { return len(s.All()) == 1 })
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -8,10 +8,14 @@
 //   - what a watch that fell silent misses: Silence after the last byte of it; of a call that was silent while it could wait
 //     for its turn: After once that wait is over, if that is later;
 //   - after a reload that moves the list: Reload later;
-//   - without a watch: Ask after the last call, Failed times that if it failed; from then on, so long after it was made.
+//   - without a watch: Ask after the last call, Failed times that if it failed; from then on, so long after it was made;
+//   - whatever else is allowed: Silence after the list had it and could be reached. This goes before all of the above.
 //
 // The first three can run out long before the module would ask again, whose calls grow rarer with each failure so that an
-// overbooked list is spared. Then the calls are made here, until a whole line has come: that holds all that was missed.
+// overbooked list is spared. Then the calls are made here, until a whole line has come: that holds all that was missed. For the
+// last there is one deadline: Silence after the last good look (the start of the process, where there was none), less the time
+// that an answer may take. The module may call sooner; if it has not, the call is made here then. Once that is past, since the
+// list could not be reached, calls are made here so often that two fit into the time from its return on.
 package told
 
 import "time"
@@ -29,7 +33,7 @@
 	Late  time.Duration // a line may be so much later before its call is given up,
 	Slow  time.Duration // and a first answer than the wait
 	Stood time.Duration // a watch that ends after so long is begun anew at once: its last line may be lost with it
-	Least time.Duration // between calls made here that fail; doubles up to Wait
+	Least time.Duration // between calls made here that fail; doubles as far as it may
 }
 
 // End is how a call ended.
@@ -46,7 +50,7 @@
 // Next is what follows the end of a call.
 type Next struct {
 	Mine bool      // the next call is made here, and the module hears of no failure
-	At   time.Time // then
+	At   time.Time // then; where it is the module's, it is made here all the same if the module has not called by then
 }
 
 // Clock follows one list. A zero Clock with its Figures is that of a new process.
@@ -59,19 +63,48 @@
 	told     bool      // a whole line of it came
 	failed   bool      // it ended, and not in an answer
 	due      time.Time // from then on what was missed before is held against the node; zero: nothing was
+	good     time.Time // when all was known last: a call told it and went on speaking, or the process began
 	failures int       // of calls made here, running
 }
 
+// Begin notes that the process begins. It says when the first call is made here if the module has made none by then.
+func (c *Clock) Begin(now time.Time, draw float64) time.Time {
+	c.good = now
+	return now.Add(time.Duration(float64(c.answered()) * draw))
+}
+
+// answered is how long before a moment a call must be made that is to be answered by it, at the end of its wait too.
+func (c *Clock) answered() time.Duration { return c.Silence - c.Wait - c.Slow }
+
+// gap is the longest between two calls: one that began just before the list was within reach waits in vain, and the next is
+// still answered in time.
+func (c *Clock) gap() time.Duration { return c.answered() - c.Wait }
+
+// look is when the next call is made at the latest, after one that has ended now.
+func (c *Clock) look(now time.Time, draw float64) time.Time {
+	wait := c.gap()
+	if left := c.good.Add(c.answered()).Sub(now); left > 0 {
+		wait = min(wait, left)
+	}
+	return now.Add(time.Duration(float64(wait) * (0.5 + draw/2)))
+}
+
 // Call notes that a call is made.
 func (c *Clock) Call(now time.Time) {
 	c.call, c.sign, c.open, c.told, c.failed = now, time.Time{}, true, false, false
 }
 
 // Sign notes that something came of it.
-func (c *Clock) Sign(now time.Time) { c.sign = now }
+func (c *Clock) Sign(now time.Time) {
+	if c.sign = now; c.told {
+		c.good = now
+	}
+}
 
 // Line notes that a whole line of it came. The first holds all that was missed; one that merely began holds nothing.
-func (c *Clock) Line(now time.Time) { c.sign, c.told, c.due, c.failures = now, true, time.Time{}, 0 }
+func (c *Clock) Line(now time.Time) {
+	c.sign, c.good, c.told, c.due, c.failures = now, now, true, time.Time{}, 0
+}
 
 // Moved notes that the list is elsewhere from now on.
 func (c *Clock) Moved(now time.Time) { c.owe(now.Add(c.Reload)) }
@@ -116,9 +149,9 @@
 		return Next{true, now}
 	}
 	if c.due.IsZero() {
-		return Next{}
+		return Next{At: c.look(now, draw)}
 	}
-	gap := min(c.Least<<min(c.failures, 8), c.Wait)
+	gap := min(c.Least<<min(c.failures, 8), c.gap())
 	c.failures++
 	wait := time.Duration(float64(gap) * (0.5 + draw/2))
 	// While an answer can still come before what was missed is held against the node, the call is made in time for that.
--- a/internal/told/told_test.go
+++ b/internal/told/told_test.go
@@ -135,7 +135,8 @@
 	})
 }
 
-// While the list turns all calls away, the calls made here grow rarer up to its wait, spread over half of their gaps.
+// While the list turns all calls away, the calls made here grow rarer, as far as two of them, with their waits, fit into the time
+// after which changes count as told; they are spread over half of their gaps.
 func TestCallsGrowRarer(t *testing.T) {
 	c := Clock{Figures: figures}
 	c.Call(at(0))
@@ -148,9 +149,52 @@
 		next = c.Ended(now, Refused, 0.999)
 		gaps = append(gaps, next.At.Sub(now))
 	}
+	most := figures.Silence - 2*figures.Wait - figures.Slow
 	for i, g := range gaps {
-		if g > figures.Wait || i > 6 && g < figures.Wait*9/10 || i > 0 && g < gaps[i-1]*9/10 && at(6000).Before(now) && i > 6 {
+		if g > most || i > 6 && g < most*9/10 || i > 0 && g < gaps[i-1]*9/10 && at(6000).Before(now) && i > 6 {
 			t.Fatalf("gaps %v", gaps)
 		}
 	}
 }
+
+// Calls fail in any way and for any time, and then the list is within reach again: whatever the calls before went through, one is
+// made and answered, at the end of its wait too, within 6 s of that, though the module asks for none. The same from the start of
+// a process on. Of one that fails then as well, another follows within that time.
+func TestReachedInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Clock{Figures: figures}
+		draw := func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "draw") }
+		span := func(what string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, what)) * ms
+		}
+		now := c.Begin(zero, draw())
+		back := zero
+		for n := rapid.IntRange(0, 12).Draw(t, "calls that fail"); n > 0; n-- {
+			c.Call(now)
+			began := now
+			how := rapid.SampledFrom([]End{Ended, Refused, Silent, Cut}).Draw(t, "end")
+			switch {
+			case how == Silent:
+				if rapid.Bool().Draw(t, "told") {
+					now = now.Add(span("wait", 2000))
+					c.Line(now)
+					began = now
+				}
+				now = c.SilentBy()
+			case rapid.Bool().Draw(t, "told"):
+				now = now.Add(span("wait", 2000))
+				c.Line(now)
+				now = now.Add(span("stood", 2000))
+				began = now
+			default:
+				now = now.Add(span("wait", 2000))
+			}
+			back = began.Add(ms) // just too late for this call, or for what it told
+			now = c.Ended(now, how, draw()).At
+		}
+		c.Call(now)
+		if now = now.Add(span("wait", 2000)); now.After(back.Add(6 * time.Second)) {
+			t.Fatalf("within reach from %v on, told at %v", back.Sub(zero), now.Sub(zero))
+		}
+	})
+}
