Refuse at the door once all connections are in use, and be ready though discovery is down

Past the budget and its reserve the accept loop stopped, looking every millisecond whether a connection had ended: requests stood in the listener's queue, taken by the machine and read by nobody, for as long as jobs run (25 s). A quarter of the reserve is now the door: a connection there is told 503 as soon as its request has come, or closed after 0.5 s; the loop waits until one ends. A connection on which nothing has come yet is no longer closed to make place there: its request a moment later was lost with it (seen by the new test).

/healthz said 503 until a list named an executor that takes work: with discovery down and a last list without one, for good. A node that has had no list of this life is ready 5 s after its start, and refuses what it can not send.

Tests: TestRefusedAtTheDoor (without the door: time-out), TestReadyWithoutAList.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -189,7 +189,7 @@
 			return fmt.Errorf("operator: %w", err)
 		}
 		lim := c.Limits
-		lim.ClientConns, lim.SpareConns, lim.Pace.PerPeer = lim.Operators, lim.Operators/4, false
+		lim.ClientConns, lim.SpareConns, lim.DoorConns, lim.Pace.PerPeer = lim.Operators, lim.Operators/4, 1, false
 		calls := http1.NewServer(lim, operator.New(core, taken.Load, log), core.Slow(), log)
 		g.Go(func() error { return calls.Serve(hard, oln) })
 		g.Go(func() error { followDrain(ctx, core, front, c.Limits.Follow); return nil })
@@ -228,7 +228,7 @@
 		}
 		jobs = batch.New(batch.Options{Core: core, Store: kept, Fleet: fleet, Placer: placer, Node: c.Name, Version: version, Life: life, Limits: c.Limits, Log: log})
 		lim := c.Limits
-		lim.ClientConns, lim.SpareConns = lim.BatchConns, lim.BatchConns/8
+		lim.ClientConns, lim.SpareConns, lim.DoorConns = lim.BatchConns, lim.BatchConns/8, 1
 		server := http1.NewServer(lim, jobs, core.Slow(), log)
 		fronts = append(fronts, server)
 		calls.late.Store(jobs)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -47,6 +47,15 @@
 	closed
 )
 
+// service is how a connection is served.
+type service uint8
+
+const (
+	usual   service = iota
+	once            // one answer, and its end
+	refused         // one refusal
+)
+
 func newConn(c net.Conn, ring int, in, out pace.Rate, pause time.Duration) *conn {
 	return &conn{Paced: NewPaced(c, in, out), in: NewRing(ring), want: make(chan struct{}, 1), got: make(chan struct{}, 1),
 		pause: pause, phase: idle}
--- a/internal/http1/races_test.go
+++ b/internal/http1/races_test.go
@@ -177,3 +177,36 @@
 		t.Errorf("phases %d and %d", server[0].phase, server[1].phase)
 	}
 }
+
+// Where every connection has a request under way, and those past the budget too, a new one is refused as soon as its request has
+// come, and is not left waiting until another ends; one that says nothing does not hold the door, and with idle ones in the way
+// nothing is refused.
+func TestRefusedAtTheDoor(t *testing.T) {
+	small := lim
+	small.ClientConns, small.SpareConns, small.DoorConns, small.Linger = 1, 1, 1, 50*time.Millisecond
+	hold, began := make(chan bool), make(chan bool, 4)
+	defer close(hold)
+	_, addr := serve(t, small, func(context.Context, *Message) Response {
+		began <- true
+		<-hold
+		return Response{Status: 200}
+	})
+	resting := dial(t, addr) // makes place
+	_, _ = io.WriteString(resting, "G")
+	for range 2 {
+		c := dial(t, addr)
+		_, _ = io.WriteString(c, get)
+		<-began
+	}
+	_ = dial(t, addr) // says nothing at the door
+	for range 3 {
+		c := dial(t, addr)
+		_, _ = io.WriteString(c, get)
+		if all, err := io.ReadAll(c); err != nil || !strings.Contains(string(all), " 503 ") || !strings.Contains(string(all), "Connection: close") {
+			t.Fatalf("%v %q", err, all)
+		}
+	}
+	if len(began) != 0 {
+		t.Error("a refused request was handled")
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -41,14 +41,15 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	standing int // of them, those that are not closed yet
+	standing int           // of them, those that are not closed yet
+	freed    chan struct{} // told when one has ended
 	shares   *pace.Ledger[string]
 	last     time.Time // when a connection was last taken or a request last handled
 }
 
 // NewServer makes a server.
 func NewServer(lim limits.Limits, h Handler, tally *pace.Tally, log *slog.Logger) *Server {
-	return &Server{lim: lim, h: h, tally: tally, log: log, conns: map[*conn]struct{}{},
+	return &Server{lim: lim, h: h, tally: tally, log: log, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1),
 		shares: pace.NewLedger[string](lim.ClientConns, lim.Pace.Least, lim.Pace.Alpha)}
 }
 
@@ -77,12 +78,16 @@
 func (s *Server) Resume() { s.draining.Store(false) }
 
 // CloseIdle closes the connections that stand between requests.
-func (s *Server) CloseIdle() {
+func (s *Server) CloseIdle() { s.closeIdle(true) }
+
+// closeIdle closes them, and those on which nothing has come yet only if all says so: what was asked on one a moment later would
+// be lost with it.
+func (s *Server) closeIdle(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
-		if c.phase == idle && sock.Quiet(c.Conn) {
+		if c.phase == idle && (all || c.served) && sock.Quiet(c.Conn) {
 			s.shut(c)
 		}
 	}
@@ -157,9 +162,9 @@
 	return true
 }
 
-// admit counts a new connection in and says whether it is within the budget, and within its peer's share where shares
-// are kept. Over the budget another makes place, if one can.
-func (s *Server) admit(c *conn) bool {
+// admit counts a new connection in and says how it is served: as usual within the budget, and within its peer's share where shares
+// are kept; else once, or at the door. Over the budget another makes place, if one can.
+func (s *Server) admit(c *conn) service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.standing >= s.lim.ClientConns {
@@ -180,7 +185,13 @@
 	s.standing++
 	c.since = time.Now()
 	s.last = c.since
-	within := s.standing <= s.lim.ClientConns
+	how := usual
+	switch {
+	case s.standing > s.lim.ClientConns+s.lim.SpareConns:
+		how = refused
+	case s.standing > s.lim.ClientConns:
+		how = once
+	}
 	if s.lim.Pace.PerPeer {
 		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 		// One past its share gets one answer, as all do past the budget, and its connections stay countable.
@@ -188,17 +199,17 @@
 			c.share = host
 		} else {
 			s.tally.Add(pace.ClientShare)
-			within = false
+			how = max(how, once)
 		}
 	}
-	return within
+	return how
 }
 
 // full says whether there is no descriptor for one more connection, however short.
 func (s *Server) full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.standing >= s.lim.ClientConns+s.lim.SpareConns
+	return s.standing >= s.lim.ClientConns+s.lim.SpareConns+s.lim.DoorConns
 }
 
 // Conns is how many connections are open.
@@ -261,16 +272,21 @@
 			sock.Bound(c, s.lim.Pace.SendBuf, 0)
 			sock.Forget(c, s.lim.Pace.Forget)
 			nc := newConn(c, s.lim.Ring, s.lim.Pace.ClientIn, s.lim.Pace.ClientOut, s.lim.DropPause)
-			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too there
-			// is no descriptor for one more: it waits until another ends, since to close it would lose what came.
-			within := s.admit(nc)
+			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too it is told so
+			// at the door: its client waits for nothing, and a request that is left in the listener's queue is taken all the
+			// same. Only at the end of that is there no descriptor for one more, until one at the door ends.
+			how := s.admit(nc)
 			g.Go(func() error {
-				s.serve(ctx, nc, !within)
+				s.serve(ctx, nc, how)
 				return nil
 			})
 			for s.full() && ctx.Err() == nil {
-				s.CloseIdle()
-				time.Sleep(time.Millisecond)
+				s.closeIdle(false)
+				select {
+				case <-s.freed:
+				case <-time.After(s.lim.Follow): // one that has become idle tells nobody
+				case <-ctx.Done():
+				}
 			}
 		}
 	})
@@ -280,7 +296,7 @@
 	return nil
 }
 
-func (s *Server) serve(ctx context.Context, c *conn, once bool) {
+func (s *Server) serve(ctx context.Context, c *conn, how service) {
 	ctx, gone := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { c.read(gone); return nil })
@@ -304,7 +320,14 @@
 			s.shares.Give(c.share, 1)
 		}
 		s.mu.Unlock()
+		select {
+		case s.freed <- struct{}{}:
+		default:
+		}
 	}()
+	if how == refused {
+		c.since = c.since.Add(s.lim.Linger - s.lim.Pace.Request) // the door is not to be held either
+	}
 	for {
 		m, err := s.next(ctx, c, p, w)
 		if m == nil {
@@ -327,13 +350,18 @@
 		c.Rest()
 		c.ReadBy(time.Time{})
 		c.watch()
-		r := s.h.Handle(ctx, m)
+		var r Response
+		if how == refused {
+			r = Text(503, "all connections are in use")
+		} else {
+			r = s.h.Handle(ctx, m)
+		}
 		over := c.unwatch()
 		if ctx.Err() != nil {
 			s.busy.Add(-1)
 			return
 		}
-		r.Close = r.Close || m.Close || once || over || s.draining.Load()
+		r.Close = r.Close || m.Close || how != usual || over || s.draining.Load()
 		p.Release()
 		s.busy.Add(-1)
 		ok := s.enter(c, answering) && s.write(ctx, c, w, &r)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,7 +23,8 @@
 
 	// Descriptors, which in all stay under the node's limit.
 	ClientConns int // connections of clients and callbacks that are served as usual
-	SpareConns  int // connections past that which are answered once and closed
+	SpareConns  int // connections past that which are answered once and closed,
+	DoorConns   int // and past those, which are refused as soon as their request has come
 	WorkerConns int // connections to executors, open and opening
 	IdleConns   int // idle ones kept for each executor
 	GiveUps     int // connections used at a time to give up attempts
@@ -88,6 +89,7 @@
 	Told         told.Figures  // when changes of the list count as told, and calls are given up and made again
 	PushAgain    time.Duration // between watches on the agent of a pushed list, which cost it nothing
 	DrainSpare   time.Duration // after a drain was told, a send that is under way may still be written
+	ReadyBy      time.Duration // after the start, the node is ready though no list has come
 	AnswerEarly  time.Duration // before a client gives up, a request that is still out is answered
 	Stay         time.Duration // after SIGTERM, clients are served on the connections they have
 	Follow       time.Duration // between looks at the drain state, at which idle connections of a drained node close
@@ -152,7 +154,7 @@
 	return Limits{
 		Ring: 4 << 10, Line: 8 << 10, HeaderBytes: 16 << 10, Headers: 64, ID: 256, Body: 64 << 10,
 		Bodies: memoryMB << 20 / 8, WatchLine: 1 << 20,
-		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare, WorkerConns: workers,
+		ClientConns: min(usable-spare-giveUps-workers-batch*5/4, memoryMB*connsPerMB), SpareConns: spare - spare/4, DoorConns: spare / 4, WorkerConns: workers,
 		IdleConns: 32, GiveUps: giveUps, Operators: 16,
 		BatchConns: batch, BatchJobs: 4096, BatchBytes: 16 << 20, BatchWait: time.Minute, BatchDeadline: 15 * time.Minute,
 		BatchAhead: 30 * 24 * time.Hour, BatchAgain: 100 * time.Millisecond, BatchOut: 64, BatchWaiting: 10000, BatchArray: 1 << 20,
@@ -168,7 +170,7 @@
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, Rest: 50 * time.Millisecond, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
 		ListCall: 2500 * time.Millisecond, Told: toldFigures, PushAgain: 100 * time.Millisecond, DrainSpare: drainGrace / 2,
-		AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
+		ReadyBy: 5 * time.Second, AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
 		Follow: 20 * time.Millisecond, Retired: 3 * time.Second,
 		Pace:  pace.Default(),
 		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -39,7 +39,8 @@
 	in      chan any
 	lastID  atomic.Uint32
 	rules   atomic.Pointer[Rules]
-	ready   atomic.Bool
+	ready   atomic.Bool // the list names an executor that takes work
+	heard   atomic.Bool // a list of this life has come
 	drained atomic.Bool // by the operator: clients are sent elsewhere, what was taken is answered
 	open    atomic.Int64
 	tenants []atomic.Int64 // open jobs by tenant, where the file bounds them
@@ -279,8 +280,11 @@
 	}
 }
 
-// Ready says whether the node can serve: it runs and its list names an executor that takes work.
-func (c *Core) Ready() bool { return c.ready.Load() }
+// Ready says whether the node can serve: it runs and its list names an executor that takes work. For a list it does not wait
+// longer than a while: discovery may be down, and a node that refuses what it can not send is of more use than none.
+func (c *Core) Ready() bool {
+	return c.ready.Load() || !c.heard.Load() && c.now().Sub(c.start) >= c.lim.ReadyBy
+}
 
 // Drain marks the node as drained by its operator: it tells clients to go elsewhere, and goes on answering what it
 // took. It says whether the node was serving before; a second drain changes nothing.
@@ -541,6 +545,7 @@
 	case brain.ListCached:
 		c.book.Confirm(comeback.List, comeback.Former, l.Index, now.Sub(c.start))
 	default:
+		c.heard.Store(true)
 		c.book.Confirm(comeback.List, comeback.Current, l.Index, now.Sub(c.start))
 	}
 	if l.Form == brain.ListFull || l.Form == brain.ListCached {
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -428,3 +428,28 @@
 		t.Errorf("after their ends: %v, %d open", err, h.c.Open())
 	}
 }
+
+// A node that starts while discovery is down is ready after a while, with no list or one that names nobody who takes work; once a list
+// of this life has come, that says.
+func TestReadyWithoutAList(t *testing.T) {
+	drains := box("s-1")
+	drains.Status = "draining"
+	for _, known := range [][]Entry{nil, {drains}} {
+		h := newHost(t, known...)
+		c := h.c
+		c.intake(List{Form: brain.ListFailed})
+		h.at = c.start.Add(c.lim.ReadyBy - 1)
+		if c.Ready() {
+			t.Error("ready before")
+		}
+		if h.at = h.at.Add(1); !c.Ready() {
+			t.Error("not ready")
+		}
+		if c.intake(List{Form: brain.ListFull}); c.Ready() {
+			t.Error("ready though the list names nobody")
+		}
+		if c.intake(List{Form: brain.ListFull, Entries: []Entry{box("s-1")}}); !c.Ready() {
+			t.Error("not ready with a list")
+		}
+	}
+}
