--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,7 +7,7 @@
 	"math"
 	"slices"
 
-	"quincereach/internal/comeback"
+	"gatetack/internal/comeback"
 )
 
 // Tunable constants. Each is a ratio to a setting or to something observed, unless it says otherwise.
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // A host feeds events in and carries actions out. Here a node with one worker gets a request, is told that
--- a/cmd/batchbench/main.go
+++ b/cmd/batchbench/main.go
@@ -16,10 +16,10 @@
 	"github.com/spf13/pflag"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/drmaa2"
-	"quincereach/internal/batch"
-	"quincereach/internal/records"
-	"quincereach/internal/standin"
+	"gatetack/drmaa2"
+	"gatetack/internal/batch"
+	"gatetack/internal/records"
+	"gatetack/internal/standin"
 )
 
 func main() {
--- a/cmd/gatetack/conform.go
+++ b/cmd/gatetack/conform.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"quincereach/internal/conform"
+	"gatetack/internal/conform"
 )
 
 func conformCommand() *cobra.Command {
--- a/cmd/gatetack/duty.go
+++ b/cmd/gatetack/duty.go
@@ -11,8 +11,8 @@
 	"github.com/spf13/cobra"
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/duty"
-	"quincereach/internal/owner"
+	"gatetack/internal/duty"
+	"gatetack/internal/owner"
 )
 
 // standing is a duty as commands show it.
--- a/cmd/gatetack/job.go
+++ b/cmd/gatetack/job.go
@@ -16,7 +16,7 @@
 	"github.com/spf13/cobra"
 	"go.yaml.in/yaml/v3"
 
-	"quincereach/drmaa2"
+	"gatetack/drmaa2"
 )
 
 // remote is what all commands that speak to a batch front share.
--- a/cmd/gatetack/keys.go
+++ b/cmd/gatetack/keys.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"quincereach/internal/keys"
+	"gatetack/internal/keys"
 )
 
 func keysCommand() *cobra.Command {
--- a/cmd/gatetack/listen_test.go
+++ b/cmd/gatetack/listen_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"quincereach/internal/config"
-	"quincereach/internal/standin"
+	"gatetack/internal/config"
+	"gatetack/internal/standin"
 )
 
 // A passed listening socket is taken as it is, and connections to it reach the node; a descriptor that is no listening
--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -15,8 +15,8 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
-	"quincereach/internal/fault"
-	"quincereach/internal/inventory"
+	"gatetack/internal/fault"
+	"gatetack/internal/inventory"
 )
 
 // version is set by the build with -ldflags "-X main.version=...".
--- a/cmd/gatetack/store.go
+++ b/cmd/gatetack/store.go
@@ -14,10 +14,10 @@
 	"github.com/spf13/cobra"
 	"github.com/tidwall/gjson"
 
-	"quincereach/drmaa2"
-	"quincereach/internal/keys"
-	"quincereach/internal/limits"
-	"quincereach/internal/store"
+	"gatetack/drmaa2"
+	"gatetack/internal/keys"
+	"gatetack/internal/limits"
+	"gatetack/internal/store"
 )
 
 // storeRemote is what commands that speak to a member of the store share.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"quincereach/brain"
-	"quincereach/internal/wire"
+	"gatetack/brain"
+	"gatetack/internal/wire"
 )
 
 func main() {
--- a/cmd/slowpeers/main.go
+++ b/cmd/slowpeers/main.go
@@ -15,7 +15,7 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 type options struct {
--- a/drmaa2/client.go
+++ b/drmaa2/client.go
@@ -15,8 +15,8 @@
 	"sync"
 	"time"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
 )
 
 // Template is a job template (section 5.6). Zero values are not sent.
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"quincereach/internal/records"
-	"quincereach/internal/release"
+	"gatetack/internal/records"
+	"gatetack/internal/release"
 )
 
 // arrayRecord is what is known of a job array (DRMAAv2, section 8.2): its range, and how many of its members have ended
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -15,15 +15,15 @@
 	"sync/atomic"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/comeback"
-	"quincereach/internal/gate"
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/records"
-	"quincereach/internal/release"
-	"quincereach/internal/stops"
+	"gatetack/brain"
+	"gatetack/internal/comeback"
+	"gatetack/internal/gate"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
+	"gatetack/internal/release"
+	"gatetack/internal/stops"
 )
 
 // Core takes jobs.
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -15,12 +15,12 @@
 	"github.com/tidwall/gjson"
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/records"
-	_ "quincereach/internal/seeds"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/standin"
 )
 
 var names = node.Names{Classes: []string{"tile-charge", "area-render"}, Tenants: []string{"maavaade"}}
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -12,11 +12,11 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/filter"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/records"
-	"quincereach/internal/release"
+	"gatetack/internal/filter"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
+	"gatetack/internal/release"
 )
 
 func (f *Front) info(ctx context.Context, session, id string) http1.Response {
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -8,8 +8,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
+	"gatetack/brain"
+	"gatetack/internal/http1"
 )
 
 // resolve ends the doubt of a job that may have run: an operator who has found out says what became of it, under a name, and it
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/owner"
-	"quincereach/internal/records"
+	"gatetack/internal/http1"
+	"gatetack/internal/owner"
+	"gatetack/internal/records"
 )
 
 // This file is what the front does where several nodes share what is on record: see package duty for who has what.
--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/records"
-	"quincereach/internal/standin"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
+	"gatetack/internal/standin"
 )
 
 // shared is a fleet that has every partition, or none any more: its store then makes no write.
--- a/internal/batch/hard_test.go
+++ b/internal/batch/hard_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/node"
-	"quincereach/internal/records"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
 )
 
 // engine is a core that takes jobs and ends them as it is told.
--- a/internal/batch/ids.go
+++ b/internal/batch/ids.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync/atomic"
 
-	"quincereach/internal/duty"
+	"gatetack/internal/duty"
 )
 
 // ids name jobs by node and life, so that after a restart a job of an earlier life is told from one of this.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"quincereach/internal/node"
-	"quincereach/internal/records"
-	"quincereach/internal/release"
+	"gatetack/internal/node"
+	"gatetack/internal/records"
+	"gatetack/internal/release"
 )
 
 // State is a job's state in DRMAAv2's words (GFD.194, section 8.1).
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -7,7 +7,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
+	"gatetack/internal/http1"
 )
 
 // kindSent says which job was sent under a trace id: a box that calls back after its sender was lost names nothing else.
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -11,11 +11,11 @@
 	"strings"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/filter"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/owner"
+	"gatetack/brain"
+	"gatetack/internal/filter"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/owner"
 )
 
 // Capabilities are DRMAAv2's optional ones (GFD.194, section 4.5), and whether this node has them.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -10,8 +10,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/records"
+	"gatetack/internal/http1"
+	"gatetack/internal/records"
 )
 
 // defaultSession is the one that jobs belong to whose clients name none. It always is, and is never destroyed.
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -12,9 +12,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/records"
-	"quincereach/internal/release"
+	"gatetack/internal/http1"
+	"gatetack/internal/records"
+	"gatetack/internal/release"
 )
 
 func quote(s string) string { return strconv.Quote(s) }
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -12,9 +12,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
 )
 
 // template is a job template that was found good.
--- a/internal/comeback/comeback.go
+++ b/internal/comeback/comeback.go
@@ -23,7 +23,7 @@
 	"slices"
 	"time"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 )
 
 // Kind is a kind of knowledge.
--- a/internal/comeback/comeback_test.go
+++ b/internal/comeback/comeback_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "quincereach/internal/seeds"
+	_ "gatetack/internal/seeds"
 )
 
 const sec = time.Second
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,10 +15,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/wire"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/wire"
 )
 
 // Config is a node's start. Settings are the decision module's own; beside them stands only what the module
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,9 +9,9 @@
 
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	_ "quincereach/internal/seeds"
-	"quincereach/internal/wire"
+	"gatetack/brain"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/wire"
 )
 
 const sample = `{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -16,7 +16,7 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"quincereach/internal/pace"
+	"gatetack/internal/pace"
 )
 
 // File is what an operator sets beside the platform's configuration: what is off without it.
--- a/internal/conform/cases.go
+++ b/internal/conform/cases.go
@@ -8,8 +8,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/batch"
-	"quincereach/internal/http1"
+	"gatetack/internal/batch"
+	"gatetack/internal/http1"
 )
 
 // Cases are all, in their order. Numbers stay: new ones go to the end of their group.
--- a/internal/conform/conform.go
+++ b/internal/conform/conform.go
@@ -15,9 +15,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/drmaa2"
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
+	"gatetack/drmaa2"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
 
 	"net"
 )
--- a/internal/conform/conform_test.go
+++ b/internal/conform/conform_test.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
 )
 
 // agreeable says yes to everything.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 )
 
 // Kind is a kind of event.
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -10,8 +10,8 @@
 
 	"pgregory.net/rapid"
 
-	"quincereach/internal/fault"
-	_ "quincereach/internal/seeds"
+	"gatetack/internal/fault"
+	_ "gatetack/internal/seeds"
 )
 
 func compile(t testing.TB, text string) *Function {
--- a/internal/desk/function.go
+++ b/internal/desk/function.go
@@ -14,7 +14,7 @@
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 )
 
 // Bounds of a function and of what it makes.
--- a/internal/desks/desks.go
+++ b/internal/desks/desks.go
@@ -16,12 +16,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/desk"
-	"quincereach/internal/fault"
-	"quincereach/internal/follow"
-	"quincereach/internal/http1"
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
+	"gatetack/internal/desk"
+	"gatetack/internal/fault"
+	"gatetack/internal/follow"
+	"gatetack/internal/http1"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
 )
 
 // The tables: desks, who has them, functions by hash, and the nodes that may hold desks.
--- a/internal/desks/serve.go
+++ b/internal/desks/serve.go
@@ -11,10 +11,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/desk"
-	"quincereach/internal/fault"
-	"quincereach/internal/http1"
-	"quincereach/internal/owner"
+	"gatetack/internal/desk"
+	"gatetack/internal/fault"
+	"gatetack/internal/http1"
+	"gatetack/internal/owner"
 )
 
 // job hands a desk's open job in, under its key - which is one job, however often and wherever it is handed in - and sees whether it
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,12 +17,12 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/pace"
-	"quincereach/internal/told"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/pace"
+	"gatetack/internal/told"
 )
 
 // Sink takes lists.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,10 +11,10 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	_ "quincereach/internal/seeds"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/standin"
 )
 
 func start(t *testing.T, lim limits.Limits) (*Client, *standin.Lists, *standin.List, *standin.Box) {
--- a/internal/discovery/push_test.go
+++ b/internal/discovery/push_test.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/standin"
 )
 
 // Where lists are pushed nobody asks for them: the carrier follows the agent from the start on, goes on after the agent was
--- a/internal/executor/callback.go
+++ b/internal/executor/callback.go
@@ -8,9 +8,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
 )
 
 // header reads a load report from an answer: TEXT name=value, name=value.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -14,13 +14,13 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/gate"
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/pace"
-	"quincereach/internal/stops"
+	"gatetack/brain"
+	"gatetack/internal/gate"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/pace"
+	"gatetack/internal/stops"
 )
 
 // Sink takes what came of attempts and probes.
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -14,12 +14,12 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/pace"
-	_ "quincereach/internal/seeds"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/pace"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/standin"
 )
 
 // sink keeps what the client tells the core.
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
-	"quincereach/internal/sock"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
+	"gatetack/internal/sock"
 )
 
 // conn is a connection to an executor, with one ring buffer a direction.
--- a/internal/executor/races_test.go
+++ b/internal/executor/races_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/gate"
-	"quincereach/internal/node"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/gate"
+	"gatetack/internal/node"
+	"gatetack/internal/standin"
 )
 
 // Whatever is told of an attempt while it waits, dials or writes stops it at the next look, and the last look is before the last
--- a/internal/executor/slow.go
+++ b/internal/executor/slow.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/pace"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/pace"
 )
 
 // owed keeps what boxes owe signs of: jobs whose last byte went to them, until a 202, another answer or a callback
--- a/internal/executor/slow_test.go
+++ b/internal/executor/slow_test.go
@@ -13,11 +13,11 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
-	"quincereach/internal/pace"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
+	"gatetack/internal/pace"
+	"gatetack/internal/standin"
 )
 
 // hasty are limits under which a box is late after 50 ms.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // Reason is why an attempt may not go.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	_ "quincereach/internal/seeds"
+	"gatetack/brain"
+	_ "gatetack/internal/seeds"
 )
 
 // forbids is the oracle: each reason by itself, in the words of the protocol, without an order among them.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // A process alone leaves nothing; beside another, what it passes reaches the other once and whole, and is gone from
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"quincereach/internal/pace"
+	"gatetack/internal/pace"
 )
 
 // conn is one client's connection. One goroutine reads, when it is asked to, and one parses, handles and
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -17,9 +17,9 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
-	_ "quincereach/internal/seeds"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
+	_ "gatetack/internal/seeds"
 )
 
 var lim = limits.New(0, 0, 0, 0, 0)
--- a/internal/http1/paced.go
+++ b/internal/http1/paced.go
@@ -8,8 +8,8 @@
 	"syscall"
 	"time"
 
-	"quincereach/internal/pace"
-	"quincereach/internal/sock"
+	"gatetack/internal/pace"
+	"gatetack/internal/sock"
 )
 
 // Paced is a connection whose directions are held to a least rate while something is waited for: what comes in, from
--- a/internal/http1/paced_test.go
+++ b/internal/http1/paced_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
-	"quincereach/internal/sock"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
+	"gatetack/internal/sock"
 )
 
 // pair gives both ends of a connection, ours paced.
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"quincereach/internal/limits"
+	"gatetack/internal/limits"
 )
 
 // Error is a malformed message and the status that a server answers it with.
--- a/internal/http1/races_test.go
+++ b/internal/http1/races_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/sock"
+	"gatetack/internal/sock"
 )
 
 const get = "GET / HTTP/1.1\r\n\r\n"
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -13,9 +13,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
-	"quincereach/internal/sock"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
+	"gatetack/internal/sock"
 )
 
 // Handler answers one request. Its context ends when the client has gone away: no answer is read then.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,9 +23,9 @@
 	"go.yaml.in/yaml/v3"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
 )
 
 // RowError is a row that cannot be used, and where it stands.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -15,9 +15,9 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"quincereach/internal/node"
-	_ "quincereach/internal/seeds"
-	"quincereach/internal/standin"
+	"gatetack/internal/node"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/standin"
 )
 
 var names = node.Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"type-a", "type-b"}}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"quincereach/internal/pace"
-	"quincereach/internal/told"
+	"gatetack/internal/pace"
+	"gatetack/internal/told"
 )
 
 // Limits bounds a node. Get one from New; a zero value bounds everything to nothing.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "quincereach/internal/seeds"
+	_ "gatetack/internal/seeds"
 )
 
 func five(dead ...string) Cluster {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -12,11 +12,11 @@
 	"sync/atomic"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/comeback"
-	"quincereach/internal/gate"
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
+	"gatetack/brain"
+	"gatetack/internal/comeback"
+	"gatetack/internal/gate"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
 )
 
 // ErrFull is the answer to a job for which the core's queue has no place.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -11,10 +11,10 @@
 	"github.com/tidwall/gjson"
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
-	"quincereach/internal/pace"
-	_ "quincereach/internal/seeds"
+	"gatetack/brain"
+	"gatetack/internal/limits"
+	"gatetack/internal/pace"
+	_ "gatetack/internal/seeds"
 )
 
 var lim = limits.New(0, 0, 0, 0, 0)
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // Rules are the settings in force and the names of their positions. One value is never changed: a retune makes another.
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"quincereach/brain"
-	_ "quincereach/internal/seeds"
+	"gatetack/brain"
+	_ "gatetack/internal/seeds"
 )
 
 func rulesOf(classes map[string]brain.Class, order ...string) (brain.Settings, Names) {
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -14,8 +14,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/brain"
-	"quincereach/internal/gate"
+	"gatetack/brain"
+	"gatetack/internal/gate"
 )
 
 // Names are the names that the settings give to the positions the decision module counts by.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,7 +7,7 @@
 	"context"
 	"log/slog"
 
-	"quincereach/internal/http1"
+	"gatetack/internal/http1"
 )
 
 // Core holds the drain state and says whether this process takes clients.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"testing"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/standin"
+	"gatetack/internal/http1"
+	"gatetack/internal/standin"
 )
 
 type core struct{ drained atomic.Bool }
--- a/internal/owner/fence_test.go
+++ b/internal/owner/fence_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/duty"
-	"quincereach/internal/records"
-	"quincereach/internal/standin"
-	"quincereach/internal/store"
+	"gatetack/internal/duty"
+	"gatetack/internal/records"
+	"gatetack/internal/standin"
+	"gatetack/internal/store"
 )
 
 // BenchmarkFence writes what a submission does, a job's two records, by sixteen clients to a store of three members on this
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,14 +17,14 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/duty"
-	"quincereach/internal/http1"
-	"quincereach/internal/keys"
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
-	"quincereach/internal/records"
-	"quincereach/internal/stops"
-	"quincereach/internal/store"
+	"gatetack/internal/duty"
+	"gatetack/internal/http1"
+	"gatetack/internal/keys"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
+	"gatetack/internal/records"
+	"gatetack/internal/stops"
+	"gatetack/internal/store"
 )
 
 // The tables of leases, by node, and of duties, by key. A duty's version is its epoch.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/duty"
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
-	"quincereach/internal/records"
+	"gatetack/internal/duty"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
+	"gatetack/internal/records"
 )
 
 var lim = limits.New(0, 0, 0, 0, 0)
--- a/internal/owner/scale_test.go
+++ b/internal/owner/scale_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/duty"
-	"quincereach/internal/kv"
+	"gatetack/internal/duty"
+	"gatetack/internal/kv"
 )
 
 var scale = flag.Int("scale", 20, "nodes of TestScale, with a hundred duties each; the figures on the page are of 100")
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "quincereach/internal/seeds"
+	_ "gatetack/internal/seeds"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,8 +14,8 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
-	"quincereach/brain"
-	"quincereach/internal/limits"
+	"gatetack/brain"
+	"gatetack/internal/limits"
 )
 
 // Sink takes what other nodes tell.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/brain"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/standin"
 )
 
 type sink struct {
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -17,10 +17,10 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"quincereach/brain"
-	"quincereach/internal/fault"
-	"quincereach/internal/node"
-	"quincereach/internal/site"
+	"gatetack/brain"
+	"gatetack/internal/fault"
+	"gatetack/internal/node"
+	"gatetack/internal/site"
 )
 
 // File is the operators' word.
--- a/internal/placing/placing_test.go
+++ b/internal/placing/placing_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/node"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/node"
+	"gatetack/internal/standin"
 )
 
 type boxes []node.Machine
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"quincereach/internal/gate"
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
+	"gatetack/internal/gate"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
 )
 
 // Core takes jobs.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"quincereach/brain"
-	"quincereach/internal/http1"
-	"quincereach/internal/node"
-	"quincereach/internal/standin"
+	"gatetack/brain"
+	"gatetack/internal/http1"
+	"gatetack/internal/node"
+	"gatetack/internal/standin"
 )
 
 // core takes every job and refuses it at once.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -18,7 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 )
 
 // Figures of what is kept and believed.
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "quincereach/internal/seeds"
+	_ "gatetack/internal/seeds"
 )
 
 func three() *Site {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/http1"
+	"gatetack/internal/http1"
 )
 
 // Settings are those of a small site of one node with the platform's two classes, as its configuration has them.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,9 +17,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/limits"
-	"quincereach/internal/node"
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/node"
 )
 
 // Lim are the limits that the stand-ins use.
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -17,12 +17,12 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/keys"
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
-	"quincereach/internal/records"
-	"quincereach/internal/stops"
+	"gatetack/internal/http1"
+	"gatetack/internal/keys"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
+	"gatetack/internal/records"
+	"gatetack/internal/stops"
 )
 
 // Put sets a value, and returns once most members have it.
--- a/internal/store/clock.go
+++ b/internal/store/clock.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"quincereach/internal/stops"
+	"gatetack/internal/stops"
 )
 
 // BootTime is a clock that goes on while the machine sleeps and that nobody sets: what was asleep for longer than a lease must
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -13,8 +13,8 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 
-	"quincereach/internal/member"
-	"quincereach/internal/stops"
+	"gatetack/internal/member"
+	"gatetack/internal/stops"
 )
 
 // disk is the store's log, votes and snapshots as raft sees them. What goes in carries a checksum, and what comes out is held to
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 )
 
 // The errors of the store that reach an operator, or another package. See package fault.
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -11,8 +11,8 @@
 	"github.com/hashicorp/raft"
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
 )
 
 // bounds are those of the state: all members have the same.
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -11,8 +11,8 @@
 
 	"github.com/hashicorp/raft"
 
-	"quincereach/internal/member"
-	"quincereach/internal/stops"
+	"gatetack/internal/member"
+	"gatetack/internal/stops"
 )
 
 // guard stands between raft and its transport. It holds this member's votes to what it may have forgotten (package member,
--- a/internal/store/inspect.go
+++ b/internal/store/inspect.go
@@ -16,8 +16,8 @@
 	bolt "go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
 
-	"quincereach/internal/limits"
-	"quincereach/internal/member"
+	"gatetack/internal/limits"
+	"gatetack/internal/member"
 )
 
 // inspect looks at a member's folder before anything of it is used, and takes out what can not be trusted: a snapshot, the log
--- a/internal/store/lies_test.go
+++ b/internal/store/lies_test.go
@@ -14,10 +14,10 @@
 	"github.com/hashicorp/raft"
 	"pgregory.net/rapid"
 
-	"quincereach/internal/fault"
-	"quincereach/internal/member"
-	"quincereach/internal/standin"
-	"quincereach/internal/stops"
+	"gatetack/internal/fault"
+	"gatetack/internal/member"
+	"gatetack/internal/standin"
+	"gatetack/internal/stops"
 )
 
 func leader(t *testing.T, all []*node) (lead *node) {
--- a/internal/store/linear_test.go
+++ b/internal/store/linear_test.go
@@ -12,8 +12,8 @@
 	"github.com/anishathalye/porcupine"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/kv"
-	"quincereach/internal/standin"
+	"gatetack/internal/kv"
+	"gatetack/internal/standin"
 )
 
 var span = flag.Duration("span", 6*time.Second, "how long TestLinearizable kills members; the long run takes 10m")
--- a/internal/store/mark.go
+++ b/internal/store/mark.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quincereach/internal/member"
+	"gatetack/internal/member"
 )
 
 // mark is how far a member got, in a file of the machine's memory outside of its folder: see package member, Recall. One that
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -10,8 +10,8 @@
 	"github.com/hashicorp/raft"
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/member"
+	"gatetack/internal/http1"
+	"gatetack/internal/member"
 )
 
 const (
--- a/internal/store/mux.go
+++ b/internal/store/mux.go
@@ -12,8 +12,8 @@
 	"github.com/hashicorp/raft"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/keys"
-	"quincereach/internal/limits"
+	"gatetack/internal/keys"
+	"gatetack/internal/limits"
 )
 
 // mux lets raft's streams and the members' calls share one address: a stream of raft's begins with a byte that
--- a/internal/store/operate.go
+++ b/internal/store/operate.go
@@ -12,8 +12,8 @@
 	"github.com/hashicorp/raft"
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/kv"
+	"gatetack/internal/http1"
+	"gatetack/internal/kv"
 )
 
 // Status is what a member tells of itself.
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -15,7 +15,7 @@
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	bolt "go.etcd.io/bbolt"
 
-	"quincereach/internal/limits"
+	"gatetack/internal/limits"
 )
 
 // Recover makes a member's folder, while its node is down, the beginning of a store of other members: what is left to do when
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,13 +18,13 @@
 	"github.com/hashicorp/raft"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/keys"
-	"quincereach/internal/kv"
-	"quincereach/internal/limits"
-	"quincereach/internal/member"
-	"quincereach/internal/pace"
-	"quincereach/internal/stops"
+	"gatetack/internal/http1"
+	"gatetack/internal/keys"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
+	"gatetack/internal/member"
+	"gatetack/internal/pace"
+	"gatetack/internal/stops"
 )
 
 // Config is one member's.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,11 +18,11 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/keys"
-	"quincereach/internal/kv"
-	"quincereach/internal/records"
-	"quincereach/internal/standin"
-	"quincereach/internal/stops"
+	"gatetack/internal/keys"
+	"gatetack/internal/kv"
+	"gatetack/internal/records"
+	"gatetack/internal/standin"
+	"gatetack/internal/stops"
 )
 
 // member is one that a test can end and start anew.
--- a/internal/store/verify.go
+++ b/internal/store/verify.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 
-	"quincereach/internal/limits"
+	"gatetack/internal/limits"
 )
 
 // ErrDamaged says that something in a member's folder can not be trusted.
--- a/internal/told/told_test.go
+++ b/internal/told/told_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "quincereach/internal/seeds"
+	_ "gatetack/internal/seeds"
 )
 
 const ms = time.Millisecond
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // SettingError names the key of a setting that cannot be used.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"io"
 	"math"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // Code is a record code of a batch.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"quincereach/brain"
+	"gatetack/brain"
 )
 
 // frame builds a batch from records in hex.
--- a/test/batch_test.go
+++ b/test/batch_test.go
@@ -14,8 +14,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/drmaa2"
-	"quincereach/internal/standin"
+	"gatetack/drmaa2"
+	"gatetack/internal/standin"
 )
 
 var kills = flag.Int("kills", 3, "how often the node is killed in TestKilledUnderLoad; the long run takes 20")
--- a/test/conform_test.go
+++ b/test/conform_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // The conformance suite passes against the built program, with jobs on record in a file of its own, and without.
--- a/test/data_test.go
+++ b/test/data_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // twoHalls puts a process's two boxes in two halls, with a link between them and data sets in them.
--- a/test/deployments_test.go
+++ b/test/deployments_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/standin"
+	"gatetack/internal/http1"
+	"gatetack/internal/standin"
 )
 
 // class is one class of a deployment of our own making.
--- a/test/desks_test.go
+++ b/test/desks_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/desk"
-	"quincereach/internal/standin"
+	"gatetack/internal/desk"
+	"gatetack/internal/standin"
 )
 
 var (
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -5,15 +5,15 @@
 	"strings"
 	"testing"
 
-	"quincereach/internal/fault"
+	"gatetack/internal/fault"
 
 	// All that have errors which reach an operator or a client.
-	_ "quincereach/internal/comeback"
-	_ "quincereach/internal/desk"
-	_ "quincereach/internal/desks"
-	_ "quincereach/internal/placing"
-	_ "quincereach/internal/site"
-	_ "quincereach/internal/store"
+	_ "gatetack/internal/comeback"
+	_ "gatetack/internal/desk"
+	_ "gatetack/internal/desks"
+	_ "gatetack/internal/placing"
+	_ "gatetack/internal/site"
+	_ "gatetack/internal/store"
 )
 
 // Each kind of error says what can be done, in a sentence, and has its line on the page for those on call.
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/standin"
-	"quincereach/internal/stops"
+	"gatetack/internal/standin"
+	"gatetack/internal/stops"
 )
 
 // fleet is processes of the program that are members of one store. Each has boxes of its own addresses, by the same names:
--- a/test/fronts_test.go
+++ b/test/fronts_test.go
@@ -11,7 +11,7 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // Jobs go through both fronts at a time; the counts are the same at both, and no box gets a job twice.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -18,8 +18,8 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/http1"
-	"quincereach/internal/standin"
+	"gatetack/internal/http1"
+	"gatetack/internal/standin"
 )
 
 var program string
@@ -30,7 +30,7 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "gatetack")
-	build := exec.Command("go", "build", "-race", "-o", program, "quincereach/cmd/gatetack")
+	build := exec.Command("go", "build", "-race", "-o", program, "gatetack/cmd/gatetack")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
 		os.Exit(1)
--- a/test/lies_test.go
+++ b/test/lies_test.go
@@ -8,15 +8,15 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/stops"
+	"gatetack/internal/stops"
 )
 
 // without builds the program with a guard taken out.
 func without(t *testing.T, guard string) string {
 	t.Helper()
 	bare := filepath.Join(t.TempDir(), "bare")
-	if out, err := exec.Command("go", "build", "-race", "-ldflags", "-X quincereach/internal/stops.Without="+guard, "-o", bare,
-		"quincereach/cmd/gatetack").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-race", "-ldflags", "-X gatetack/internal/stops.Without="+guard, "-o", bare,
+		"gatetack/cmd/gatetack").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	return bare
--- a/test/links_test.go
+++ b/test/links_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 var (
--- a/test/reload_test.go
+++ b/test/reload_test.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // SIGHUP under load: the node goes on with the discovery that the replaced file names, although EDGE_DISCOVERY still
--- a/test/retune_test.go
+++ b/test/retune_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // SIGHUP under load with another settings: a class that comes is taken under its own rules, one that goes is still taken
--- a/test/slow_test.go
+++ b/test/slow_test.go
@@ -11,7 +11,7 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // load plays jobs, a fixed number for each client, and gives what came of them.
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincereach/internal/standin"
+	"gatetack/internal/standin"
 )
 
 // With a store, a restart loses no answer: what ended is told as it ended, what was sent is undetermined, only
