--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -167,9 +167,11 @@
 	select {
 	case <-time.After(d):
 	case <-at.ctx.Done():
-		c.clock.Moved(time.Now())
 	case <-ctx.Done():
 	}
+	if at.ctx.Err() != nil {
+		c.clock.Moved(time.Now())
+	}
 	return ctx.Err() == nil
 }
 
@@ -355,49 +357,3 @@
 	c.sink.List(l)
 	return nil
 }
-
-// splitter cuts a body into lines of a bounded length.
-type splitter struct {
-	max  int
-	buf  []byte
-	line func([]byte) error
-}
-
-func (s *splitter) feed(b []byte) error {
-	for {
-		i := bytes.IndexByte(b, '\n')
-		if i < 0 {
-			i = len(b)
-		}
-		if len(s.buf)+i > s.max {
-			return fmt.Errorf("a line is longer than %d bytes", s.max)
-		}
-		s.buf = append(s.buf, b[:i]...)
-		if i == len(b) && !s.whole() {
-			return nil
-		}
-		err := s.line(s.buf)
-		s.buf, b = s.buf[:0], b[min(i+1, len(b)):]
-		if err != nil || len(b) == 0 {
-			return err
-		}
-	}
-}
-
-// begun says that a part of a line has come.
-func (s *splitter) begun() bool { return len(s.buf) > 0 }
-
-// whole says that an object stands in the buffer to its end, though its line break has not come: what it tells counts
-// as told, whether the break still comes or not.
-func (s *splitter) whole() bool {
-	n := len(s.buf)
-	return n > 1 && s.buf[0] == '{' && s.buf[n-1] == '}' && gjson.ValidBytes(s.buf)
-}
-
-// end takes what follows the last line break.
-func (s *splitter) end() error {
-	if len(s.buf) == 0 {
-		return nil
-	}
-	return s.line(s.buf)
-}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -230,6 +232,7 @@
 			t.Fatal(err)
 		}
 		next.Put(box, "draining")
+		ended := make(chan bool)
 		switch old {
 		case "deaf", "gone": // takes connections and says nothing, or takes none; a watch that stood moves there by itself
 			list.Mute(true)
@@ -239,10 +242,16 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if old == "deaf" {
-				defer func() { _ = ln.Close() }()
-			} else {
-				_ = ln.Close()
+			defer func() { _ = ln.Close() }()
+			if old == "gone" { // with the first call
+				g.Go(func() error {
+					if conn, err := ln.Accept(); err == nil {
+						_ = conn.Close()
+					}
+					_ = ln.Close()
+					close(ended)
+					return nil
+				})
 			}
 			c.Move(ln.Addr().String())
 		default:
@@ -256,7 +265,7 @@
 		case "mute":
 			standin.Until(t, "the watch", func() bool { return list.Watches() == 1 })
 		case "gone":
-			standin.Until(t, "the failure", func() bool { return len(s.All()) == 1 })
+			<-ended
 		}
 		began := time.Now()
 		c.Move(next.Addr)
@@ -267,8 +276,8 @@
 		if d := time.Since(began); d > standin.Lim.Told.Beat {
 			t.Errorf("%s: it took %v", old, d)
 		}
-		for i, l := range s.All() {
-			if l.Form == brain.ListFailed && !(old == "gone" && i == 0) {
+		for _, l := range s.All() {
+			if l.Form == brain.ListFailed {
 				t.Errorf("%s: a failure was told", old)
 			}
 		}
@@ -373,3 +382,84 @@
 		}
 	})
 }
+
+// Lists come out whole however they are written, indented or not, and however the body is cut; empty lines between them are
+// passed over.
+func TestSplitterTakesIndentedLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all bytes.Buffer
+		var want, got []string
+		for i := range rapid.IntRange(1, 4).Draw(t, "lists") {
+			name := rapid.StringMatching(`[a-z{}\[\]"\\\\ ]{1,8}`).Draw(t, "name")
+			text, err := json.Marshal(map[string]any{"index": i, "snapshot": false, "endpoints": []any{map[string]any{"name": name}, map[string]any{"name": "s"}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			want = append(want, string(text))
+			if rapid.Bool().Draw(t, "indented") {
+				var b bytes.Buffer
+				_ = json.Indent(&b, text, rapid.SampledFrom([]string{"", "  "}).Draw(t, "prefix"), rapid.SampledFrom([]string{" ", "\t"}).Draw(t, "indent"))
+				text = b.Bytes()
+			}
+			all.Write(text)
+			all.WriteString(rapid.SampledFrom([]string{"\n", "\r\n", "\n\n"}).Draw(t, "break"))
+		}
+		s := splitter{max: 4096, line: func(b []byte) error {
+			var c bytes.Buffer
+			if b = bytes.TrimSpace(b); len(b) == 0 {
+				return nil
+			}
+			if err := json.Compact(&c, b); err != nil {
+				return err
+			}
+			got = append(got, c.String())
+			return nil
+		}}
+		for rest := all.Bytes(); len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			if err := s.feed(rest[:n]); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("%q, want %q", got, want)
+		}
+	})
+}
+
+// An object that does not end ends the call at the next sign of life, and the next call brings what it would have told: here an
+// empty line, or a list.
+func TestBrokenObjectSwallowsNothing(t *testing.T) {
+	const list = `{"index":3,"snapshot":false,"endpoints":[{"name":"s-1","status":"draining"}]}` + "\n"
+	for _, next := range []string{"\n", list} {
+		s := splitter{max: 4096, line: func([]byte) error { return nil }}
+		if err := s.feed([]byte(`{"index":2,"endpoints":[` + "\n")); err != nil {
+			t.Fatal(err)
+		}
+		if s.feed([]byte(next)) == nil {
+			t.Errorf("%q was taken for a part of it", next)
+		}
+	}
+}
+
+// A watch whose lists are indented is followed like any other. (Each was taken for garbage at its first line break: the node never
+// heard of any change.)
+func TestIndentedWatch(t *testing.T) {
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	list := func(index int, status string) string {
+		return fmt.Sprintf("{\n  \"index\": %d,\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n      \"status\": %q\n    }\n  ]\n}\n", index, status)
+	}
+	s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(list(1, "ready"))+chunk("\n"))
+		text := list(2, "draining")
+		_, _ = io.WriteString(conn, chunk(text[:30])+chunk(text[30:]))
+		<-ctx.Done()
+	})
+	run(standin.Lim)
+	standin.Until(t, "both", func() bool { return len(s.All()) >= 2 })
+	l := s.All()
+	if len(l) != 2 || len(l[0].Entries) != 1 || len(l[1].Entries) != 1 || l[0].Entries[0].Status != "ready" || l[1].Entries[0].Status != "draining" {
+		t.Errorf("%+v", l)
+	}
+}
