--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -20,6 +20,7 @@
 	"gatetack/internal/desks"
 	"gatetack/internal/discovery"
 	"gatetack/internal/executor"
+	"gatetack/internal/failpoint"
 	"gatetack/internal/follow"
 	"gatetack/internal/handover"
 	"gatetack/internal/http1"
@@ -33,7 +34,6 @@
 	"gatetack/internal/placing"
 	"gatetack/internal/platform"
 	"gatetack/internal/records"
-	"gatetack/internal/stops"
 	"gatetack/internal/store"
 )
 
@@ -104,7 +104,7 @@
 
 // serve runs the node. When ctx ends it goes on until all that was taken is answered and nothing new comes.
 func serve(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, log *slog.Logger) error {
-	life := stops.Wall()
+	life := failpoint.Wall()
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	core, err := node.New(c.Settings, c.Seed, c.Known, c.Names, c.Limits, log)
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -17,13 +17,13 @@
 
 	"gatetack/brain"
 	"gatetack/internal/comeback"
+	"gatetack/internal/failpoint"
 	"gatetack/internal/gate"
 	"gatetack/internal/http1"
 	"gatetack/internal/limits"
 	"gatetack/internal/node"
 	"gatetack/internal/records"
 	"gatetack/internal/release"
-	"gatetack/internal/stops"
 )
 
 // Core takes jobs.
@@ -365,7 +365,7 @@
 		r.State, r.SubState, r.Handed = Queued, subHeld, true
 		r.RetryMS = 0
 	})
-	stops.At(stops.Hand)
+	failpoint.At(failpoint.Hand)
 	if err := f.put(ctx, j, nil); err != nil {
 		id := j.record().ID
 		if p, ok := partitionOf(id); ok && f.foreign(id) {
@@ -433,7 +433,7 @@
 		return nil
 	}, more...)
 	if err == nil {
-		stops.At(stops.Intent)
+		failpoint.At(failpoint.Intent)
 	}
 	return err
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -15,12 +15,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"gatetack/brain"
+	"gatetack/internal/failpoint"
 	"gatetack/internal/gate"
 	"gatetack/internal/http1"
 	"gatetack/internal/limits"
 	"gatetack/internal/node"
 	"gatetack/internal/pace"
-	"gatetack/internal/stops"
 )
 
 // Sink takes what came of attempts and probes.
@@ -314,7 +314,7 @@
 	if err = conn.out.Flush(); err != nil {
 		return brain.ConnectFailed, nil
 	}
-	stops.At(stops.Byte)
+	failpoint.At(failpoint.Byte)
 	wrote := time.Now()
 	m, err := c.answer(t, conn)
 	// A connection that was forgotten breaks as soon as the request gets there; one that breaks later was in use.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -18,12 +18,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"gatetack/internal/duty"
+	"gatetack/internal/failpoint"
 	"gatetack/internal/http1"
 	"gatetack/internal/keys"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
 	"gatetack/internal/records"
-	"gatetack/internal/stops"
 	"gatetack/internal/store"
 )
 
@@ -116,7 +116,7 @@
 
 // Write makes all changes or none, under the epoch of the duty that they belong to.
 func (o *Owner) Write(ctx context.Context, changes ...records.Change) error {
-	if stops.Without == stops.Fence {
+	if failpoint.Without == failpoint.Fence {
 		return o.store.Write(ctx, changes...)
 	}
 	key := o.partition(changes)
@@ -454,7 +454,7 @@
 // stop lets go of a duty that was lost. Where it was that of this life's own jobs, what is taken from now on is of another.
 func (o *Owner) stop(a duty.Action) {
 	o.log.Warn("duty lost", "duty", a.Key, "epoch", a.Epoch)
-	if stops.Without == stops.Fence {
+	if failpoint.Without == failpoint.Fence {
 		return
 	}
 	o.front.Drop(a.Key)
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -17,12 +17,12 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/http1"
 	"gatetack/internal/keys"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
 	"gatetack/internal/records"
-	"gatetack/internal/stops"
 )
 
 // Put sets a value, and returns once most members have it.
@@ -165,7 +165,7 @@
 
 // dial connects, by keys where there are any.
 func dial(ctx context.Context, addr string, ring *keys.Ring) (net.Conn, error) {
-	addr = stops.Via(addr)
+	addr = failpoint.Via(addr)
 	if ring == nil {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
--- a/internal/store/clock.go
+++ b/internal/store/clock.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"gatetack/internal/stops"
+	"gatetack/internal/failpoint"
 )
 
 // BootTime is a clock that goes on while the machine sleeps and that nobody sets: what was asleep for longer than a lease must
@@ -35,7 +35,7 @@
 func (s *Store) now() int64 {
 	term, clock, stands := s.raft.CurrentTerm(), BootTime(), s.fsm.view().Now()
 	if stands == 0 {
-		stands = stops.Wall().UnixMilli()
+		stands = failpoint.Wall().UnixMilli()
 	}
 	return s.time.read(term, clock, stands)
 }
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -13,8 +13,8 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/member"
-	"gatetack/internal/stops"
 )
 
 // disk is the store's log, votes and snapshots as raft sees them. What goes in carries a checksum, and what comes out is held to
@@ -24,7 +24,7 @@
 	*boltdb.BoltStore
 	raft.SnapshotStore
 	mark  *mark
-	meets func() stops.Disk // what a write meets, in tests; nil: nothing
+	meets func() failpoint.Disk // what a write meets, in tests; nil: nothing
 
 	mu   sync.Mutex
 	busy time.Time // since when a write is under way, zero for none
@@ -35,7 +35,7 @@
 	dead   atomic.Bool // it was closed with a write that did not come back: nothing is told to the others any more
 }
 
-func newDisk(log *boltdb.BoltStore, meets func() stops.Disk) *disk {
+func newDisk(log *boltdb.BoltStore, meets func() failpoint.Disk) *disk {
 	return &disk{BoltStore: log, meets: meets, closed: make(chan struct{})}
 }
 
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -11,8 +11,8 @@
 
 	"github.com/hashicorp/raft"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/member"
-	"gatetack/internal/stops"
 )
 
 // guard stands between raft and its transport. It holds this member's votes to what it may have forgotten (package member,
@@ -77,7 +77,7 @@
 }
 
 func (g *guard) may(term, lastTerm, lastIndex uint64) bool {
-	if stops.Without == stops.Floor {
+	if failpoint.Without == failpoint.Floor {
 		return true
 	}
 	if g.disk.dead.Load() {
@@ -122,7 +122,7 @@
 	if g.disk.dead.Load() {
 		return &StalledError{}
 	}
-	if d, _ := g.disk.stalled(); d > g.most && stops.Without != stops.Stalled {
+	if d, _ := g.disk.stalled(); d > g.most && failpoint.Without != failpoint.Stalled {
 		return &StalledError{d}
 	}
 	return nil
--- a/internal/store/lies_test.go
+++ b/internal/store/lies_test.go
@@ -14,10 +14,10 @@
 	"github.com/hashicorp/raft"
 	"pgregory.net/rapid"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/fault"
 	"gatetack/internal/member"
 	"gatetack/internal/standin"
-	"gatetack/internal/stops"
 )
 
 func leader(t *testing.T, all []*node) (lead *node) {
@@ -35,19 +35,19 @@
 }
 
 // faulty has a member's writes meet what is set, from now on.
-func faulty(m *node) *atomic.Pointer[stops.Disk] { return &m.disk }
+func faulty(m *node) *atomic.Pointer[failpoint.Disk] { return &m.disk }
 
 // A leader whose disk fails a write, is full, takes two seconds for each, or never comes back with one, does not keep the store:
 // the others write, and what was acknowledged before stands. Once the disk does again, it has what it missed.
 func TestLeaderWithABadDisk(t *testing.T) {
 	for _, x := range []struct {
 		what  string
-		disk  stops.Disk
+		disk  failpoint.Disk
 		heals bool
 	}{
-		{"fails", stops.Disk{Fails: true}, true},
-		{"slow", stops.Disk{Waits: 2 * time.Second}, true},
-		{"hangs", stops.Disk{Waits: -1}, false},
+		{"fails", failpoint.Disk{Fails: true}, true},
+		{"slow", failpoint.Disk{Waits: 2 * time.Second}, true},
+		{"hangs", failpoint.Disk{Waits: -1}, false},
 	} {
 		t.Run(x.what, func(t *testing.T) {
 			all := cluster(t, 3)
@@ -68,7 +68,7 @@
 				t.Errorf("its disk is told as %q", state.Disk)
 			}
 			if x.heals {
-				disk.Store(&stops.Disk{})
+				disk.Store(&failpoint.Disk{})
 				standin.Until(t, "it has what it missed", func() bool { v, ok := lead.s.Local("job", "after"); return ok && string(v) == "y" })
 			}
 		})
@@ -77,12 +77,12 @@
 
 // Without the look at the disk a leader that hangs leads on, and nothing is written: what the test above rests on is seen.
 func TestLeaderThatHangsWithoutTheGuard(t *testing.T) {
-	stops.Without = stops.Stalled
-	defer func() { stops.Without = "" }()
+	failpoint.Without = failpoint.Stalled
+	defer func() { failpoint.Without = "" }()
 	all := cluster(t, 3)
 	put(t, all[0], "before", "x")
 	lead := leader(t, all)
-	faulty(lead).Store(&stops.Disk{Waits: -1})
+	faulty(lead).Store(&failpoint.Disk{Waits: -1})
 	for _, m := range all {
 		if m == lead {
 			continue
@@ -115,7 +115,7 @@
 		}
 	}
 	disk := faulty(full)
-	disk.Store(&stops.Disk{Fails: true})
+	disk.Store(&failpoint.Disk{Fails: true})
 	put(t, lead, "with the other", "y")
 	other.stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
@@ -123,7 +123,7 @@
 	if err := lead.s.Put(ctx, "job", "alone", []byte("z")); err == nil {
 		t.Error("acknowledged with one disk of three")
 	}
-	disk.Store(&stops.Disk{})
+	disk.Store(&failpoint.Disk{})
 	put(t, lead, "again", "w")
 	want(t, full, "with the other", "y")
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,13 +18,13 @@
 	"github.com/hashicorp/raft"
 	"golang.org/x/sync/errgroup"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/http1"
 	"gatetack/internal/keys"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
 	"gatetack/internal/member"
 	"gatetack/internal/pace"
-	"gatetack/internal/stops"
 )
 
 // Config is one member's.
@@ -38,7 +38,7 @@
 	Marks   string            // a folder in the machine's memory, where how far this member got is kept; empty: nowhere
 	Trust   bool              // the disk's word is taken where no mark is found
 
-	meets func() stops.Disk // what a write of the log meets: only tests fill it, before the start
+	meets func() failpoint.Disk // what a write of the log meets: only tests fill it, before the start
 }
 
 // Store is one member.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,11 +18,11 @@
 	"github.com/tidwall/gjson"
 	"golang.org/x/sync/errgroup"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/keys"
 	"gatetack/internal/kv"
 	"gatetack/internal/records"
 	"gatetack/internal/standin"
-	"gatetack/internal/stops"
 )
 
 // member is one that a test can end and start anew.
@@ -30,7 +30,7 @@
 	cfg  Config
 	s    *Store
 	stop func()
-	disk atomic.Pointer[stops.Disk] // what writes of its log meet
+	disk atomic.Pointer[failpoint.Disk] // what writes of its log meet
 }
 
 func (m *node) start(t *testing.T) {
@@ -38,8 +38,8 @@
 	lim := standin.Lim
 	lim.StoreCall = 20 * time.Second
 	// Filled before the first write: a member writes whenever others send, also while a test changes what its disk does.
-	m.disk.Store(&stops.Disk{})
-	m.cfg.meets = func() stops.Disk { return *m.disk.Load() }
+	m.disk.Store(&failpoint.Disk{})
+	m.cfg.meets = func() failpoint.Disk { return *m.disk.Load() }
 	s, err := Open(m.cfg, lim, nil, standin.Quiet)
 	if err != nil {
 		t.Fatal(err)
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"os/exec"
@@ -55,3 +56,22 @@
 		}
 	}
 }
+
+// The program that is shipped has no hooks for tests: it is built without the tag, and knows none of their variables.
+func TestShippedProgramHasNoFailpoints(t *testing.T) {
+	shipped := filepath.Join(t.TempDir(), "gatetack")
+	if out, err := exec.Command("go", "build", "-o", shipped, "gatetack/cmd/gatetack").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for path, has := range map[string]bool{shipped: false, program: true} {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{"GATETACK_STOP_AT", "GATETACK_CLOCK", "GATETACK_LINKS"} {
+			if bytes.Contains(b, []byte(name)) != has {
+				t.Errorf("%s: %s is in it: %v", path, name, !has)
+			}
+		}
+	}
+}
--- a/test/deployments_test.go
+++ b/test/deployments_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"gatetack/internal/http1"
 	"gatetack/internal/standin"
 )
@@ -41,6 +44,9 @@
 	grace     int // ms
 	retries   bool
 	connected int // connIdle, ms
+	window    int // ms in which repeats of keyed jobs are dropped; 0: longer than any of them lasts
+	within    int // ms in which the list is asked for, 0: 5000
+	multiple  float64
 }
 
 var deployments = []deployment{
@@ -65,7 +71,6 @@
 }
 
 const (
-	window      = 20000 // ms in which repeats of keyed jobs are dropped
 	coldFrom    = 0.3
 	warmWithin  = 4000
 	fall        = 1000
@@ -86,7 +91,7 @@
 			scope = "all"
 		}
 		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim":%d,"deadline":%d,"worth":5.0,"effect":%q,"dedupScope":%q,"window":%d}`,
-			c.name, jobTime.Milliseconds(), c.deadline, c.effect, scope, window))
+			c.name, jobTime.Milliseconds(), c.deadline, c.effect, scope, cmp.Or(d.window, 20000)))
 		minus, stretch = append(minus, "-1"), append(stretch, "2.0")
 	}
 	balancers, worth, progress := 1, "request", 0
@@ -104,10 +109,10 @@
 "familyInfo":{"classKind":[%s],"classStretch":[%s],"reportX0":"free slots","tellsStart":%v,"progress":%d},
 "limits":{"cancelling":%v,"connIdle":%d,"connectTimeout":250.0,"maxAttempts":%d,"maxOpen":20000,"maxRetryAfter":1000.0,
  "mayDuplicate":%v,"multiplex":1,"peers":%v,"probing":%v,"retryAfter":%v},
-"invariants":{"answerSlack":16.0,"askWithin":5000.0,"coldFrom":%v,"drainGrace":%d,"fall":%d,"fallMultiple":%v,"warmWithin":%d},
+"invariants":{"answerSlack":16.0,"askWithin":%d,"coldFrom":%v,"drainGrace":%d,"fall":%d,"fallMultiple":%v,"warmWithin":%d},
 "fees":{"crossZone":0.1,"probe":0.002},"requestClasses":[%s],"tenants":[{"name":"pohjakaart","portion":1.0,"quotaRps":100.0}]}`,
 		balancers, quote(d.zones), d.lists, worth, d.reports, d.fields, strings.Join(minus, ","), strings.Join(stretch, ","), d.told, progress,
-		d.cancel, d.connected, d.attempts, d.copies, d.peers, d.reports == "pull", d.retries, coldFrom, d.grace, fall, multiple, warmWithin,
+		d.cancel, d.connected, d.attempts, d.copies, d.peers, d.reports == "pull", d.retries, cmp.Or(d.within, 5000), coldFrom, d.grace, fall, cmp.Or(d.multiple, multiple), warmWithin,
 		strings.Join(classes, ","))
 }
 
@@ -150,6 +155,41 @@
 	}
 }
 
+// The same day under settings that nobody chose: effects, scopes, windows, deadlines and rights of classes as they are drawn.
+func TestGeneratedSettings(t *testing.T) {
+	some := rapid.Custom(func(t *rapid.T) *deployment {
+		on := func(what string) bool { return rapid.Bool().Draw(t, what) }
+		ms := func(what string, least, most int) int { return rapid.IntRange(least, most).Draw(t, what) }
+		d := &deployment{lists: rapid.SampledFrom([]string{"subscribe", "automatic"}).Draw(t, "lists"),
+			reports: rapid.SampledFrom([]string{"piggyback", "pull", "silent"}).Draw(t, "reports"), fields: `"pending","x0"`, told: on("told"), peers: on("peers"),
+			attempts: ms("attempts", 1, 6), copies: on("copies"), cancel: on("cancel"), byWork: on("by work"), grace: ms("grace", 300, 3000),
+			retries: on("retries"), connected: ms("idle", 1000, 60000), window: ms("window", 300, 5000), within: ms("within", 3000, 12000),
+			multiple: rapid.Float64Range(2, 4).Draw(t, "multiple")}
+		for i := range ms("zones", 1, 4) {
+			d.zones = append(d.zones, fmt.Sprint("zone-", i))
+		}
+		for i := range ms("classes", 1, 4) {
+			c := class{name: fmt.Sprint("class-", i), deadline: ms("deadline", 2000, 6000),
+				effect: rapid.SampledFrom([]string{"free", "guarded", "single_shot"}).Draw(t, "effect")}
+			if c.effect == "guarded" {
+				c.scope = rapid.SampledFrom([]string{"all", "zone", "cell"}).Draw(t, "scope")
+			}
+			for range ms("widths", 1, 3) {
+				c.widths = append(c.widths, ms("width", 1, 4))
+			}
+			d.classes = append(d.classes, c)
+		}
+		return d
+	})
+	for seed := range 4 {
+		d := some.Example(seed)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Logf("%+v", d)
+			d.play(t, int64(100+seed))
+		})
+	}
+}
+
 func (d *deployment) play(t *testing.T, seed int64) {
 	s := newSite(t, 0, 0)
 	s.rules = d.settings()
@@ -291,14 +331,14 @@
 	for _, j := range jobs {
 		width[j.id] = j.slots
 	}
-	pushed(t, cold, width)
+	pushed(t, cold, width, cmp.Or(d.multiple, multiple))
 }
 
 // repeats checks that a job started as often, and where, as its class allows.
 func (d *deployment) repeats(t *testing.T, s *site, j *handed) {
 	t.Helper()
 	var at []*standin.Box
-	first := time.Time{}
+	first, last := time.Time{}, time.Time{}
 	for _, b := range s.boxes {
 		for _, x := range b.Starts() {
 			if x.ID != j.id {
@@ -308,6 +348,9 @@
 			if first.IsZero() || x.At.Before(first) {
 				first = x.At
 			}
+			if x.At.After(last) {
+				last = x.At
+			}
 		}
 	}
 	switch {
@@ -315,6 +358,8 @@
 		t.Errorf("job %s of %s started %d times, %d attempts are allowed", j.id, j.class.name, len(at), d.attempts)
 	case j.class.effect == "single_shot" && len(at) > 1:
 		t.Errorf("job %s of %s, which must never run twice, started %d times", j.id, j.class.name, len(at))
+	case j.class.effect == "guarded" && last.Sub(first) > time.Duration(cmp.Or(d.window, 20000))*time.Millisecond+ruleSlack:
+		t.Errorf("job %s of %s started again %v after its first start, past its window", j.id, j.class.name, last.Sub(first))
 	case j.class.effect == "guarded":
 		for _, b := range at {
 			if j.class.scope == "zone" && b.Zone != at[0].Zone || j.class.scope == "cell" && b.Group != at[0].Group {
@@ -325,7 +370,7 @@
 }
 
 // pushed checks the budget of a box that came cold: what was sent to it in any window against what it could do then.
-func pushed(t *testing.T, cold *standin.Box, width map[string]int) {
+func pushed(t *testing.T, cold *standin.Box, width map[string]int, multiple float64) {
 	t.Helper()
 	all := cold.Starts()
 	for i := range all {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/failpoint"
 	"gatetack/internal/standin"
-	"gatetack/internal/stops"
 )
 
 // fleet is processes of the program that are members of one store. Each has boxes of its own addresses, by the same names:
@@ -349,12 +349,12 @@
 
 // With the fence taken out the same late owner does start a job that another had done: what the test above rests on is seen.
 func TestLateOwnerWithoutTheFence(t *testing.T) {
-	bare := without(t, stops.Fence)
+	bare := without(t, failpoint.Fence)
 	f := makeFleet(t, 3, 50*time.Millisecond)
 	for _, s := range f {
 		s.program = bare
 	}
-	f[0].env = []string{"GATETACK_STOP_AT=" + stops.Hand}
+	f[0].env = []string{"GATETACK_STOP_AT=" + failpoint.Hand}
 	f.startAll()
 	old, heir := f[0], f[1]
 	id := old.take(t, `{"jobCategory":"tile-charge","accountingId":"maavaade","payload":"the job","submitAsHold":true}`)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -30,7 +30,7 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "gatetack")
-	build := exec.Command("go", "build", "-race", "-o", program, "gatetack/cmd/gatetack")
+	build := exec.Command("go", "build", "-race", "-tags", "faults", "-o", program, "gatetack/cmd/gatetack")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
 		os.Exit(1)
--- a/test/lies_test.go
+++ b/test/lies_test.go
@@ -8,14 +8,14 @@
 	"testing"
 	"time"
 
-	"gatetack/internal/stops"
+	"gatetack/internal/failpoint"
 )
 
 // without builds the program with a guard taken out.
 func without(t *testing.T, guard string) string {
 	t.Helper()
 	bare := filepath.Join(t.TempDir(), "bare")
-	if out, err := exec.Command("go", "build", "-race", "-ldflags", "-X gatetack/internal/stops.Without="+guard, "-o", bare,
+	if out, err := exec.Command("go", "build", "-race", "-tags", "faults", "-ldflags", "-X gatetack/internal/failpoint.Without="+guard, "-o", bare,
 		"gatetack/cmd/gatetack").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -141,7 +141,7 @@
 // With the floor of votes taken out the same member elects one that never had the write, and both deny it: what the test above
 // rests on is seen.
 func TestDiskThatLiedWithoutTheFloor(t *testing.T) {
-	f := lied(t, without(t, stops.Floor), false)
+	f := lied(t, without(t, failpoint.Floor), false)
 	f[2].until("what was acknowledged is denied", func() bool { return f[1].denied("promised", "kept") || f[2].denied("promised", "kept") })
 }
 
