Wake the accept loop when a connection becomes idle, and let silent ones give way after 50 ms

At its limit the accept loop waited 20 ms for a connection to end, while before it looked each millisecond, and silent strangers held the door for 0.5 s. It is now told when one becomes idle, and a connection on which nothing came for 50 ms makes place.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -28,6 +28,7 @@
 
 	// Under the server's lock.
 	phase  phase
+	how    service
 	since  time.Time // when it entered the phase; of a new one, when it was taken
 	served bool      // a request came whole
 	known  bool      // and was one of the front's own clients'
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -42,7 +42,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	standing int           // of them, those that are not closed yet
-	freed    chan struct{} // told when one has ended
+	freed    chan struct{} // told when one has ended or become idle
 	shares   *pace.Ledger[string]
 	last     time.Time // when a connection was last taken or a request last handled
 }
@@ -80,14 +80,14 @@
 // CloseIdle closes the connections that stand between requests.
 func (s *Server) CloseIdle() { s.closeIdle(true) }
 
-// closeIdle closes them, and those on which nothing has come yet only if all says so: what was asked on one a moment later would
-// be lost with it.
+// closeIdle closes them, and those on which nothing has come yet only after a moment, or if all says so: what was asked on one a
+// moment later would be lost with it.
 func (s *Server) closeIdle(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
-		if c.phase == idle && (all || c.served) && sock.Quiet(c.Conn) {
+		if c.phase == idle && (all || c.served || time.Since(c.since) >= s.lim.DoorWait) && sock.Quiet(c.Conn) {
 			s.shut(c)
 		}
 	}
@@ -154,6 +154,9 @@
 	if p == busy {
 		s.read(c) // who asks for the next has read the last, or gives up on it
 	}
+	if p == idle && c.phase != p && c.served {
+		s.free()
+	}
 	if c.phase != p && c.served {
 		c.since = time.Now() // on a new one, since it was taken: a head that never ends grows no younger
 	}
@@ -202,9 +205,18 @@
 			how = max(how, once)
 		}
 	}
+	c.how = how
 	return how
 }
 
+// free tells the accept loop, should it wait for it, that a connection has ended or become idle.
+func (s *Server) free() {
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
+
 // full says whether there is no descriptor for one more connection, however short.
 func (s *Server) full() bool {
 	s.mu.Lock()
@@ -284,7 +296,7 @@
 				s.closeIdle(false)
 				select {
 				case <-s.freed:
-				case <-time.After(s.lim.Follow): // one that has become idle tells nobody
+				case <-time.After(s.lim.DoorWait / 4):
 				case <-ctx.Done():
 				}
 			}
@@ -320,14 +332,8 @@
 			s.shares.Give(c.share, 1)
 		}
 		s.mu.Unlock()
-		select {
-		case s.freed <- struct{}{}:
-		default:
-		}
+		s.free()
 	}()
-	if how == refused {
-		c.since = c.since.Add(s.lim.Linger - s.lim.Pace.Request) // the door is not to be held either
-	}
 	for {
 		m, err := s.next(ctx, c, p, w)
 		if m == nil {
@@ -436,6 +442,9 @@
 	switch {
 	case !c.served: // from when it was taken, not from its first byte
 		wait, from = s.lim.Pace.Request, c.since
+		if c.how == refused {
+			wait = s.lim.Linger // the door is not to be held
+		}
 	case !c.known:
 		wait = s.lim.StrangerIdle
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -72,6 +72,7 @@
 	ClientIdle   time.Duration // a client's connection between requests,
 	StrangerIdle time.Duration // and one that carried nothing that the front took for its clients'
 	Linger       time.Duration // after a connection's last answer, what its client still sends is taken in unread
+	DoorWait     time.Duration // a connection on which nothing has come for so long makes place where all are in use
 	DropPause    time.Duration // between reads of what a client sends behind an open request and beyond its ring
 	Write        time.Duration // of one short message to another member, and past an attempt's end
 	Connect      time.Duration // to an executor; the settings' connectTimeout
@@ -165,7 +166,7 @@
 		StoreConns: 8, StoreBody: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreLog: 2048,
 		StoreBeat: 500 * time.Millisecond, StoreCall: 5 * time.Second, LeaseTTL: 3 * time.Second,
 		Events: 4096, Tells: 64, MaxOpen: 4096,
-		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Linger: 500 * time.Millisecond, DropPause: time.Millisecond, Write: 5 * time.Second,
+		ClientIdle: 2 * time.Minute, StrangerIdle: 5 * time.Second, Linger: 500 * time.Millisecond, DoorWait: 50 * time.Millisecond, DropPause: time.Millisecond, Write: 5 * time.Second,
 		SettleLeast: 2 * time.Millisecond, SettleMost: 40 * time.Millisecond, Reconnects: 4,
 		KeptFirst: 32 * time.Millisecond, KeptMemory: 15 * time.Second, KeptSure: 10, KeptBroken: 0.05,
 		Connect: connectTimeout, Rest: 50 * time.Millisecond, WorkerIdle: connIdle * 2 / 3, Probe: time.Second,
