--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -397,14 +397,16 @@
 		return
 	}
 	c.Rest()
-	for by := time.Now().Add(s.lim.Linger); c.err == nil && time.Now().Before(by); {
+	for by := time.Now().Add(s.lim.Linger); time.Now().Before(by); {
 		c.ReadBy(by)
 		if !c.asked {
 			c.in.Drop(c.in.Len())
 		}
 		c.ask()
 		<-c.got
-		c.asked = false
+		if c.asked = false; c.err != nil { // the reader's until it has told
+			return
+		}
 	}
 }
 
