--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -1,4 +1,4 @@
-// Package told decides when a node that follows the list of executors calls, gives a call up and calls again. It does no
+// Package told (staleness of the list of executors) decides when a node that follows the list of executors calls, gives a call up and calls again. It does no
 // I/O, reads no clock and starts no goroutine: package discovery tells it what happened and does what it says.
 //
 // Changes of the list count as told whether they arrived or not, and a request sent against one that counts as told breaks
