--- a/internal/batch/hard_test.go
+++ b/internal/batch/hard_test.go
@@ -257,6 +257,53 @@
 	})
 }
 
+// A node is killed after a member was counted for its array and before that member's own end was on record: it is counted again at the
+// restart. All other members run all the same, and the last of them is not asked of an array that has been let go. (The process ended
+// by it, now and then, in TestKilledUnderLoad.)
+func TestMemberCountedTwice(t *testing.T) {
+	e, m := &engine{}, &memory{values: map[string][]byte{}}
+	began := time.Now()
+	f := front(e, m, began)
+	stop := run(t, f)
+	id := submitArray(t, f, `"endIndex":4,"maxParallel":1`)
+	eventually(t, "a member is with the core", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.clients) == 1 })
+	e.mu.Lock()
+	if err := e.jobs[0].Before("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	e.mu.Unlock()
+	stop()
+	e.take()
+	m.mu.Lock()
+	counted := 0
+	for k, v := range m.values {
+		if gjson.GetBytes(v, "endIndex").Int() == 4 {
+			m.values[k] = []byte(strings.Replace(string(v), `"done":0`, `"done":1`, 1))
+			counted++
+		}
+	}
+	m.mu.Unlock()
+	if counted != 1 {
+		t.Fatalf("%d records of arrays", counted)
+	}
+	f = front(e, m, began.Add(time.Second))
+	run(t, f)
+	ran := map[string]int{}
+	eventually(t, "the others run", func() bool {
+		clients, _ := e.take()
+		for _, c := range clients {
+			ran[c.(*job).record().ID]++
+			c.Answer(node.Answer{End: node.Served})
+		}
+		return len(ran) == 3
+	})
+	for i := 2; i <= 4; i++ {
+		if n := ran[memberID(id, i)]; n != 1 {
+			t.Errorf("member %d ran %d times", i, n)
+		}
+	}
+}
+
 // A store that is gone: submissions are refused with when to come back, nothing is half taken, and what waits goes on
 // once it is back.
 func TestStoreGone(t *testing.T) {
