Keep how a connection is served in one place, drop into pooled buffers, and share a test's handler

Found on reading the change once more; behaviour stays as it is. How a connection is served stood in the connection and was handed along beside it. What is dropped behind an open request was read into a buffer made for each read, though the package keeps a pool of just that size: a flood made 4 KB of garbage a read. discovery.later had a parameter that nothing used and one caller.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -202,21 +202,13 @@
 	} else {
 		c.log.Info("discovery", "call", "watch", "err", err, "begun", "anew", "in", next.At.Sub(now).Round(time.Millisecond))
 	}
-	if c.push {
-		return later(now.Add(c.lim.PushAgain), next, now)
+	// The agent of a pushed list bears any number of calls: it is called again soon, and sooner only where the clock must.
+	if again := now.Add(c.lim.PushAgain); c.push && !(next.Mine && next.At.Before(again)) {
+		return again
 	}
 	return next.At
 }
 
-// later is when the agent of a pushed list is called again: it bears any number of calls, so only those that must come at once
-// come sooner than that.
-func later(usual time.Time, next told.Next, now time.Time) time.Time {
-	if next.Mine && next.At.Before(usual) {
-		return next.At
-	}
-	return usual
-}
-
 // endOf says how a call ended that had this error.
 func endOf(err error) told.End {
 	switch {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -28,7 +28,7 @@
 
 	// Under the server's lock.
 	phase  phase
-	how    service
+	how    service   // settled before it is served
 	since  time.Time // when it entered the phase; of a new one, when it was taken
 	served bool      // a request came whole
 	known  bool      // and was one of the front's own clients'
@@ -91,8 +91,9 @@
 
 // drop takes in bytes for which there is no place, not faster than a flood may cost.
 func (c *conn) drop() error {
-	var b [4 << 10]byte
-	_, err := c.Paced.Read(b[:])
+	b := buffers.Get().(*[]byte)
+	defer buffers.Put(b)
+	_, err := c.Paced.Read(*b)
 	if err == nil {
 		c.mu.Lock()
 		c.over = true
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -232,21 +232,30 @@
 
 // A client that goes away while its request is handled is seen at once.
 func TestServerSeesClientsLeave(t *testing.T) {
-	began, left := make(chan bool, 1), make(chan bool, 1)
-	_, addr := serve(t, lim, func(ctx context.Context, _ *Message) Response {
-		began <- true
-		<-ctx.Done()
-		left <- true
-		return Response{Status: 200}
-	})
+	addr, began, left := serveUntilGone(t)
 	c := dial(t, addr)
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n\r\n")
 	<-began
 	_ = c.Close()
-	select {
-	case <-left:
-	case <-time.After(20 * time.Second):
-		t.Fatal("the handler was not told")
+	left()
+}
+
+// serveUntilGone handles each request until its client has gone. It tells when one begins; left waits until one has ended so.
+func serveUntilGone(t *testing.T) (addr string, began chan bool, left func()) {
+	began, gone := make(chan bool, 100), make(chan bool, 100)
+	_, addr = serve(t, lim, func(ctx context.Context, _ *Message) Response {
+		began <- true
+		<-ctx.Done()
+		gone <- true
+		return Response{Status: 200}
+	})
+	return addr, began, func() {
+		t.Helper()
+		select {
+		case <-gone:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the handler was not told")
+		}
 	}
 }
 
--- a/internal/http1/races_test.go
+++ b/internal/http1/races_test.go
@@ -22,13 +22,7 @@
 func TestServerSeesClientsLeaveBehindBytes(t *testing.T) {
 	for _, behind := range []int{1, 200, lim.Ring, lim.Ring + 1, 300 << 10} {
 		t.Run(fmt.Sprint(behind, " bytes"), func(t *testing.T) {
-			began, left := make(chan bool, 100), make(chan bool, 100)
-			_, addr := serve(t, lim, func(ctx context.Context, _ *Message) Response {
-				began <- true
-				<-ctx.Done()
-				left <- true
-				return Response{Status: 200}
-			})
+			addr, began, left := serveUntilGone(t)
 			c := dial(t, addr)
 			_, _ = io.WriteString(c, get)
 			<-began // from here on the request is handled: what follows stands behind it
@@ -36,11 +30,7 @@
 				t.Fatal(err)
 			}
 			_ = c.Close()
-			select {
-			case <-left:
-			case <-time.After(20 * time.Second):
-				t.Fatal("the handler was not told")
-			}
+			left()
 			if len(began) > 0 {
 				t.Error("a request of a client that has gone was handled")
 			}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -165,9 +165,9 @@
 	return true
 }
 
-// admit counts a new connection in and says how it is served: as usual within the budget, and within its peer's share where shares
+// admit counts a new connection in and settles how it is served: as usual within the budget, and within its peer's share where shares
 // are kept; else once, or at the door. Over the budget another makes place, if one can.
-func (s *Server) admit(c *conn) service {
+func (s *Server) admit(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.standing >= s.lim.ClientConns {
@@ -188,12 +188,11 @@
 	s.standing++
 	c.since = time.Now()
 	s.last = c.since
-	how := usual
 	switch {
 	case s.standing > s.lim.ClientConns+s.lim.SpareConns:
-		how = refused
+		c.how = refused
 	case s.standing > s.lim.ClientConns:
-		how = once
+		c.how = once
 	}
 	if s.lim.Pace.PerPeer {
 		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
@@ -202,11 +201,9 @@
 			c.share = host
 		} else {
 			s.tally.Add(pace.ClientShare)
-			how = max(how, once)
+			c.how = max(c.how, once)
 		}
 	}
-	c.how = how
-	return how
 }
 
 // free tells the accept loop, should it wait for it, that a connection has ended or become idle.
@@ -287,9 +284,9 @@
 			// Past the budget, where all others are busy, a connection gets one answer. Past the reserve too it is told so
 			// at the door: its client waits for nothing, and a request that is left in the listener's queue is taken all the
 			// same. Only at the end of that is there no descriptor for one more, until one at the door ends.
-			how := s.admit(nc)
+			s.admit(nc)
 			g.Go(func() error {
-				s.serve(ctx, nc, how)
+				s.serve(ctx, nc)
 				return nil
 			})
 			for s.full() && ctx.Err() == nil {
@@ -308,7 +305,7 @@
 	return nil
 }
 
-func (s *Server) serve(ctx context.Context, c *conn, how service) {
+func (s *Server) serve(ctx context.Context, c *conn) {
 	ctx, gone := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { c.read(gone); return nil })
@@ -357,7 +354,7 @@
 		c.ReadBy(time.Time{})
 		c.watch()
 		var r Response
-		if how == refused {
+		if c.how == refused {
 			r = Text(503, "all connections are in use")
 		} else {
 			r = s.h.Handle(ctx, m)
@@ -367,7 +364,7 @@
 			s.busy.Add(-1)
 			return
 		}
-		r.Close = r.Close || m.Close || how != usual || over || s.draining.Load()
+		r.Close = r.Close || m.Close || c.how != usual || over || s.draining.Load()
 		p.Release()
 		s.busy.Add(-1)
 		ok := s.enter(c, answering) && s.write(ctx, c, w, &r)
