Hold what a new process takes until discovery has confirmed its old list

Cause: a process that began again sent on the list of its former life.

Change: told.Startup decides, node.Core holds steps of the module, discovery makes the first call at once. /healthz says no meanwhile. Where the call fails, or nothing comes for as long as a call may take (3 s), the process goes on with the old list.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -161,6 +161,9 @@
 		g.Go(func() error { return socket.Run(hard) })
 	}
 	core.Connect(exec, lists, peers)
+	if f.Inventory.File == "" {
+		core.AwaitList(len(c.Known.Entries))
+	}
 	ln, err := listen(c, log)
 	if err != nil {
 		return err
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,8 +25,11 @@
 	"gatetack/internal/told"
 )
 
-// Sink takes lists.
-type Sink interface{ List(node.List) }
+// Sink takes lists, and hears of each call for one that failed.
+type Sink interface {
+	List(node.List)
+	ListCallFailed()
+}
 
 // Client speaks to discovery.
 type Client struct {
@@ -117,11 +120,8 @@
 		})
 	}
 	now := time.Now()
-	first := c.clock.Begin(now, rand.Float64())
-	if c.push {
-		first = now // the agent's word counts from the first moment on, and costs it nothing
-	}
-	begin(first)
+	c.clock.Begin(now)
+	begin(now)
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,6 +196,7 @@
 	if err == nil {
 		err = errors.New("it ended")
 	}
+	c.sink.ListCallFailed()
 	if !next.Mine {
 		c.calling.Store(false) // before the module hears of it: what it asks for then is another call
 		c.failed("watch", err)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -17,6 +17,7 @@
 	"gatetack/internal/gate"
 	"gatetack/internal/limits"
 	"gatetack/internal/pace"
+	"gatetack/internal/told"
 )
 
 // ErrFull is the answer to a job for which the core's queue has no place.
@@ -40,6 +41,7 @@
 	lastID  atomic.Uint32
 	rules   atomic.Pointer[Rules]
 	ready   atomic.Bool // the list names an executor that takes work
+	holding atomic.Bool // nobody has confirmed the list yet: jobs are held
 	heard   atomic.Bool // a list of this life has come
 	drained atomic.Bool // by the operator: clients are sent elsewhere, what was taken is answered
 	open    atomic.Int64
@@ -62,6 +64,8 @@
 	slow     pace.Tally
 	leaving  bool // nothing more is taken
 	book     *comeback.Book
+	startup  told.Startup // while it holds, the module takes no step
+	retunes  []retune     // that came meanwhile
 }
 
 type job struct {
@@ -283,6 +287,9 @@
 // Ready says whether the node can serve: it runs and its list names an executor that takes work. For a list it does not wait
 // longer than a while: discovery may be down, and a node that refuses what it can not send is of more use than none.
 func (c *Core) Ready() bool {
+	if c.holding.Load() {
+		return false
+	}
 	return c.ready.Load() || !c.heard.Load() && c.now().Sub(c.start) >= c.lim.ReadyBy
 }
 
@@ -323,19 +330,16 @@
 			return nil
 		}
 		c.turn(c.now())
-		wait := time.Hour
-		if len(c.batch) > 0 {
-			wait = time.Until(c.stepAt)
-		} else if len(c.timers) > 0 {
-			wait = time.Until(c.timers[0].at)
-		}
-		timer.Reset(max(wait, 0))
+		timer.Reset(max(time.Until(c.wake()), 0))
 	}
 }
 
 // turn takes in the timers that are due, and steps if there is something to step for and it is time.
 func (c *Core) turn(now time.Time) {
 	c.fire(now)
+	if c.holds(now) {
+		return
+	}
 	if len(c.batch) > 0 && !now.Before(c.stepAt) {
 		c.step(now)
 	}
@@ -381,17 +385,14 @@
 				c.cut(j, leaves)
 			}
 		}
+	case listCallFailed:
+		c.startup.Failed()
 	case retune:
-		// What came before it is the module's to decide by the old rules.
-		if len(c.batch) > 0 {
-			c.step(now)
-		}
-		err := c.d.Retune(ev.rules.Settings, ev.from)
-		if err == nil {
-			c.s = ev.rules.Settings
-			c.rules.Store(ev.rules)
+		if c.holds(now) {
+			c.retunes = append(c.retunes, ev)
+			return
 		}
-		ev.to <- err
+		c.retune(ev, now)
 	case machinesTo:
 		out := map[uint32]int{}
 		for _, a := range c.attempts {
@@ -546,6 +547,7 @@
 		c.book.Confirm(comeback.List, comeback.Former, l.Index, now.Sub(c.start))
 	default:
 		c.heard.Store(true)
+		c.startup.Confirmed()
 		c.book.Confirm(comeback.List, comeback.Current, l.Index, now.Sub(c.start))
 	}
 	if l.Form == brain.ListFull || l.Form == brain.ListCached {
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -56,6 +56,13 @@
 type fatal interface{ Fatal(...any) }
 
 func newHost(t fatal, rows ...Entry) *host {
+	h := startHost(t, rows...)
+	h.run(0)
+	return h
+}
+
+// startHost makes one that has taken in nothing yet.
+func startHost(t fatal, rows ...Entry) *host {
 	h := &host{gaveUp: map[uint64]bool{}, sends: map[*Job][]uint32{}, told: map[string]string{}}
 	c, err := New(settings(), 1, List{Entries: rows}, Names{Zones: []string{"tallinn"}, Kinds: []string{"type-a"}}, lim,
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -65,7 +72,6 @@
 	c.Connect(h, h, h)
 	h.c, h.at = c, c.start
 	c.now = func() time.Time { return h.at }
-	h.run(0)
 	return h
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -53,6 +53,9 @@
 	s.all = append(s.all, l)
 }
 
+// ListCallFailed is of no interest here.
+func (s *Lists) ListCallFailed() {}
+
 // All are those that came so far.
 func (s *Lists) All() []node.List {
 	s.mu.Lock()
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -67,11 +67,8 @@
 	failures int       // of calls made here, running
 }
 
-// Begin notes that the process begins. It says when the first call is made here if the module has made none by then.
-func (c *Clock) Begin(now time.Time, draw float64) time.Time {
-	c.good = now
-	return now.Add(time.Duration(float64(c.answered()) * draw))
-}
+// Begin notes that the process begins, and makes its first call.
+func (c *Clock) Begin(now time.Time) { c.good = now }
 
 // answered is how long before a moment a call must be made that is to be answered by it, at the end of its wait too.
 func (c *Clock) answered() time.Duration { return c.Silence - c.Wait - c.Slow }
--- /dev/null
+++ b/test/startup_test.go
@@ -0,0 +1,80 @@
+package test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/standin"
+)
+
+// restartWithOldList starts a process whose former life knew one executor, which is gone since. Discovery leaves each call to
+// answer. The job is handed in before anything was answered.
+func restartWithOldList(t *testing.T, answer http.HandlerFunc) (s *site, old, current *standin.Box, done chan *http1.Message) {
+	t.Helper()
+	s = newSite(t, 2, 10*time.Millisecond)
+	old, current = s.boxes[0], s.boxes[1]
+	discovery := httptest.NewServer(answer)
+	t.Cleanup(discovery.CloseClientConnections)
+	s.list.Addr = strings.TrimPrefix(discovery.URL, "http://")
+	s.known = `{"index":3,"snapshot":true,"endpoints":[` + standin.Row(old, "ready") + `]}`
+	s.startAnew()
+	done = make(chan *http1.Message, 1)
+	s.until("the process listens", func() bool {
+		_, err := standin.Call(s.listen, "GET", "/healthz", nil)
+		return err == nil
+	})
+	s.g.Go(func() error {
+		m, err := s.post("tile-charge", "held")
+		if err != nil {
+			t.Error(err)
+		}
+		done <- m
+		return nil
+	})
+	return s, old, current, done
+}
+
+// A process sends nothing on the list that its former life held while discovery has yet to answer, and says that it is not ready.
+// Once the answer is there, what it took goes to an executor of the new list.
+func TestOldListIsNotUsedBeforeDiscoveryAnswers(t *testing.T) {
+	asked, release := make(chan struct{}, 16), make(chan string)
+	s, old, current, done := restartWithOldList(t, func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		select {
+		case list := <-release:
+			_, _ = w.Write([]byte(list))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	})
+	<-asked
+	s.until("the job is taken", func() bool { return s.count("taken") == 1 })
+	if m, err := standin.Call(s.listen, "GET", "/healthz", nil); err != nil || m.Status == 200 {
+		t.Errorf("ready before discovery has answered: %v, %v", m, err)
+	}
+	if n := s.count("sends"); n != 0 {
+		t.Errorf("%d sends before discovery has answered", n)
+	}
+	release <- `{"index":9,"snapshot":true,"endpoints":[` + standin.Row(current, "ready") + "]}\n"
+	if m := <-done; m == nil || m.Status != 200 {
+		t.Errorf("%+v", m)
+	}
+	if len(old.Starts()) != 0 || len(current.Starts()) != 1 {
+		t.Errorf("%d sent to the executor that is gone, %d to the one that is listed", len(old.Starts()), len(current.Starts()))
+	}
+}
+
+// Where discovery turns the call away the process goes on with the list it has.
+func TestOldListIsUsedWhereDiscoveryRefuses(t *testing.T) {
+	_, old, _, done := restartWithOldList(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	if m := <-done; m == nil || m.Status != 200 || len(old.Starts()) != 1 {
+		t.Errorf("%+v, %d sends", m, len(old.Starts()))
+	}
+}
