--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -286,8 +286,7 @@
 	if q == nil {
 		return r
 	}
-	_, rec, ok := f.visible(ctx, session, id)
-	if !ok {
+	if _, _, ok := f.visible(ctx, session, id); !ok {
 		return unknown(id)
 	}
 	got, timeout := f.waitFor(ctx, []string{id}, started, most)
@@ -295,7 +294,8 @@
 	case ctx.Err() != nil:
 		return http1.Response{Status: 503, Close: true} // nobody reads it
 	case timeout:
-		if _, rec, ok = f.find(ctx, id); !ok {
+		_, rec, ok := f.find(ctx, id)
+		if !ok {
 			return unknown(id)
 		}
 		return state(504, "TIMEOUT", rec, "the job is not there yet")
--- a/internal/conform/cases.go
+++ b/internal/conform/cases.go
@@ -335,7 +335,7 @@
 		if err := is(v, "jobState", "QUEUED_HELD"); err != nil {
 			return err
 		}
-		if v, err = t.want("POST", t.s("/jobs/"+id+"/release"), "{}", 200, "", ""); err != nil {
+		if _, err = t.want("POST", t.s("/jobs/"+id+"/release"), "{}", 200, "", ""); err != nil {
 			return err
 		}
 		if v, err = t.end(id); err == nil {
@@ -544,8 +544,9 @@
 			return err
 		}
 		defer func() { _, _, _ = t.call("DELETE", t.s("/arrays/"+v.Get("jobArrayId").String()), "") }()
-		m, err := t.want("GET", t.s("/jobs/"+v.Get("jobArrayId").String()+"-3"), "", 404, "", "")
+		_, err = t.want("GET", t.s("/jobs/"+v.Get("jobArrayId").String()+"-3"), "", 404, "", "")
 		if err != nil {
+			var m gjson.Result
 			m, err = t.want("GET", "/jobs/"+v.Get("jobArrayId").String()+"-3", "", 200, "", "")
 			if err == nil {
 				err = is(m, "jobState", "UNDETERMINED")
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -12,6 +12,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Change is one value to be written, or taken away where Value is nil.
@@ -86,7 +87,7 @@
 		}
 		return nil
 	})
-	if errors.Is(err, bolt.ErrDatabaseNotOpen) {
+	if errors.Is(err, bolterrors.ErrDatabaseNotOpen) {
 		return ErrClosed
 	}
 	if err != nil {
