--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,6 +1,7 @@
 // Package standin has small stand-ins for render boxes and for the list of them, for tests of this project
 // alone. They keep to the protocol's page and record what comes. They are no test file since the tests of a dozen packages and two
-// measuring tools share them, and a test file can not be imported; the program that is shipped does not link them.
+// measuring tools share them, and a test file can not be imported; the program that is shipped does not link them, and they do not
+// import testing.
 package standin
 
 import (
@@ -13,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,9 +29,16 @@
 // Quiet logs nowhere.
 var Quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
+// TestReporter is the part of testing.TB that Until needs. The measuring tools link this package too, and package testing
+// belongs in test files.
+type TestReporter interface {
+	Helper()
+	Fatal(args ...any)
+}
+
 // Until waits for something to become true. Its bound is far over what is expected, so that no verdict depends on
 // the machine's speed.
-func Until(t testing.TB, what string, ok func() bool) {
+func Until(t TestReporter, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
