Rename package comeback to recovery, with the field's names for what it holds

Its names had to be explained. Book is Knowledge, its cautions are unrestricted, limited and refused; Turns are TimeSlots, Share is SlotBackoff, Ramp is ConcurrencyRamp, Line is DeadlineQueue, Spread is RetryDelay. Error codes, error texts and the words in GET /counts stay as operators know them. No behaviour changes; tests keep their names and what they check. recovery, node, batch and brain: ok with -race.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,7 +7,7 @@
 	"math"
 	"slices"
 
-	"gatetack/internal/comeback"
+	"gatetack/internal/recovery"
 )
 
 // Tunable constants. Each is a ratio to a setting or to something observed, unless it says otherwise.
@@ -1149,7 +1149,7 @@
 // askBackoff is until this node's turn in a round that all nodes have: calls that come together wait in vain.
 func (d *Dispatcher) askBackoff() float64 {
 	span := max(askLeast, askSpread*float64(d.s.Balancers)) * float64(int(1)<<min(d.askFails, 3))
-	return comeback.Turns{Me: d.s.Me, Nodes: d.s.Balancers}.After(d.now, d.s.AskWithin*min(1, span))
+	return recovery.TimeSlots{Me: d.s.Me, Nodes: d.s.Balancers}.After(d.now, d.s.AskWithin*min(1, span))
 }
 
 // ask keeps a subscription to the list.
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -16,13 +16,13 @@
 	"time"
 
 	"gatetack/brain"
-	"gatetack/internal/comeback"
 	"gatetack/internal/failpoint"
 	"gatetack/internal/gate"
 	"gatetack/internal/http1"
 	"gatetack/internal/limits"
 	"gatetack/internal/node"
 	"gatetack/internal/records"
+	"gatetack/internal/recovery"
 	"gatetack/internal/release"
 )
 
@@ -94,9 +94,9 @@
 	arrays   map[string]*array
 	ended    []string // arrays whose members have all ended, and that are kept
 	sessions map[string]*session
-	same     map[string]*job // by session and idempotency key, of jobs that are kept
-	loaded   chan struct{}   // closed once what an earlier life left was read
-	ramp     comeback.Ramp   // how much may be with the core: little after what another left was taken up, then more
+	same     map[string]*job          // by session and idempotency key, of jobs that are kept
+	loaded   chan struct{}            // closed once what an earlier life left was read
+	ramp     recovery.ConcurrencyRamp // how much may be with the core: little after what another left was taken up, then more
 
 	dirty chan *job // whose states are to be recorded
 	// How many are not on record yet; dirty is empty already while the last one is being written.
@@ -116,8 +116,8 @@
 	f.ids.life.Store(o.Life.UnixMilli())
 	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.Life.UTC()}}
 	f.loaded = make(chan struct{})
-	f.ramp = comeback.Ramp{Least: f.lim.BatchOut / 8, Most: f.lim.BatchOut}
-	f.ramp.Full()
+	f.ramp = recovery.ConcurrencyRamp{Min: f.lim.BatchOut / 8, Max: f.lim.BatchOut}
+	f.ramp.JumpToMax()
 	if f.store == nil {
 		close(f.loaded)
 	}
@@ -270,7 +270,7 @@
 	f.bytes += r.Size
 	if j.queue {
 		f.queue.Ended(j.ref, now)
-		f.ramp.Served()
+		f.ramp.Succeeded()
 		if j.array == nil {
 			delete(f.waits, j.ref.ID)
 		}
@@ -319,7 +319,7 @@
 		return // let go of while it was out: to wait here again it would have to be this node's
 	}
 	f.queue.Refused(j.ref, now.Add(after), now)
-	f.ramp.Refused()
+	f.ramp.Rejected()
 	f.mu.Unlock()
 	f.later(j) // that nothing of it is out any more
 	f.wake()
@@ -523,7 +523,7 @@
 // tryLater refuses a submission that the module has not seen. Who was turned away at one moment is not told to come back at one.
 func tryLater(text string) http1.Response {
 	r := problem(503, "TRY_LATER", "", text)
-	r.Fields = append(r.Fields, http1.RetryAfter(comeback.Spread(time.Second, 0, 1, rand.Float64(), 2*time.Second)))
+	r.Fields = append(r.Fields, http1.RetryAfter(recovery.RetryDelay(time.Second, 0, 1, rand.Float64(), 2*time.Second)))
 	return r
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"gatetack/brain"
-	"gatetack/internal/comeback"
 	"gatetack/internal/gate"
 	"gatetack/internal/limits"
 	"gatetack/internal/pace"
+	"gatetack/internal/recovery"
 )
 
 // ErrFull is the answer to a job for which the core's queue has no place.
@@ -61,7 +61,7 @@
 	counts   Counts
 	slow     pace.Tally
 	leaving  bool // nothing more is taken
-	book     *comeback.Book
+	book     *recovery.Knowledge
 }
 
 type job struct {
@@ -101,7 +101,7 @@
 	c.rules.Store(&Rules{s, names})
 	// A list that must be asked for is held to be as it was for the time to ask within, and four times that after a failed call.
 	fresh := max(Span(s.AskWithin), lim.Told.Silence)
-	c.book = comeback.NewBook(map[comeback.Kind]comeback.Bounds{comeback.List: {Freely: fresh, Carefully: time.Duration(lim.Told.Failed) * fresh}})
+	c.book = recovery.NewKnowledge(map[recovery.Kind]recovery.AgeBounds{recovery.List: {Fresh: fresh, Usable: time.Duration(lim.Told.Failed) * fresh}})
 	c.tenants = make([]atomic.Int64, len(names.Tenants))
 	known.Form = brain.ListCached
 	c.in <- known
@@ -406,7 +406,7 @@
 	case countsTo:
 		n := c.counts
 		n.Slow = c.slow.JSON()
-		n.Knows = c.book.Tell(now.Sub(c.start))
+		n.Knows = c.book.Stages(now.Sub(c.start))
 		n.Open = c.Open()
 		for _, j := range c.jobs {
 			if !j.answered.Load() && j.live > 0 {
@@ -543,10 +543,10 @@
 	switch l.Form {
 	case brain.ListFailed:
 	case brain.ListCached:
-		c.book.Confirm(comeback.List, comeback.Former, l.Index, now.Sub(c.start))
+		c.book.Confirm(recovery.List, recovery.Restored, l.Index, now.Sub(c.start))
 	default:
 		c.heard.Store(true)
-		c.book.Confirm(comeback.List, comeback.Current, l.Index, now.Sub(c.start))
+		c.book.Confirm(recovery.List, recovery.Current, l.Index, now.Sub(c.start))
 	}
 	if l.Form == brain.ListFull || l.Form == brain.ListCached {
 		listed := map[uint32]bool{}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -223,7 +223,7 @@
 	Taken, Served, Refused, Failed, Terminated, Gone int
 	Sends, Open, Queued, Running                     int
 	Slow                                             []byte            // slow peers by kind, as JSON; see pace.Tally
-	Knows                                            map[string]string // how far the node has come with what it goes by; see comeback.Book
+	Knows                                            map[string]string // how far the node has come with what it goes by; see recovery.Knowledge
 }
 
 // JSON gives the counts as both fronts show them.
--- a/internal/comeback/fleet_test.go
+++ b/internal/recovery/fleet_test.go
@@ -1,4 +1,4 @@
-package comeback
+package recovery
 
 import (
 	"container/heap"
@@ -54,11 +54,11 @@
 	round := 1000 * float64(n) / (0.8 * capacity) // what the fleet is known to need, at 0.8 of what is borne
 	back := int(0.92 * float64(n))
 	var q calls
-	shares := make([]Share, back)
+	shares := make([]SlotBackoff, back)
 	fails := make([]int, back)
 	for i := range back {
 		at := rng.Float64() * within
-		shares[i] = Share{Turns: Turns{Me: i, Nodes: n, Salt: 5}, Round: round, Most: 8}
+		shares[i] = SlotBackoff{TimeSlots: TimeSlots{Me: i, Nodes: n, Salt: 5}, Round: round, MaxSkipped: 8}
 		switch p {
 		case jitter:
 			at += rng.Float64() * round
@@ -86,7 +86,7 @@
 		case jitter:
 			failed += rng.Float64() * round * math.Pow(2, float64(min(fails[c.node], 3)))
 		case turns:
-			failed += shares[c.node].Again(failed)
+			failed += shares[c.node].Retry(failed)
 		}
 		heap.Push(&q, callAt{failed, c.node})
 	}
--- /dev/null
+++ b/internal/recovery/time_slots.go
@@ -0,0 +1,76 @@
+package recovery
+
+import "math"
+
+// TimeSlots divides a round into one time slot for each node of a fleet.
+type TimeSlots struct {
+	Me, Nodes int
+	Salt      uint64 // of the shared resource: neighbours in one resource's round are not neighbours in another's
+}
+
+// place returns this node's part of the round, from 0 to 1, no two alike: a step through the ring that meets every place once.
+func (t TimeSlots) place() float64 {
+	n := max(t.Nodes, 1)
+	step := 1 + int(t.Salt%uint64(n))
+	for gcd(step, n) != 1 {
+		step = step%n + 1
+	}
+	return float64(int(uint64(t.Me%n)*uint64(step)%uint64(n))) / float64(n)
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// Next returns the ms from now to this node's next slot, in rounds of a length in ms on the clock that all nodes share.
+func (t TimeSlots) Next(now, round float64) float64 {
+	if round <= 0 || t.Nodes < 2 {
+		return 0
+	}
+	at := math.Mod(t.place()*round-math.Mod(now, round)+2*round, round)
+	return at
+}
+
+// After returns the ms from now to this node's next slot other than the current one. A single node has one in each round.
+func (t TimeSlots) After(now, round float64) float64 {
+	if t.Nodes < 2 {
+		return 0.75 * round
+	}
+	wait := t.Next(now, round)
+	if wait < round/float64(2*t.Nodes) {
+		wait += round
+	}
+	return wait
+}
+
+// SlotBackoff schedules a node's calls to a shared resource: one call a round at most, in the node's own slot. While calls fail it
+// skips rounds, twice as many each time, so that a failing resource gets fewer calls. The length of a round stays the same for all
+// nodes, which keeps the slots of failing and other nodes apart.
+type SlotBackoff struct {
+	TimeSlots
+	Round      float64 // in ms: the number of nodes over the resource's capacity in calls a second
+	MaxSkipped int     // rounds skipped at most
+	fails      int
+}
+
+// spare is how many consecutive failures are not yet a sign of overload.
+const spare = 2
+
+// First returns the ms from now to the first call.
+func (s *SlotBackoff) First(now float64) float64 { return s.Next(now, s.Round) }
+
+// Succeeded records that a call succeeded.
+func (s *SlotBackoff) Succeeded() { s.fails = 0 }
+
+// Retry records that a call failed and returns the ms from now to the next attempt.
+func (s *SlotBackoff) Retry(now float64) float64 {
+	s.fails++
+	skip := 0
+	if s.fails > spare {
+		skip = min(1<<min(s.fails-spare-1, 16), s.MaxSkipped)
+	}
+	return s.After(now, s.Round) + float64(skip)*s.Round // the current slot may be that of the failed call
+}
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -8,10 +8,10 @@
 	"gatetack/internal/fault"
 
 	// All that have errors which reach an operator or a client.
-	_ "gatetack/internal/comeback"
 	_ "gatetack/internal/desk"
 	_ "gatetack/internal/desks"
 	_ "gatetack/internal/placing"
+	_ "gatetack/internal/recovery"
 	_ "gatetack/internal/site"
 	_ "gatetack/internal/store"
 )
