Rename package placing to locality, and part its file format from its pricing

Data locality is what the package does. Its identifiers and comments say executor and zone; the keys of the operators' file (slots_per_box, halls), its error code and texts stay, and package site still says hall. The bounds of the file are named constants. No behaviour changes. locality and cmd/gatetack: ok with -race.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -26,12 +26,12 @@
 	"gatetack/internal/http1"
 	"gatetack/internal/inventory"
 	"gatetack/internal/keys"
+	"gatetack/internal/locality"
 	"gatetack/internal/node"
 	"gatetack/internal/operator"
 	"gatetack/internal/owner"
 	"gatetack/internal/pace"
 	"gatetack/internal/peer"
-	"gatetack/internal/placing"
 	"gatetack/internal/platform"
 	"gatetack/internal/records"
 	"gatetack/internal/store"
@@ -219,7 +219,7 @@
 		}
 		var placer batch.Placer
 		if f.Data.File != "" {
-			places, err := placing.Open(f.Data.File, c.Names, c.Settings, core, log)
+			places, err := locality.Open(f.Data.File, c.Names, c.Settings, core, log)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/locality/placer.go
@@ -0,0 +1,181 @@
+// Package locality applies data locality to jobs (package site decides): it reads the operators' file of data sets and links, keeps
+// what is known of each zone's capacity from this node's own counts and its list, and prices the zones for a job that names its
+// inputs. The file's keys and package site call a zone a hall.
+package locality
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/node"
+	"gatetack/internal/site"
+)
+
+const refreshInterval = time.Second // of the zones' capacity
+
+// MachineLister lists the executors with the number of this node's attempts at each.
+type MachineLister interface {
+	Machines(context.Context) ([]node.Machine, error)
+}
+
+// Placer prices the zones for the jobs of one node.
+type Placer struct {
+	names            node.Names
+	settings         brain.Settings
+	machines         MachineLister
+	slotsPerExecutor float64
+	log              *slog.Logger
+	now              func() time.Time
+
+	mu           sync.Mutex
+	site         *site.Site
+	executorZone map[string]int // by name
+	meanRun      []float64      // mean run of each class, ms
+}
+
+// Open reads the operators' file and returns a Placer that goes by it.
+func Open(path string, names node.Names, s brain.Settings, from MachineLister, log *slog.Logger) (*Placer, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{path, "data.file", err.Error()}
+	}
+	f, err := parse(path, data, names)
+	if err != nil {
+		return nil, err
+	}
+	return newPlacer(f, names, s, from, log), nil
+}
+
+func newPlacer(f *File, names node.Names, s brain.Settings, from MachineLister, log *slog.Logger) *Placer {
+	p := &Placer{names: names, settings: s, machines: from, slotsPerExecutor: float64(f.SlotsPerExecutor), log: log, now: time.Now, executorZone: map[string]int{},
+		site: site.New(max(len(names.Zones), 1), maxDataSets)}
+	for _, c := range s.Classes {
+		p.meanRun = append(p.meanRun, max(1, c.Aim))
+	}
+	p.site.Here, p.site.Period = int(s.Zone), float64(refreshInterval.Milliseconds())
+	p.site.Part = 1 / float64(max(s.Balancers, 1))
+	for i := range p.site.Halls {
+		if i != p.site.Here {
+			p.site.Halls[i].Far = s.Fees.CrossZone
+		}
+	}
+	at := func(name string) int { return slices.Index(names.Zones, name) }
+	for _, l := range f.Links {
+		rate := l.Gbits * 1e9 / 8 / 1000
+		p.site.Links.Rate[at(l.From)][at(l.To)], p.site.Links.Rate[at(l.To)][at(l.From)] = rate, rate
+	}
+	for _, x := range f.Sets {
+		var halls []int
+		for _, h := range x.Zones {
+			halls = append(halls, at(h))
+		}
+		p.site.Catalogue.List(site.Name(x.Name), x.Bytes, halls...)
+	}
+	return p
+}
+
+// Run refreshes the zones' capacity until the context ends.
+func (p *Placer) Run(ctx context.Context) {
+	tick := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	for {
+		if all, err := p.machines.Machines(ctx); err == nil {
+			p.refresh(all)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Placer) nowMillis() float64 { return float64(p.now().UnixMicro()) / 1000 }
+
+// refresh takes in the listed executors: a zone's capacity is that of its executors that take work, and its wait is what this node has
+// there beyond its part of the capacity. A zone without such an executor takes no jobs.
+func (p *Placer) refresh(all []node.Machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ready, out := make([]float64, len(p.site.Halls)), make([]float64, len(p.site.Halls))
+	clear(p.executorZone)
+	for _, m := range all {
+		z := slices.Index(p.names.Zones, m.Zone)
+		if z < 0 {
+			continue
+		}
+		p.executorZone[m.Name] = z
+		out[z] += float64(m.Out)
+		if m.Condition() == brain.Ready {
+			ready[z]++
+		}
+	}
+	run := 0.0
+	for _, r := range p.meanRun {
+		run += r / float64(len(p.meanRun))
+	}
+	for z := range ready {
+		slots := ready[z] * p.slotsPerExecutor
+		over := max(0, out[z]/p.site.Part-slots)
+		p.site.Halls[z].Cut = ready[z] == 0
+		p.site.Report(z, slots, 1, over/max(slots, 1)*run, p.nowMillis())
+	}
+}
+
+// Place returns the prices of the zones for a job, and why. The caller calls ended once, with the executor and whether it was served.
+func (p *Placer) Place(inputs []string, class int, left time.Duration) (prices []float64, why string, ended func(string, bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	began := p.nowMillis()
+	c := p.settings.Classes[min(class, len(p.settings.Classes)-1)]
+	j := site.Job{Work: p.meanRun[min(class, len(p.meanRun)-1)], Slots: 1, Aim: c.Aim * (1 + c.Stretch), Left: float64(left.Milliseconds()), Pinned: -1}
+	for _, name := range inputs {
+		j.Inputs = append(j.Inputs, site.Input{ID: site.Name(name)})
+	}
+	choice, err := p.site.Choose(j, began)
+	if err != nil {
+		p.log.Debug("no hall has a job done in time", "err", err)
+		if choice.Hall < 0 {
+			return nil, err.Error(), nil
+		}
+		return choice.Prices(len(p.site.Halls)), "data: " + choice.Why() + " (late in any hall)", nil
+	}
+	return choice.Prices(len(p.site.Halls)), "data: " + p.describe(choice), func(executor string, served bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := p.nowMillis()
+		z, known := p.executorZone[executor]
+		p.site.Ended(j, choice, served && known && z == choice.Hall, now)
+		if served && known && z != choice.Hall { // the module chose an executor elsewhere: its zone has the data now
+			for _, in := range j.Inputs {
+				p.site.Catalogue.Brought(in.ID, 0, z, now)
+			}
+		}
+		if i := min(class, len(p.meanRun)-1); served {
+			p.meanRun[i] += (max(1, now-began) - p.meanRun[i]) * 0.05
+		}
+	}
+}
+
+// describe returns the reason of a choice, with the zone by its name.
+func (p *Placer) describe(c site.Choice) string {
+	t := c.Terms[0]
+	name := fmt.Sprint(t.Hall)
+	if t.Hall < len(p.names.Zones) {
+		name = p.names.Zones[t.Hall]
+	}
+	return fmt.Sprintf("%s: data %.0f ms, wait %.0f ms, run %.0f ms", name, t.Bring, t.Wait, t.Run)
+}
+
+// Reserved returns how many choices have not ended.
+func (p *Placer) Reserved() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.site.Reserved()
+}
--- a/internal/placing/placing_test.go
+++ b/internal/locality/placer_test.go
@@ -1,4 +1,4 @@
-package placing
+package locality
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.look(boxes{machine("a", "tallinn", "ready", 0), machine("b", "tartu", "ready", 0)})
+	p.refresh(boxes{machine("a", "tallinn", "ready", 0), machine("b", "tartu", "ready", 0)})
 	prices, why, ended := p.Place([]string{"scene"}, 0, time.Minute)
 	if len(prices) != 2 || prices[1] != 0 || prices[0] <= 0.03 || !strings.Contains(why, "tartu") {
 		t.Errorf("%v %s", prices, why)
@@ -52,19 +52,19 @@
 	if p.Reserved() != 1 {
 		t.Errorf("%d reserved", p.Reserved())
 	}
-	ended("a", true) // the module had its reasons: the data are in both halls now
+	ended("a", true) // the module had its reasons: both zones have the data now
 	if p.Reserved() != 0 {
 		t.Errorf("%d reserved after its end", p.Reserved())
 	}
 	if prices, _, _ := p.Place([]string{"scene"}, 0, time.Minute); prices[0] != 0 {
 		t.Errorf("%v with the data in both halls, want this node's own", prices)
 	}
-	// A hall without a box that takes work takes none.
-	p.look(boxes{machine("a", "tallinn", "ready", 0), machine("b", "tartu", "draining", 0)})
+	// A zone without an executor that takes work takes none.
+	p.refresh(boxes{machine("a", "tallinn", "ready", 0), machine("b", "tartu", "draining", 0)})
 	if prices, why, _ := p.Place([]string{"scene"}, 0, time.Minute); prices[0] != 0 || prices[1] <= 0 {
 		t.Errorf("%v %s while the hall drains", prices, why)
 	}
-	p.look(nil)
+	p.refresh(nil)
 	if prices, why, ended := p.Place([]string{"scene"}, 0, time.Minute); prices != nil || ended != nil || why == "" {
 		t.Errorf("%v %s with no box at all", prices, why)
 	}
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -10,7 +10,7 @@
 	// All that have errors which reach an operator or a client.
 	_ "gatetack/internal/desk"
 	_ "gatetack/internal/desks"
-	_ "gatetack/internal/placing"
+	_ "gatetack/internal/locality"
 	_ "gatetack/internal/recovery"
 	_ "gatetack/internal/site"
 	_ "gatetack/internal/store"
