--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -21,12 +21,12 @@
 	"gatetack/internal/discovery"
 	"gatetack/internal/executor"
 	"gatetack/internal/failpoint"
-	"gatetack/internal/follow"
 	"gatetack/internal/handover"
 	"gatetack/internal/http1"
 	"gatetack/internal/inventory"
 	"gatetack/internal/keys"
 	"gatetack/internal/locality"
+	"gatetack/internal/migration"
 	"gatetack/internal/node"
 	"gatetack/internal/operator"
 	"gatetack/internal/owner"
@@ -240,7 +240,7 @@
 				zone = c.Names.Zones[c.Settings.Zone]
 			}
 			held = desks.New(desks.Config{Name: c.Name, Zone: zone, Addr: f.Batch.Listen, Store: members, Front: jobs, Pass: duties.Pass,
-				Prefix: batch.Prefix, Most: c.Limits.StoreValues / 2, Rules: follow.Usual(), Limits: c.Limits, Log: log})
+				Prefix: batch.Prefix, Most: c.Limits.StoreValues / 2, Rules: migration.DefaultRules(), Limits: c.Limits, Log: log})
 			jobs.SetDesks(held)
 			g.Go(func() error { return held.Run(hard) })
 		}
--- a/internal/desks/desks.go
+++ b/internal/desks/desks.go
@@ -18,10 +18,10 @@
 
 	"gatetack/internal/desk"
 	"gatetack/internal/fault"
-	"gatetack/internal/follow"
 	"gatetack/internal/http1"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
+	"gatetack/internal/migration"
 )
 
 // The tables: desks, who has them, functions by hash, and the nodes that may hold desks.
@@ -54,7 +54,7 @@
 	Pass             Pass
 	Prefix           string // of paths of the front
 	Most             int    // desks that this node is full with
-	Rules            follow.Rules
+	Rules            migration.Rules
 	Limits           limits.Limits
 	Log              *slog.Logger
 }
@@ -67,7 +67,7 @@
 	mu    sync.Mutex
 	held  map[string]*held
 	fns   map[string]*desk.Function
-	book  *follow.Book
+	book  *migration.Planner
 	back  bool
 	stamp any // of the table of owners, as it was last looked through
 }
@@ -79,7 +79,7 @@
 	version uint64     // of its entry
 	epoch   uint64
 	gone    bool // it is another's
-	device  follow.Desk
+	device  migration.Device
 	jobs    map[string]string // ids of open jobs that were handed in, by name
 }
 
@@ -139,7 +139,7 @@
 
 // New makes a host.
 func New(c Config) *Host {
-	return &Host{Config: c, start: time.Now(), held: map[string]*held{}, fns: map[string]*desk.Function{}, book: follow.NewBook(c.Rules), back: true}
+	return &Host{Config: c, start: time.Now(), held: map[string]*held{}, fns: map[string]*desk.Function{}, book: migration.NewPlanner(c.Rules), back: true}
 }
 
 func (h *Host) ms() float64 { return float64(time.Since(h.start).Microseconds()) / 1000 }
@@ -364,7 +364,7 @@
 	defer x.mu.Unlock()
 	answer, err := h.apply(ctx, id, x, &desk.Event{Kind: desk.Call, At: time.Now().UnixMilli(), Number: number, Body: body})
 	if err == nil {
-		x.device.Heard(via, h.ms(), h.Rules)
+		x.device.ObserveCall(via, h.ms(), h.Rules)
 		h.follow(ctx, id, x)
 	}
 	return answer, h.Name, err
@@ -389,12 +389,12 @@
 // desk's new place.
 func (h *Host) follow(ctx context.Context, id string, x *held) {
 	v := h.Store.View()
-	here := follow.Node{Name: h.Name, Zone: h.Zone}
+	here := migration.Node{Name: h.Name, Zone: h.Zone}
 	if row, ok := hostOf(v, h.Name); ok {
 		here = row.node(h.Name)
 	}
 	h.mu.Lock()
-	to, _ := h.book.Decide(h.ms(), &x.device, here, func() []follow.Node { return nodes(v) })
+	to, _ := h.book.Decide(h.ms(), &x.device, here, func() []migration.Node { return nodes(v) })
 	h.mu.Unlock()
 	if to == "" {
 		return
@@ -420,12 +420,12 @@
 }
 
 // node is what a row says, as moves are decided by it.
-func (r hostRow) node(name string) follow.Node {
-	return follow.Node{Name: name, Zone: r.Zone, Load: float64(r.Desks) / float64(max(r.Most, 1)), Back: r.Back}
+func (r hostRow) node(name string) migration.Node {
+	return migration.Node{Name: name, Zone: r.Zone, Load: float64(r.Desks) / float64(max(r.Most, 1)), Unready: r.Back}
 }
 
 // nodes are those that may hold desks.
-func nodes(v *kv.View) (all []follow.Node) {
+func nodes(v *kv.View) (all []migration.Node) {
 	for _, e := range v.List(Hosts, "", "", 1<<12) {
 		if r, ok := hostOf(v, e.Key); ok {
 			all = append(all, r.node(e.Key))
--- a/internal/follow/follow_test.go
+++ b/internal/migration/planner_test.go
@@ -1,4 +1,4 @@
-package follow
+package migration
 
 import (
 	"fmt"
@@ -18,14 +18,14 @@
 
 // drive has a device call every 100 ms, each time from a zone, and gives the moves.
 func drive(r Rules, all []Node, from Node, zones func(i int) string, calls int) (moves []string) {
-	b, d, here := NewBook(r), &Desk{}, from
+	b, d, here := NewPlanner(r), &Device{}, from
 	for i := range calls {
 		now := float64(100 * i)
-		d.Heard(zones(i), now, r)
+		d.ObserveCall(zones(i), now, r)
 		if to, _ := b.Decide(now, d, here, func() []Node { return all }); to != "" {
 			for _, n := range all {
 				if n.Name == to {
-					d.Moved(here.Zone, n.Zone, now, r)
+					d.RecordMove(here.Zone, n.Zone, now, r)
 					here = n
 				}
 			}
@@ -38,7 +38,7 @@
 func TestFollows(t *testing.T) {
 	all := nodes(0.1, 0.1, 0.1, 0, 0.5, 0.95)
 	back := nodes(0.1, 0.1, 0.1)
-	back[1].Back = true
+	back[1].Unready = true
 	for _, x := range []struct {
 		what  string
 		all   []Node
@@ -52,42 +52,42 @@
 		{"nor to a full one", nodes(0.1, 0.95, 0.1), func(int) string { return "b" }, "[]"},
 		{"to the least loaded", nodes(0.1, 0.8, 0.1, 0.1, 0.2), func(int) string { return "b" }, "[n4]"},
 	} {
-		if got := fmt.Sprint(drive(Usual(), x.all, x.all[0], x.zones, 100)); got != x.want {
+		if got := fmt.Sprint(drive(DefaultRules(), x.all, x.all[0], x.zones, 100)); got != x.want {
 			t.Errorf("%s: %s, want %s", x.what, got, x.want)
 		}
 	}
 	// On a border, half a second here and half a second there for ten minutes: a few moves, ever further apart.
-	if n := len(drive(Usual(), all, all[0], func(i int) string { return []string{"a", "b"}[i/8%2] }, 6000)); n > 12 {
+	if n := len(drive(DefaultRules(), all, all[0], func(i int) string { return []string{"a", "b"}[i/8%2] }, 6000)); n > 12 {
 		t.Errorf("%d moves of a device on a border", n)
 	}
 }
 
-// Whatever devices do: no more desks move into or out of a node than its budget, none to a node that takes none, and none sooner after
+// Whatever devices do: no more actors move into or out of a node than its budget, none to a node that takes none, and none sooner after
 // its last move than it is to stay.
 func TestBudgets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Usual()
-		r.Rate, r.Burst, r.Stay = 2, 3, 500
+		r := DefaultRules()
+		r.MoveRate, r.MoveBurst, r.Cooldown = 2, 3, 500
 		all := nodes(0.1, 0.2, 0.3)
-		b := NewBook(r)
+		b := NewPlanner(r)
 		type state struct {
-			d     *Desk
+			d     *Device
 			here  Node
 			moved float64
 		}
-		desks := make([]state, 30)
-		for i := range desks {
-			desks[i] = state{&Desk{}, all[0], -1e9}
+		actors := make([]state, 30)
+		for i := range actors {
+			actors[i] = state{&Device{}, all[0], -1e9}
 		}
 		moves := map[string][]float64{}
 		now := 1.0
 		for range rapid.IntRange(20, 120).Draw(t, "rounds") {
 			now += float64(rapid.IntRange(50, 400).Draw(t, "ms"))
-			all[rapid.IntRange(0, 2).Draw(t, "node")].Back = rapid.IntRange(0, 4).Draw(t, "back") == 0
+			all[rapid.IntRange(0, 2).Draw(t, "node")].Unready = rapid.IntRange(0, 4).Draw(t, "back") == 0
 			zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
-			for i := range desks {
-				s := &desks[i]
-				s.d.Heard(zone, now, r)
+			for i := range actors {
+				s := &actors[i]
+				s.d.ObserveCall(zone, now, r)
 				to, _ := b.Decide(now, s.d, s.here, func() []Node { return all })
 				if to == "" {
 					continue
@@ -96,13 +96,13 @@
 					if n.Name != to {
 						continue
 					}
-					if n.Back || n.Load >= r.Load || n.Name == s.here.Name {
-						t.Fatalf("a desk moves from %+v to %+v", s.here, n)
+					if n.Unready || n.Load >= r.MaxLoad || n.Name == s.here.Name {
+						t.Fatalf("an actor moves from %+v to %+v", s.here, n)
 					}
-					if now-s.moved < r.Stay {
-						t.Fatalf("a desk moves %v ms after it moved", now-s.moved)
+					if now-s.moved < r.Cooldown {
+						t.Fatalf("an actor moves %v ms after it moved", now-s.moved)
 					}
-					s.d.Moved(s.here.Zone, n.Zone, now, r)
+					s.d.RecordMove(s.here.Zone, n.Zone, now, r)
 					s.here, s.moved = n, now
 					moves[to] = append(moves[to], now)
 				}
@@ -116,7 +116,7 @@
 						n++
 					}
 				}
-				if n > int(r.Burst+r.Rate)+1 {
+				if n > int(r.MoveBurst+r.MoveRate)+1 {
 					t.Fatalf("%d moves into %s within a second", n, name)
 				}
 			}
@@ -125,7 +125,7 @@
 }
 
 func TestLostDesksThatCallFirst(t *testing.T) {
-	if got := fmt.Sprint(Lost(map[string]float64{"a": 1, "b": 9, "c": 9})); got != "[b c a]" {
+	if got := fmt.Sprint(TakeoverOrder(map[string]float64{"a": 1, "b": 9, "c": 9})); got != "[b c a]" {
 		t.Error(got)
 	}
 }
