Rename package desk to actor, with the field's names for its parts

A stateful instance that takes one numbered call after another is an actor. The HTTP path, the tables, keys of jobs, the CEL variable event.desk, the stored header, error codes and texts keep the word desk: they are stored or public.

--- a/internal/desk/desk_test.go
+++ b/internal/actor/actor_test.go
@@ -1,4 +1,4 @@
-package desk
+package actor
 
 import (
 	"bytes"
@@ -29,7 +29,7 @@
 
 // A crew's pass: once all tiles are there, whatever comes twice, one area job is submitted, under a key of its own; its end is told.
 func TestPass(t *testing.T) {
-	f := compile(t, Pass)
+	f := compile(t, SurveyFunction)
 	d := New("crew-7", f)
 	for i, body := range []string{`{"op":"begin","want":2}`, `{"op":"tile","tile":"a","category":"area-render","account":"maavaade"}`,
 		`{"op":"tile","tile":"a","category":"area-render","account":"maavaade"}`, `{"op":"tile","tile":"b","category":"area-render","account":"maavaade"}`} {
@@ -50,7 +50,7 @@
 	if j.Key != "desk/crew-7/4/area" || j.Category != "area-render" || d.Timers["late"] != 1000+3600000 {
 		t.Errorf("%+v %v", j, d.Timers)
 	}
-	end := &Event{Kind: End, At: 9000, Job: "area", Key: j.Key, Served: true}
+	end := &Event{Kind: JobEnded, At: 9000, Job: "area", Key: j.Key, Served: true}
 	next, _, err := d.Apply(f, end)
 	if err != nil || len(next.Jobs) != 0 || len(next.Timers) != 0 || !strings.Contains(string(next.State), "served") {
 		t.Errorf("%+v %v", next, err)
@@ -65,7 +65,7 @@
 
 // A slot that is not confirmed lapses and is given back; one that is does not.
 func TestSlots(t *testing.T) {
-	f := compile(t, Slots)
+	f := compile(t, BookingFunction)
 	d := New("team", f)
 	for i, body := range []string{`{"op":"book","slot":"9:00","forMs":5000}`, `{"op":"book","slot":"9:30","forMs":5000}`, `{"op":"confirm","slot":"9:30"}`} {
 		var err error
@@ -73,21 +73,21 @@
 			t.Fatal(err)
 		}
 	}
-	name, due, ok := d.Due()
+	name, due, ok := d.NextTimer()
 	if !ok || name != "slot 9:00" || due != 6000 || len(d.Timers) != 1 {
 		t.Fatalf("%v", d.Timers)
 	}
-	stale := &Event{Kind: Timer, At: 7000, Name: name, Due: due - 1}
+	stale := &Event{Kind: TimerFired, At: 7000, Name: name, Due: due - 1}
 	if x, _, _ := d.Apply(f, stale); x != d {
 		t.Error("a timer of before had an effect")
 	}
-	d, _, err := d.Apply(f, &Event{Kind: Timer, At: 7000, Name: name, Due: due})
+	d, _, err := d.Apply(f, &Event{Kind: TimerFired, At: 7000, Name: name, Due: due})
 	if err != nil || len(d.Jobs) != 1 || len(d.Timers) != 0 {
 		t.Errorf("%+v %v", d, err)
 	}
 }
 
-// A function that grows, costs too much or fails leaves the desk as before the call, the same number may be called again, and each
+// A function that grows, costs too much or fails leaves the actor as before the call, the same number may be called again, and each
 // error says what can be done.
 func TestFunctionsThatFail(t *testing.T) {
 	for name, on := range map[string]string{
@@ -111,7 +111,7 @@
 		if !errors.As(err, new(*CallError)) || fault.Do(err) == "" {
 			t.Errorf("%s: %v", name, err)
 		}
-		if d.Last != 0 || string(d.State) != "{}" {
+		if d.LastCall != 0 || string(d.State) != "{}" {
 			t.Errorf("%s: the desk is %+v", name, d)
 		}
 	}
@@ -124,10 +124,10 @@
 	}
 }
 
-// Whatever comes twice, late or before its turn: the desk is the one to which each event was applied once, in its order; and it is
+// Whatever comes twice, late or before its turn: the actor is the one to which each event was applied once, in its order; and it is
 // the same wherever it was written and read in between.
 func TestReplayAgainstAnOracle(t *testing.T) {
-	f := compile(t, Slots)
+	f := compile(t, BookingFunction)
 	rapid.Check(t, func(t *rapid.T) {
 		d, oracle := New("d", f), New("d", f)
 		var done []*Event
@@ -140,13 +140,13 @@
 				op := rapid.SampledFrom([]string{"book", "confirm"}).Draw(t, "op")
 				e = call(number, fmt.Sprintf(`{"op":%q,"slot":"%d","forMs":%d}`, op, rapid.IntRange(0, 2).Draw(t, "slot"), rapid.IntRange(1, 5000).Draw(t, "for")))
 			case 2:
-				if name, due, ok := oracle.Due(); ok {
-					e = &Event{Kind: Timer, At: due, Name: name, Due: due}
+				if name, due, ok := oracle.NextTimer(); ok {
+					e = &Event{Kind: TimerFired, At: due, Name: name, Due: due}
 				}
 			case 3:
 				for name, j := range oracle.Jobs {
 					if e == nil || name < e.Job {
-						e = &Event{Kind: End, Job: name, Key: j.Key, Served: rapid.Bool().Draw(t, "served")}
+						e = &Event{Kind: JobEnded, Job: name, Key: j.Key, Served: rapid.Bool().Draw(t, "served")}
 					}
 				}
 			}
@@ -170,7 +170,7 @@
 					t.Fatal(err)
 				}
 			}
-			if old := done[rapid.IntRange(0, len(done)-1).Draw(t, "old")]; old.Kind != Call || old.Number+mostAnswers > oracle.Last {
+			if old := done[rapid.IntRange(0, len(done)-1).Draw(t, "old")]; old.Kind != Call || old.Number+maxAnswers > oracle.LastCall {
 				if x, _, err := d.Apply(f, old); err != nil || x != d {
 					t.Fatalf("%+v again: %v", old, err)
 				}
@@ -187,9 +187,9 @@
 	})
 }
 
-// FuzzDecode: what was written is read back; cut anywhere, or with a byte changed, it is an error of its type and never another desk.
+// FuzzDecode: what was written is read back; cut anywhere, or with a byte changed, it is an error of its type and never another actor.
 func FuzzDecode(f *testing.F) {
-	fn := compile(f, Slots)
+	fn := compile(f, BookingFunction)
 	d := New("d", fn)
 	d, _, _ = d.Apply(fn, call(1, `{"op":"book","slot":"1","forMs":5}`))
 	whole := d.Encode()
@@ -212,7 +212,7 @@
 	})
 }
 
-// BenchmarkCall is what a call costs at a desk, by the size of its state: applied, and written as it goes to the store.
+// BenchmarkCall is what a call costs at a actor, by the size of its state: applied, and written as it goes to the store.
 func BenchmarkCall(b *testing.B) {
 	f := compile(b, "start: {pad: '', n: 0}\non: {call: {state: '{\"pad\": event.body.pad, \"n\": state.n + 1.0}', answer: 'state.n'}}\n")
 	for _, size := range []int{1 << 10, 64 << 10, 250 << 10} {
--- a/internal/desk/examples.go
+++ b/internal/actor/examples.go
@@ -1,8 +1,8 @@
-package desk
+package actor
 
-// Pass is a survey crew's pass: its tablet hands in tiles, and once all that are wanted are there one area job is submitted, whose
-// end is told with the next call. A pass that is not whole in time is given up.
-const Pass = `start: {want: 0, tiles: [], done: ""}
+// SurveyFunction is an example: a survey crew's tablet hands in tiles, and once all wanted tiles are there one area job is submitted,
+// whose end is told with the next call. A survey that is not complete in time is given up.
+const SurveyFunction = `start: {want: 0, tiles: [], done: ""}
 on:
   call:
     state: >-
@@ -27,8 +27,8 @@
       {"want": state.want, "tiles": state.tiles, "done": "late"}
 `
 
-// Slots is a donation team: it books slots, each of which lapses unless it is confirmed in time, and is given back then.
-const Slots = `start: {held: {}, lapsed: 0}
+// BookingFunction is an example: a booking desk reserves slots, each of which lapses unless it is confirmed in time, and is returned.
+const BookingFunction = `start: {held: {}, lapsed: 0}
 on:
   call:
     state: >-
--- a/internal/desk/function.go
+++ b/internal/actor/function.go
@@ -1,4 +1,4 @@
-package desk
+package actor
 
 import (
 	"bytes"
@@ -17,25 +17,25 @@
 	"gatetack/internal/fault"
 )
 
-// Bounds of a function and of what it makes.
+// Limits of a function and of its results.
 const (
-	mostSource  = 64 << 10
-	mostState   = 256 << 10 // bytes of JSON
-	mostCost    = 1 << 20   // by the library's count, which grows with what is read and made: time and memory at once
-	mostEffects = 32        // jobs and timers of one event
-	mostName    = 128
+	maxSourceBytes = 64 << 10
+	maxStateBytes  = 256 << 10 // bytes of JSON
+	maxCost        = 1 << 20   // as the CEL library counts it: it grows with what is read and made, and bounds time and memory
+	maxEffects     = 32        // jobs and timers of an event
+	maxNameBytes   = 128
 )
 
-// Function is a small program in expressions (CEL): for each kind of event, what becomes of the state, what the caller is answered,
-// which jobs are submitted and which timers are set. It has no clock, no randomness, no loop that does not end, and no way to keep
-// anything but its state. It is known by the hash of its text.
+// Function is a program in CEL expressions: for each kind of event the next state, the answer of the caller, the jobs to submit and
+// the timers to set. It has no clock, no randomness and no unbounded loop, and keeps nothing but its state. It is identified by the
+// hash of its text.
 type Function struct {
 	Hash  string
-	Start json.RawMessage // the state that a desk begins with
-	rules map[Kind]rule
+	Start json.RawMessage // the first state of an actor
+	rules map[EventKind]rule
 }
 
-// rule is what happens at one kind of event; a nil program leaves that as it is.
+// rule is what happens at one kind of event. A nil program changes nothing.
 type rule struct{ state, answer, jobs, timers cel.Program }
 
 type source struct {
@@ -43,7 +43,7 @@
 	On    map[string]map[string]string `yaml:"on"`
 }
 
-// FunctionError says what is wrong with a function's text.
+// FunctionError reports an error in a function's text.
 type FunctionError struct{ Where, Why string }
 
 func (e *FunctionError) Error() string { return fmt.Sprintf("desk: function: %s: %s", e.Where, e.Why) }
@@ -56,7 +56,7 @@
 	return "correct the function at the place that is named, and create the desk again"
 }
 
-// CallError says that a function failed at an event: the desk is as it was before it.
+// CallError reports that a function failed at an event. The actor is unchanged.
 type CallError struct{ Why string }
 
 func (e *CallError) Error() string {
@@ -71,7 +71,7 @@
 	return "correct the call and make it again under the same number"
 }
 
-// OrderError says that a call does not come in its order.
+// OrderError reports that a call is out of order.
 type OrderError struct{ Number, Next uint64 }
 
 func (e *OrderError) Error() string {
@@ -88,15 +88,15 @@
 
 var _ = []struct{}{fault.Kind(&FunctionError{}), fault.Kind(&CallError{}), fault.Kind(&OrderError{})}
 
-// env has what an expression may name: the state, and the event.
+// env declares what an expression may name: the state and the event.
 var env = sync.OnceValues(func() (*cel.Env, error) {
 	return cel.NewEnv(cel.Variable("state", cel.DynType), cel.Variable("event", cel.DynType), cel.ParserRecursionLimit(64))
 })
 
-// Compile reads a function.
+// Compile parses a function.
 func Compile(text []byte) (*Function, error) {
-	if len(text) > mostSource {
-		return nil, &FunctionError{"text", fmt.Sprintf("%d bytes, expected %d at most", len(text), mostSource)}
+	if len(text) > maxSourceBytes {
+		return nil, &FunctionError{"text", fmt.Sprintf("%d bytes, expected %d at most", len(text), maxSourceBytes)}
 	}
 	var src source
 	dec := yaml.NewDecoder(bytes.NewReader(text))
@@ -105,16 +105,16 @@
 		return nil, &FunctionError{"text", err.Error()}
 	}
 	start, err := json.Marshal(src.Start)
-	if err != nil || len(start) > mostState {
-		return nil, &FunctionError{"start", fmt.Sprintf("expected what JSON can say, of %d bytes at most", mostState)}
+	if err != nil || len(start) > maxStateBytes {
+		return nil, &FunctionError{"start", fmt.Sprintf("expected what JSON can say, of %d bytes at most", maxStateBytes)}
 	}
 	e, err := env()
 	if err != nil {
 		return nil, err
 	}
-	f := &Function{Hash: fmt.Sprintf("%016x", xxhash.Sum64(text)), Start: start, rules: map[Kind]rule{}}
+	f := &Function{Hash: fmt.Sprintf("%016x", xxhash.Sum64(text)), Start: start, rules: map[EventKind]rule{}}
 	for _, name := range slices.Sorted(maps.Keys(src.On)) {
-		kind, ok := map[string]Kind{"call": Call, "end": End, "timer": Timer}[name]
+		kind, ok := map[string]EventKind{"call": Call, "end": JobEnded, "timer": TimerFired}[name]
 		if !ok {
 			return nil, &FunctionError{"on." + name, "expected call, end or timer"}
 		}
@@ -128,7 +128,7 @@
 			if issues.Err() != nil {
 				return nil, &FunctionError{"on." + name + "." + part, issues.Err().Error()}
 			}
-			if *at, err = e.Program(ast, cel.CostLimit(mostCost)); err != nil {
+			if *at, err = e.Program(ast, cel.CostLimit(maxCost)); err != nil {
 				return nil, &FunctionError{"on." + name + "." + part, err.Error()}
 			}
 		}
@@ -137,8 +137,8 @@
 	return f, nil
 }
 
-// value runs an expression and gives what it says as JSON, the same text for the same value.
-func value(p cel.Program, state, event any) (out json.RawMessage, err error) {
+// evaluate returns the value of an expression as JSON, the same text for the same value.
+func evaluate(p cel.Program, state, event any) (out json.RawMessage, err error) {
 	defer func() {
 		if x := recover(); x != nil {
 			err = &CallError{fmt.Sprint(x)}
@@ -156,14 +156,14 @@
 	if err != nil {
 		return nil, &CallError{err.Error()}
 	}
-	if len(out) > mostState {
-		return nil, &CallError{fmt.Sprintf("%d bytes were made, %d at most are kept", len(out), mostState)}
+	if len(out) > maxStateBytes {
+		return nil, &CallError{fmt.Sprintf("%d bytes were made, %d at most are kept", len(out), maxStateBytes)}
 	}
 	return out, nil
 }
 
-// run has the function take one event in.
-func (f *Function) run(kind Kind, state json.RawMessage, event map[string]any) (next, answer json.RawMessage, fx Effects, err error) {
+// run applies one event to a state.
+func (f *Function) run(kind EventKind, state json.RawMessage, event map[string]any) (next, answer json.RawMessage, fx Effects, err error) {
 	r, ok := f.rules[kind]
 	if !ok {
 		return state, nil, fx, nil
@@ -174,12 +174,12 @@
 	}
 	next = state
 	if r.state != nil {
-		if next, err = value(r.state, s, event); err != nil {
+		if next, err = evaluate(r.state, s, event); err != nil {
 			return nil, nil, fx, err
 		}
 	}
 	if r.answer != nil {
-		if answer, err = value(r.answer, s, event); err != nil {
+		if answer, err = evaluate(r.answer, s, event); err != nil {
 			return nil, nil, fx, err
 		}
 	}
@@ -190,7 +190,7 @@
 		if x.p == nil {
 			continue
 		}
-		raw, err := value(x.p, s, event)
+		raw, err := evaluate(x.p, s, event)
 		if err != nil {
 			return nil, nil, fx, err
 		}
@@ -200,17 +200,17 @@
 			return nil, nil, fx, &CallError{"effects: " + err.Error()}
 		}
 	}
-	return next, answer, fx, fx.check()
+	return next, answer, fx, fx.validate()
 }
 
-// Effects are what an event brings about beside the state: a desk submits jobs and sets or clears timers.
+// Effects are what an event causes beside the next state: jobs to submit and timers to set or clear.
 type Effects struct {
-	Jobs   []JobWish
+	Jobs   []JobRequest
 	Timers map[string]float64 // by name: ms from the event on, 0 clears
 }
 
-// JobWish is a job that a function wants submitted. Its key is the desk's and the event's, so that it is one job ever.
-type JobWish struct {
+// JobRequest is a job that a function wants submitted. Its key is made of the actor and the event, so that it is submitted once.
+type JobRequest struct {
 	Name     string   `json:"name"`
 	Category string   `json:"category"`
 	Account  string   `json:"account"`
@@ -218,19 +218,19 @@
 	Inputs   []string `json:"inputs,omitempty"` // data sets that it needs
 }
 
-func (fx *Effects) check() error {
-	if len(fx.Jobs)+len(fx.Timers) > mostEffects {
-		return &CallError{fmt.Sprintf("%d effects, %d at most", len(fx.Jobs)+len(fx.Timers), mostEffects)}
+func (fx *Effects) validate() error {
+	if len(fx.Jobs)+len(fx.Timers) > maxEffects {
+		return &CallError{fmt.Sprintf("%d effects, %d at most", len(fx.Jobs)+len(fx.Timers), maxEffects)}
 	}
 	seen := map[string]bool{}
 	for _, j := range fx.Jobs {
-		if j.Name == "" || len(j.Name) > mostName || seen[j.Name] {
-			return &CallError{fmt.Sprintf("a job's name %q: expected one of its own, of 1 to %d bytes", j.Name, mostName)}
+		if j.Name == "" || len(j.Name) > maxNameBytes || seen[j.Name] {
+			return &CallError{fmt.Sprintf("a job's name %q: expected one of its own, of 1 to %d bytes", j.Name, maxNameBytes)}
 		}
 		seen[j.Name] = true
 	}
 	for name, ms := range fx.Timers {
-		if name == "" || len(name) > mostName || !(ms >= 0 && ms <= 366*24*3600e3) {
+		if name == "" || len(name) > maxNameBytes || !(ms >= 0 && ms <= 366*24*3600e3) {
 			return &CallError{fmt.Sprintf("timer %q in %v ms: expected a name and up to a year", name, ms)}
 		}
 	}
--- a/internal/desks/desks.go
+++ b/internal/desks/desks.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"gatetack/internal/desk"
+	"gatetack/internal/actor"
 	"gatetack/internal/fault"
 	"gatetack/internal/http1"
 	"gatetack/internal/kv"
@@ -66,7 +66,7 @@
 
 	mu    sync.Mutex
 	held  map[string]*held
-	fns   map[string]*desk.Function
+	fns   map[string]*actor.Function
 	book  *migration.Planner
 	back  bool
 	stamp any // of the table of owners, as it was last looked through
@@ -75,8 +75,8 @@
 // held is a desk here. Its lock is that of its order: one event is applied after the other.
 type held struct {
 	mu      sync.Mutex
-	d       *desk.Desk // nil: to be read anew
-	version uint64     // of its entry
+	d       *actor.Actor // nil: to be read anew
+	version uint64       // of its entry
 	epoch   uint64
 	gone    bool // it is another's
 	device  migration.Device
@@ -139,7 +139,7 @@
 
 // New makes a host.
 func New(c Config) *Host {
-	return &Host{Config: c, start: time.Now(), held: map[string]*held{}, fns: map[string]*desk.Function{}, book: migration.NewPlanner(c.Rules), back: true}
+	return &Host{Config: c, start: time.Now(), held: map[string]*held{}, fns: map[string]*actor.Function{}, book: migration.NewPlanner(c.Rules), back: true}
 }
 
 func (h *Host) ms() float64 { return float64(time.Since(h.start).Microseconds()) / 1000 }
@@ -171,13 +171,13 @@
 
 // Create makes a desk here.
 func (h *Host) Create(ctx context.Context, id string, function []byte) error {
-	f, err := desk.Compile(function)
+	f, err := actor.Compile(function)
 	if err != nil {
 		return err
 	}
 	owner, _ := json.Marshal(ownerRow{h.Name})
 	r, err := h.txn(ctx, kv.Op{Verb: kv.Put, Table: Functions, Key: f.Hash, Value: function, Keep: true},
-		kv.Op{Verb: kv.Put, Table: Desks, Key: id, Value: desk.New(id, f).Encode(), Keep: true, Cond: true},
+		kv.Op{Verb: kv.Put, Table: Desks, Key: id, Value: actor.New(id, f).Encode(), Keep: true, Cond: true},
 		kv.Op{Verb: kv.Put, Table: Owners, Key: id, Value: owner, Keep: true, Cond: true})
 	switch {
 	case err != nil:
@@ -248,14 +248,14 @@
 	if !ok {
 		return &UnknownError{id}
 	}
-	if x.d, err = desk.Decode(e.Value); err != nil {
+	if x.d, err = actor.Decode(e.Value); err != nil {
 		return err
 	}
 	x.version = e.Version
 	return nil
 }
 
-func (h *Host) function(hash string) (*desk.Function, error) {
+func (h *Host) function(hash string) (*actor.Function, error) {
 	h.mu.Lock()
 	f := h.fns[hash]
 	h.mu.Unlock()
@@ -266,7 +266,7 @@
 	if !ok {
 		return nil, &AwayError{hash, "its function is not here yet"}
 	}
-	f, err := desk.Compile(e.Value)
+	f, err := actor.Compile(e.Value)
 	if err == nil {
 		h.mu.Lock()
 		h.fns[hash] = f
@@ -276,7 +276,7 @@
 }
 
 // apply has an event happen to a desk that this node has. The lock of x is held.
-func (h *Host) apply(ctx context.Context, id string, x *held, e *desk.Event) (json.RawMessage, error) {
+func (h *Host) apply(ctx context.Context, id string, x *held, e *actor.Event) (json.RawMessage, error) {
 	if x.gone {
 		return nil, errGone
 	}
@@ -362,7 +362,7 @@
 	x := h.get(id, epoch)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	answer, err := h.apply(ctx, id, x, &desk.Event{Kind: desk.Call, At: time.Now().UnixMilli(), Number: number, Body: body})
+	answer, err := h.apply(ctx, id, x, &actor.Event{Kind: actor.Call, At: time.Now().UnixMilli(), Number: number, Body: body})
 	if err == nil {
 		x.device.ObserveCall(via, h.ms(), h.Rules)
 		h.follow(ctx, id, x)
@@ -514,7 +514,7 @@
 	if x.d == nil {
 		return true
 	}
-	_, due, ok := x.d.Due()
+	_, due, ok := x.d.NextTimer()
 	return ok && due <= time.Now().UnixMilli() || len(x.d.Jobs) > 0
 }
 
@@ -525,8 +525,8 @@
 	if x.gone || h.read(ctx, id, x) != nil {
 		return
 	}
-	if name, due, ok := x.d.Due(); ok && due <= time.Now().UnixMilli() {
-		if _, err := h.apply(ctx, id, x, &desk.Event{Kind: desk.Timer, At: time.Now().UnixMilli(), Name: name, Due: due}); err != nil {
+	if name, due, ok := x.d.NextTimer(); ok && due <= time.Now().UnixMilli() {
+		if _, err := h.apply(ctx, id, x, &actor.Event{Kind: actor.TimerFired, At: time.Now().UnixMilli(), Name: name, Due: due}); err != nil {
 			h.Log.Warn("a desk's timer", "desk", id, "timer", name, fault.Attrs(err))
 			return
 		}
--- a/internal/desks/serve.go
+++ b/internal/desks/serve.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"gatetack/internal/desk"
+	"gatetack/internal/actor"
 	"gatetack/internal/fault"
 	"gatetack/internal/http1"
 	"gatetack/internal/owner"
@@ -19,7 +19,7 @@
 
 // job hands a desk's open job in, under its key - which is one job, however often and wherever it is handed in - and sees whether it
 // has ended. The lock of x is held.
-func (h *Host) job(ctx context.Context, id string, x *held, name string, j desk.OpenJob) {
+func (h *Host) job(ctx context.Context, id string, x *held, name string, j actor.OpenJob) {
 	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreCall)
 	defer cancel()
 	if x.jobs[name] == "" {
@@ -51,8 +51,8 @@
 	}
 }
 
-func (h *Host) ended(ctx context.Context, id string, x *held, name string, j desk.OpenJob, served bool, result string) {
-	if _, err := h.apply(ctx, id, x, &desk.Event{Kind: desk.End, At: time.Now().UnixMilli(), Job: name, Key: j.Key, Served: served, Result: result}); err != nil && !errors.Is(err, errGone) {
+func (h *Host) ended(ctx context.Context, id string, x *held, name string, j actor.OpenJob, served bool, result string) {
+	if _, err := h.apply(ctx, id, x, &actor.Event{Kind: actor.JobEnded, At: time.Now().UnixMilli(), Job: name, Key: j.Key, Served: served, Result: result}); err != nil && !errors.Is(err, errGone) {
 		h.Log.Warn("a desk's job has ended", "desk", id, "job", name, fault.Attrs(err))
 	}
 }
@@ -73,10 +73,10 @@
 	v := gjson.ParseBytes(m.Body)
 	switch v.Get("code").String() {
 	case "":
-	case (&desk.OrderError{}).Code():
-		return nil, "", &desk.OrderError{Number: number, Next: v.Get("next").Uint()}
-	case (&desk.CallError{}).Code():
-		return nil, "", &desk.CallError{Why: v.Get("message").String()}
+	case (&actor.OrderError{}).Code():
+		return nil, "", &actor.OrderError{Number: number, Next: v.Get("next").Uint()}
+	case (&actor.CallError{}).Code():
+		return nil, "", &actor.CallError{Why: v.Get("message").String()}
 	default:
 		return nil, "", &AwayError{id, v.Get("message").String()}
 	}
@@ -97,7 +97,7 @@
 // refusal tells an error, with its code and what can be done.
 func refusal(err error) http1.Response {
 	status, v := 503, map[string]any{"error": "TRY_LATER", "message": err.Error(), "do": fault.Do(err)}
-	var order *desk.OrderError
+	var order *actor.OrderError
 	var t fault.Told
 	if errors.As(err, &t) {
 		v["code"] = t.Code()
@@ -105,7 +105,7 @@
 	switch {
 	case errors.As(err, &order):
 		status, v["error"], v["next"] = 409, "INVALID_STATE", order.Next
-	case errors.As(err, new(*desk.CallError)), errors.As(err, new(*desk.FunctionError)):
+	case errors.As(err, new(*actor.CallError)), errors.As(err, new(*actor.FunctionError)):
 		status, v["error"] = 400, "INVALID_ARGUMENT"
 	case errors.As(err, new(*UnknownError)):
 		status, v["error"] = 404, "INVALID_ARGUMENT"
@@ -176,9 +176,9 @@
 	if !ok {
 		return refusal(&UnknownError{id})
 	}
-	d, err := desk.Decode(e.Value)
+	d, err := actor.Decode(e.Value)
 	if err != nil {
 		return refusal(err)
 	}
-	return answer(200, map[string]any{"id": id, "node": node, "epoch": epoch, "last": d.Last, "state": d.State, "jobs": len(d.Jobs), "timers": d.Timers})
+	return answer(200, map[string]any{"id": id, "node": node, "epoch": epoch, "last": d.LastCall, "state": d.State, "jobs": len(d.Jobs), "timers": d.Timers})
 }
--- a/test/desks_test.go
+++ b/test/desks_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"gatetack/internal/desk"
+	"gatetack/internal/actor"
 	"gatetack/internal/standin"
 )
 
@@ -231,22 +231,22 @@
 	if text := wrong.Load(); text != nil {
 		t.Fatalf("%s\n%s", *text, strings.Join(steps, "\n"))
 	}
-	fn, err := desk.Compile([]byte(counter))
+	fn, err := actor.Compile([]byte(counter))
 	if err != nil {
 		t.Fatal(err)
 	}
 	moved, started := 0, [2]int{}
 	for d := range devices {
 		id := fmt.Sprint("crew-", d)
-		oracle := desk.New(id, fn)
+		oracle := actor.New(id, fn)
 		var keys []string
 		for n := uint64(1); n <= calls[d]; n++ {
-			if oracle, _, err = oracle.Apply(fn, &desk.Event{Kind: desk.Call, Number: n, Body: json.RawMessage(fmt.Sprintf(`{"v":%d}`, d+1))}); err != nil {
+			if oracle, _, err = oracle.Apply(fn, &actor.Event{Kind: actor.Call, Number: n, Body: json.RawMessage(fmt.Sprintf(`{"v":%d}`, d+1))}); err != nil {
 				t.Fatal(err)
 			}
 			for name, j := range oracle.Jobs {
 				keys = append(keys, j.Payload)
-				oracle, _, _ = oracle.Apply(fn, &desk.Event{Kind: desk.End, Job: name, Key: j.Key, Served: true})
+				oracle, _, _ = oracle.Apply(fn, &actor.Event{Kind: actor.JobEnded, Job: name, Key: j.Key, Served: true})
 			}
 		}
 		want, state := gjson.ParseBytes(oracle.State), gjson.Result{}
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -8,7 +8,7 @@
 	"gatetack/internal/fault"
 
 	// All that have errors which reach an operator or a client.
-	_ "gatetack/internal/desk"
+	_ "gatetack/internal/actor"
 	_ "gatetack/internal/desks"
 	_ "gatetack/internal/locality"
 	_ "gatetack/internal/recovery"
