Rename package desks to actorhost, with the field's names for what it does

It hosts actors. Held desks are hosted actors, AwayError is UnavailableError, UnknownError NotFoundError, the functions say takeOver, migrate, heartbeat, forward, evict; Config has Capacity and Forward. The path /desks, the tables, stored fields, error codes, texts and log messages keep the word desk: they are public or stored. No behaviour changes; tests keep their names and checks. actorhost: ok with -race; TestDeskFollowsItsDevice, TestDesksFollowAndSurvive and TestErrorsSayWhatCanBeDone: ok.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -15,9 +15,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"gatetack/internal/actorhost"
 	"gatetack/internal/batch"
 	"gatetack/internal/config"
-	"gatetack/internal/desks"
 	"gatetack/internal/discovery"
 	"gatetack/internal/executor"
 	"gatetack/internal/failpoint"
@@ -196,7 +196,7 @@
 	}
 	var jobs *batch.Front
 	var duties *owner.Owner
-	var held *desks.Host
+	var held *actorhost.Host
 	if f.Batch.Listen != "" {
 		var ring *keys.Ring
 		ln, err := net.Listen("tcp", f.Batch.Listen)
@@ -239,8 +239,8 @@
 			if c.Settings.Zone < len(c.Names.Zones) {
 				zone = c.Names.Zones[c.Settings.Zone]
 			}
-			held = desks.New(desks.Config{Name: c.Name, Zone: zone, Addr: f.Batch.Listen, Store: members, Front: jobs, Pass: duties.Pass,
-				Prefix: batch.Prefix, Most: c.Limits.StoreValues / 2, Rules: migration.DefaultRules(), Limits: c.Limits, Log: log})
+			held = actorhost.New(actorhost.Config{Name: c.Name, Zone: zone, Addr: f.Batch.Listen, Store: members, Front: jobs, Forward: duties.Pass,
+				Prefix: batch.Prefix, Capacity: c.Limits.StoreValues / 2, Rules: migration.DefaultRules(), Limits: c.Limits, Log: log})
 			jobs.SetDesks(held)
 			g.Go(func() error { return held.Run(hard) })
 		}
@@ -270,7 +270,7 @@
 		if duties != nil {
 			last, end := context.WithTimeout(hard, c.Limits.StoreBeat)
 			defer end()
-			held.LetGo(last)
+			held.Deregister(last)
 			duties.LetGo(last)
 		}
 		return nil
--- a/internal/desks/explore_test.go
+++ b/internal/actorhost/explore_test.go
@@ -1,4 +1,4 @@
-package desks
+package actorhost
 
 import "testing"
 
@@ -12,7 +12,7 @@
 	number         uint8
 }
 
-type deskNode struct {
+type modelNode struct {
 	copy           bool
 	epoch, version uint8
 	last           uint8
@@ -20,21 +20,21 @@
 	lease          bool
 }
 
-type deskWorld struct {
+type modelWorld struct {
 	owner, epoch, version, last uint8
 	acked                       uint8
-	nodes                       [2]deskNode
+	nodes                       [2]modelNode
 }
 
 type guards struct{ epoch, version, lease bool }
 
 // explore walks all states. It gives their number, and what is wrong in one of them.
 func explore(g guards, calls, epochs uint8) (states int, wrong string) {
-	first := deskWorld{owner: 0, epoch: 1, version: 1}
+	first := modelWorld{owner: 0, epoch: 1, version: 1}
 	first.nodes[0].lease, first.nodes[1].lease = true, true
-	seen := map[deskWorld]bool{first: true}
-	todo := []deskWorld{first}
-	push := func(w deskWorld) {
+	seen := map[modelWorld]bool{first: true}
+	todo := []modelWorld{first}
+	push := func(w modelWorld) {
 		if !seen[w] {
 			seen[w] = true
 			todo = append(todo, w)
@@ -129,8 +129,8 @@
 }
 
 // With its guards the hand-over loses nothing, does nothing twice, and nobody but the owner applies anything; with the epoch taken
-// out that is found, and with the epoch and the version of the desk taken out a call is lost or done twice. The lease is no guard: without
-// it a desk is only taken over sooner.
+// out that is found, and with the epoch and the version of the actor taken out a call is lost or done twice. The lease is no guard: without
+// it a actor is only taken over sooner.
 func TestHandOverExplored(t *testing.T) {
 	states, wrong := explore(guards{true, true, true}, 3, 5)
 	t.Logf("%d states", states)
--- a/internal/desks/serve.go
+++ b/internal/actorhost/http.go
@@ -1,4 +1,4 @@
-package desks
+package actorhost
 
 import (
 	"context"
@@ -17,13 +17,13 @@
 	"gatetack/internal/owner"
 )
 
-// job hands a desk's open job in, under its key - which is one job, however often and wherever it is handed in - and sees whether it
-// has ended. The lock of x is held.
-func (h *Host) job(ctx context.Context, id string, x *held, name string, j actor.OpenJob) {
+// syncJob submits an open job of an actor, under its key - which is one job, however often and wherever it is submitted - and then
+// checks whether it has ended. The lock of x is held.
+func (h *Host) syncJob(ctx context.Context, id string, x *hostedActor, name string, j actor.OpenJob) {
 	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreCall)
 	defer cancel()
-	if x.jobs[name] == "" {
-		key := sha256.Sum256([]byte(j.Key)) // names of desks and jobs may hold what a key may not
+	if x.jobIDs[name] == "" {
+		key := sha256.Sum256([]byte(j.Key)) // names of actors and jobs may have characters that a key may not
 		wish := map[string]any{"jobCategory": j.Category, "accountingId": j.Account, "payload": j.Payload, "idempotencyKey": hex.EncodeToString(key[:])}
 		if len(j.Inputs) > 0 {
 			wish["inputs"] = j.Inputs
@@ -32,43 +32,44 @@
 		r := h.Front.Handle(ctx, &http1.Message{Method: "POST", Target: h.Prefix + "/jobs", Body: body})
 		switch {
 		case r.Status == 200 || r.Status == 201:
-			x.jobs[name] = gjson.GetBytes(r.Body, "jobId").String()
-		case r.Status == 400: // it can not be handed in at all: the function is told, and may go on
+			x.jobIDs[name] = gjson.GetBytes(r.Body, "jobId").String()
+		case r.Status == 400: // it can not be submitted at all: the function is told, and may go on
 			why := gjson.GetBytes(r.Body, "message").String()
 			h.Log.Warn("a desk's job can not be handed in", "desk", id, "job", name, "field", gjson.GetBytes(r.Body, "field").String(), "why", why)
-			h.ended(ctx, id, x, name, j, false, why)
+			h.jobEnded(ctx, id, x, name, j, false, why)
 		}
 		return
 	}
-	r := h.Front.Handle(ctx, &http1.Message{Method: "GET", Target: h.Prefix + "/jobs/" + x.jobs[name]})
+	r := h.Front.Handle(ctx, &http1.Message{Method: "GET", Target: h.Prefix + "/jobs/" + x.jobIDs[name]})
 	v := gjson.ParseBytes(r.Body)
 	switch state := v.Get("jobState").String(); {
 	case r.Status != 200:
 	case state == "DONE":
-		h.ended(ctx, id, x, name, j, true, v.Get("result").String())
+		h.jobEnded(ctx, id, x, name, j, true, v.Get("result").String())
 	case state == "FAILED":
-		h.ended(ctx, id, x, name, j, false, v.Get("annotation").String())
+		h.jobEnded(ctx, id, x, name, j, false, v.Get("annotation").String())
 	}
 }
 
-func (h *Host) ended(ctx context.Context, id string, x *held, name string, j actor.OpenJob, served bool, result string) {
-	if _, err := h.apply(ctx, id, x, &actor.Event{Kind: actor.JobEnded, At: time.Now().UnixMilli(), Job: name, Key: j.Key, Served: served, Result: result}); err != nil && !errors.Is(err, errGone) {
+// jobEnded applies the end of a job.
+func (h *Host) jobEnded(ctx context.Context, id string, x *hostedActor, name string, j actor.OpenJob, served bool, result string) {
+	if _, err := h.applyEvent(ctx, id, x, &actor.Event{Kind: actor.JobEnded, At: time.Now().UnixMilli(), Job: name, Key: j.Key, Served: served, Result: result}); err != nil && !errors.Is(err, errNotOwner) {
 		h.Log.Warn("a desk's job has ended", "desk", id, "job", name, fault.Attrs(err))
 	}
 }
 
-// zoneField tells the node that has a desk through which zone its device called.
-const zoneField = "X-Gatetack-Zone"
+// zoneHeader tells the owner of an actor the zone of the client.
+const zoneHeader = "X-Gatetack-Zone"
 
-// pass makes a call at the node that has the desk.
-func (h *Host) pass(ctx context.Context, addr, id string, number uint64, body json.RawMessage, via string) (json.RawMessage, string, error) {
+// forward makes a call at the owner of an actor.
+func (h *Host) forward(ctx context.Context, addr, id string, number uint64, body json.RawMessage, via string) (json.RawMessage, string, error) {
 	text, _ := json.Marshal(map[string]any{"number": number, "body": body})
 	ctx, cancel := context.WithTimeout(ctx, h.Limits.LeaseTTL/2)
 	defer cancel()
-	m, err := h.Pass(ctx, addr, &http1.Message{Method: "POST", Target: h.Prefix + "/desks/" + url.PathEscape(id) + "/calls", Body: text,
-		Fields: []http1.Field{{Name: zoneField, Value: via}}})
+	m, err := h.Forward(ctx, addr, &http1.Message{Method: "POST", Target: h.Prefix + "/desks/" + url.PathEscape(id) + "/calls", Body: text,
+		Fields: []http1.Field{{Name: zoneHeader, Value: via}}})
 	if err != nil {
-		return nil, "", &AwayError{id, err.Error()}
+		return nil, "", &UnavailableError{id, err.Error()}
 	}
 	v := gjson.ParseBytes(m.Body)
 	switch v.Get("code").String() {
@@ -78,15 +79,16 @@
 	case (&actor.CallError{}).Code():
 		return nil, "", &actor.CallError{Why: v.Get("message").String()}
 	default:
-		return nil, "", &AwayError{id, v.Get("message").String()}
+		return nil, "", &UnavailableError{id, v.Get("message").String()}
 	}
 	if m.Status != 200 {
-		return nil, "", &AwayError{id, "the node that has it says " + string(m.Body)}
+		return nil, "", &UnavailableError{id, "the node that has it says " + string(m.Body)}
 	}
 	return json.RawMessage(v.Get("answer").Raw), v.Get("node").String(), nil
 }
 
-func answer(status int, v any) http1.Response {
+// jsonResponse returns a response with a JSON body.
+func jsonResponse(status int, v any) http1.Response {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return http1.Text(500, "%v", err)
@@ -94,8 +96,8 @@
 	return http1.Response{Status: status, Body: body, Fields: []http1.Field{{Name: "Content-Type", Value: "application/json"}}}
 }
 
-// refusal tells an error, with its code and what can be done.
-func refusal(err error) http1.Response {
+// errorResponse returns the response for an error, with its code and what can be done.
+func errorResponse(err error) http1.Response {
 	status, v := 503, map[string]any{"error": "TRY_LATER", "message": err.Error(), "do": fault.Do(err)}
 	var order *actor.OrderError
 	var t fault.Told
@@ -107,22 +109,22 @@
 		status, v["error"], v["next"] = 409, "INVALID_STATE", order.Next
 	case errors.As(err, new(*actor.CallError)), errors.As(err, new(*actor.FunctionError)):
 		status, v["error"] = 400, "INVALID_ARGUMENT"
-	case errors.As(err, new(*UnknownError)):
+	case errors.As(err, new(*NotFoundError)):
 		status, v["error"] = 404, "INVALID_ARGUMENT"
 	case errors.As(err, new(*ExistsError)):
 		status, v["error"] = 409, "INVALID_STATE"
 	}
-	r := answer(status, v)
+	r := jsonResponse(status, v)
 	if status == 503 {
 		r.Fields = append(r.Fields, http1.RetryAfter(200*time.Millisecond))
 	}
 	return r
 }
 
-// Handle answers calls under /desks: p is the path behind it.
+// Handle serves requests under /desks. p is the path behind it, split.
 func (h *Host) Handle(ctx context.Context, m *http1.Message, p []string) http1.Response {
 	bad := func(text string) http1.Response {
-		return answer(400, map[string]any{"error": "INVALID_ARGUMENT", "message": text})
+		return jsonResponse(400, map[string]any{"error": "INVALID_ARGUMENT", "message": text})
 	}
 	if (m.Method == "POST") && !gjson.ValidBytes(m.Body) {
 		return bad("the body is not JSON")
@@ -135,12 +137,12 @@
 			return bad("id: expected 1 to 128 bytes")
 		}
 		if err := h.Create(ctx, id, []byte(v.Get("function").String())); err != nil {
-			return refusal(err)
+			return errorResponse(err)
 		}
-		return answer(201, map[string]any{"id": id, "node": h.Name})
+		return jsonResponse(201, map[string]any{"id": id, "node": h.Name})
 	case len(p) == 2 && p[1] == "calls" && m.Method == "POST":
 		via, hop := h.Zone, m.Get(owner.Hop) != ""
-		if z := m.Get(zoneField); hop && z != "" {
+		if z := m.Get(zoneHeader); hop && z != "" {
 			via = z
 		}
 		body := json.RawMessage(v.Get("body").Raw)
@@ -149,36 +151,36 @@
 		}
 		out, at, err := h.Call(ctx, p[0], v.Get("number").Uint(), body, via, hop)
 		if err != nil {
-			return refusal(err)
+			return errorResponse(err)
 		}
 		if out == nil {
 			out = json.RawMessage("null")
 		}
-		return answer(200, map[string]any{"answer": out, "node": at})
+		return jsonResponse(200, map[string]any{"answer": out, "node": at})
 	case len(p) == 1 && m.Method == "GET":
-		return h.show(ctx, p[0])
+		return h.describe(ctx, p[0])
 	}
-	return answer(404, map[string]any{"error": "INVALID_ARGUMENT", "message": "no such path, or not by " + m.Method})
+	return jsonResponse(404, map[string]any{"error": "INVALID_ARGUMENT", "message": "no such path, or not by " + m.Method})
 }
 
-// show tells a desk as it is now, whoever has it.
-func (h *Host) show(ctx context.Context, id string) http1.Response {
+// describe returns the committed state of an actor, whichever node owns it.
+func (h *Host) describe(ctx context.Context, id string) http1.Response {
 	r, err := h.txn(ctx)
 	if err != nil {
-		return refusal(&AwayError{id, err.Error()})
+		return errorResponse(&UnavailableError{id, err.Error()})
 	}
-	view, err := h.seen(ctx, r.Version)
+	view, err := h.waitApplied(ctx, r.Version)
 	if err != nil {
-		return refusal(&AwayError{id, err.Error()})
+		return errorResponse(&UnavailableError{id, err.Error()})
 	}
-	e, ok := view.Get(Desks, id)
+	e, ok := view.Get(ActorTable, id)
 	node, epoch, _ := ownerOf(view, id)
 	if !ok {
-		return refusal(&UnknownError{id})
+		return errorResponse(&NotFoundError{id})
 	}
 	d, err := actor.Decode(e.Value)
 	if err != nil {
-		return refusal(err)
+		return errorResponse(err)
 	}
-	return answer(200, map[string]any{"id": id, "node": node, "epoch": epoch, "last": d.LastCall, "state": d.State, "jobs": len(d.Jobs), "timers": d.Timers})
+	return jsonResponse(200, map[string]any{"id": id, "node": node, "epoch": epoch, "last": d.LastCall, "state": d.State, "jobs": len(d.Jobs), "timers": d.Timers})
 }
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -9,7 +9,7 @@
 
 	// All that have errors which reach an operator or a client.
 	_ "gatetack/internal/actor"
-	_ "gatetack/internal/desks"
+	_ "gatetack/internal/actorhost"
 	_ "gatetack/internal/locality"
 	_ "gatetack/internal/recovery"
 	_ "gatetack/internal/site"
