--- /dev/null
+++ b/internal/node/lists.go
@@ -0,0 +1,68 @@
+package node
+
+// This file holds how lists of executors reach the module and the carriers.
+
+import (
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/recovery"
+)
+
+func (c *Core) list(l List, now time.Time) {
+	e := brain.Event{Kind: brain.EvList, Form: l.Form, Version: uint32(l.Index)}
+	switch l.Form {
+	case brain.ListFailed:
+	case brain.ListCached:
+		c.book.Confirm(recovery.List, recovery.Restored, l.Index, now.Sub(c.start))
+	default:
+		c.heard.Store(true)
+		c.startup.Confirmed()
+		c.book.Confirm(recovery.List, recovery.Current, l.Index, now.Sub(c.start))
+	}
+	if l.Form == brain.ListFull || l.Form == brain.ListCached {
+		listed := map[uint32]bool{}
+		for i := range l.Entries {
+			listed[WorkerID(l.Entries[i].Name)] = true
+		}
+		for id, w := range c.workers {
+			if !listed[id] { // who is not in a whole list is gone
+				w.Status = "gone"
+				c.exec.Told(id, w, now)
+				delete(c.workers, id)
+			}
+		}
+	}
+	for i := range l.Entries {
+		x := &l.Entries[i]
+		id := WorkerID(x.Name)
+		if was, ok := c.workers[id]; ok && was.Name != x.Name {
+			c.log.Error("two executors share a number, the later one is left out", "one", was.Name, "other", x.Name)
+			continue
+		}
+		if x.Condition() == brain.Gone {
+			delete(c.workers, id)
+		} else {
+			c.workers[id] = *x
+		}
+		c.exec.Told(id, *x, now)
+		e.Rows = append(e.Rows, brain.Row{Worker: id, Zone: place(c.names.Zones, x.Zone), Kind: place(c.names.Kinds, x.Kind),
+			Cell: uint16(x.Group), Condition: x.Condition(), Scale: x.Weight, Born: x.SinceMS})
+	}
+	able := false
+	for _, w := range c.workers {
+		able = able || w.Condition() == brain.Ready
+	}
+	c.ready.Store(able)
+	c.event(e)
+}
+
+// place of a name in a list, 255 for one that is not in it.
+func place(names []string, name string) uint8 {
+	for i, n := range names {
+		if n == name {
+			return uint8(min(i, 254))
+		}
+	}
+	return 255
+}
--- /dev/null
+++ b/internal/node/timers.go
@@ -0,0 +1,70 @@
+package node
+
+// This file holds the timers of jobs, attempts and the module.
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"gatetack/brain"
+)
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Span makes a time of the milliseconds that the module and its settings count in.
+func Span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+type token uint32    // of the module
+type timeout uint64  // of an attempt
+type deadline uint32 // of a job
+
+type timer struct {
+	at   time.Time
+	what any
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, k int) bool { return t[i].at.Before(t[k].at) }
+func (t timers) Swap(i, k int)      { t[i], t[k] = t[k], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+func (c *Core) at(t time.Time, what any) { heap.Push(&c.timers, timer{t, what}) }
+
+// fire takes in the timers that are due.
+func (c *Core) fire(now time.Time) {
+	for len(c.timers) > 0 && !c.timers[0].at.After(now) {
+		switch what := heap.Pop(&c.timers).(timer).what.(type) {
+		case token:
+			c.event(brain.Event{Kind: brain.EvTimer, Token: uint32(what)})
+		case timeout:
+			if a := c.attempts[uint64(what)]; a != nil && !a.over {
+				c.exec.GiveUp(a.id)
+				c.end(a, brain.TimedOut, nil, nil, now)
+			}
+		case deadline:
+			c.overdue(uint32(what), now)
+		}
+	}
+}
+
+// Round rounds a time to stay away up to whole milliseconds within a bound, for the fronts.
+func Round(d, most time.Duration) time.Duration {
+	ms := time.Duration(math.Ceil(float64(d) / float64(time.Millisecond)))
+	return min(ms*time.Millisecond, most)
+}
