--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,7 +22,7 @@
 	"gatetack/internal/limits"
 	"gatetack/internal/node"
 	"gatetack/internal/pace"
-	"gatetack/internal/told"
+	"gatetack/internal/staleness"
 )
 
 // Sink takes lists, and hears of each call for one that failed.
@@ -41,8 +41,8 @@
 	calls chan call
 	index atomic.Uint64 // of the list last held
 
-	clock   told.Clock  // that of the watch which runs: one at a time
-	calling atomic.Bool // a call of it is under way
+	clock   staleness.Clock // that of the watch which runs: one at a time
+	calling atomic.Bool     // a call of it is under way
 
 	mu sync.Mutex
 	at place
@@ -67,7 +67,7 @@
 // the module asks for nothing. A watch on it is kept from the start on.
 func New(addr string, index uint64, pushed bool, lim limits.Limits, sink Sink, slow *pace.Tally, log *slog.Logger) *Client {
 	c := &Client{lim: lim, push: pushed, sink: sink, slow: slow, log: log, calls: make(chan call, 16), at: newPlace(addr)}
-	c.clock.Figures = lim.Told
+	c.clock.Timeouts = lim.Staleness
 	c.index.Store(index)
 	return c
 }
@@ -211,16 +211,16 @@
 }
 
 // endOf says how a call ended that had this error.
-func endOf(err error) told.End {
+func endOf(err error) staleness.End {
 	switch {
 	case errors.Is(err, errRefused):
-		return told.Refused
+		return staleness.Refused
 	case errors.Is(err, errCut):
-		return told.Cut
+		return staleness.Cut
 	case timedOut(err):
-		return told.Silent
+		return staleness.Silent
 	}
-	return told.Ended
+	return staleness.Ended
 }
 
 func timedOut(err error) bool {
@@ -251,7 +251,7 @@
 
 // list makes a call and hands on each line of its answer. Silence is a failure: a machine that was cut off leaves a
 // connection open and tells nothing. How much of it, a watch's clock says; a call for the whole list has none.
-func (c *Client) list(ctx context.Context, addr, target string, clock *told.Clock) error {
+func (c *Client) list(ctx context.Context, addr, target string, clock *staleness.Clock) error {
 	by := func() time.Time { return time.Now().Add(c.lim.ListCall) }
 	if clock != nil {
 		by = clock.SilentBy
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -93,7 +93,7 @@
 // for asking, and the module's turns go up to that; changes count as told after six.)
 func TestCallsThatMustBeMadeAreMadeHere(t *testing.T) {
 	lim := standin.Lim
-	lim.Told.Silence, lim.Told.Wait, lim.Told.Slow = 60*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond
+	lim.Staleness.Silence, lim.Staleness.Wait, lim.Staleness.Slow = 60*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond
 	line := `{"index":3,"snapshot":false,"endpoints":[]}`
 	s, run := served(t, true, func(ctx context.Context, n int, conn net.Conn) {
 		switch n {
@@ -163,7 +163,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			lim := standin.Lim
-			lim.Told.Beat, lim.Told.Late, lim.Told.Wait, lim.Told.Slow, lim.Told.Least = 20*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond, 20*time.Millisecond, time.Millisecond
+			lim.Staleness.Beat, lim.Staleness.Late, lim.Staleness.Wait, lim.Staleness.Slow, lim.Staleness.Least = 20*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond, 20*time.Millisecond, time.Millisecond
 			s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
 				switch {
 				case n == 0:
@@ -196,7 +196,7 @@
 // before its line break, which may never come. Both carry drains that count as told.
 func TestWatchIsRenewed(t *testing.T) {
 	lim := standin.Lim
-	lim.Told.Stood = 0
+	lim.Staleness.Stood = 0
 	var s *standin.Lists
 	s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
 		text := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, n+1)
@@ -222,7 +222,7 @@
 // told: the module would wait before it asks again, while drains count as told.
 func TestMove(t *testing.T) {
 	lim := standin.Lim
-	lim.Told.Silence = time.Hour // no call is made but those that are asked for, and at moves
+	lim.Staleness.Silence = time.Hour // no call is made but those that are asked for, and at moves
 	for _, old := range []string{"serves", "mute", "deaf", "gone"} {
 		c, s, list, box := start(t, lim)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -327,7 +327,7 @@
 // when the next is made.
 func TestRefusedAfterAWaitIsNotBegunAnew(t *testing.T) {
 	lim := standin.Lim
-	lim.Told.Stood = 0 // any wait is longer
+	lim.Staleness.Stood = 0 // any wait is longer
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -14,7 +14,7 @@
 	"gatetack/internal/limits"
 	"gatetack/internal/pace"
 	"gatetack/internal/recovery"
-	"gatetack/internal/told"
+	"gatetack/internal/staleness"
 )
 
 // ErrFull is the answer to a job for which the core's queue has no place.
@@ -61,8 +61,8 @@
 	slow     pace.Tally
 	leaving  bool // nothing more is taken
 	book     *recovery.Knowledge
-	startup  told.Startup // while it holds, the module takes no step
-	retunes  []retune     // that came meanwhile
+	startup  staleness.Startup // while it holds, the module takes no step
+	retunes  []retune          // that came meanwhile
 }
 
 type job struct {
@@ -101,8 +101,8 @@
 		attempts: map[uint64]*attempt{}, workers: map[uint32]Entry{}}
 	c.rules.Store(&Rules{s, names})
 	// A list that must be asked for is held to be as it was for the time to ask within, and four times that after a failed call.
-	fresh := max(Span(s.AskWithin), lim.Told.Silence)
-	c.book = recovery.NewKnowledge(map[recovery.Kind]recovery.AgeBounds{recovery.List: {Fresh: fresh, Usable: time.Duration(lim.Told.Failed) * fresh}})
+	fresh := max(Span(s.AskWithin), lim.Staleness.Silence)
+	c.book = recovery.NewKnowledge(map[recovery.Kind]recovery.AgeBounds{recovery.List: {Fresh: fresh, Usable: time.Duration(lim.Staleness.Failed) * fresh}})
 	c.tenants = make([]atomic.Int64, len(names.Tenants))
 	known.Form = brain.ListCached
 	c.in <- known
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -12,13 +12,13 @@
 // ListCallFailed takes in that a call for the list of executors failed.
 func (c *Core) ListCallFailed() { c.post(listCallFailed{}) }
 
-// AwaitList makes the core hold what it takes until the list that it was started with is confirmed, or told.Startup says that it
+// AwaitList makes the core hold what it takes until the list that it was started with is confirmed, or staleness.Startup says that it
 // is not waited for any more. It must be called before Run. A core that knows of no executor sends nothing and holds nothing.
 func (c *Core) AwaitList(known int) {
 	if known == 0 {
 		return
 	}
-	c.startup.Begin(c.start, c.lim.Told)
+	c.startup.Begin(c.start, c.lim.Staleness)
 	c.holding.Store(true)
 }
 
--- a/internal/told/told.go
+++ b/internal/staleness/clock.go
@@ -1,5 +1,6 @@
-// Package told (staleness of the list of executors) decides when a node that follows the list of executors calls, gives a call up and calls again. It does no
-// I/O, reads no clock and starts no goroutine: package discovery tells it what happened and does what it says.
+// Package staleness decides when a node that follows the list of executors calls discovery, gives a call up and calls again, so
+// that it never acts on a list that is staler than the protocol allows. It does no I/O, reads no clock and starts no goroutine:
+// package discovery tells it what happened and does what it says.
 //
 // Changes of the list count as told whether they arrived or not, and a request sent against one that counts as told breaks
 // the rule of drains. These are the times at which they do, each in one place here:
@@ -16,12 +17,12 @@
 // last there is one deadline: Silence after the last good look (the start of the process, where there was none), less the time
 // that an answer may take. The module may call sooner; if it has not, the call is made here then. Once that is past, since the
 // list could not be reached, calls are made here so often that two fit into the time from its return on.
-package told
+package staleness
 
 import "time"
 
-// Figures are the times by which changes count as told. See limits.Told for where they come from.
-type Figures struct {
+// Timeouts are the times by which changes count as told. See limits.Staleness for where they come from.
+type Timeouts struct {
 	Silence time.Duration // from the last byte of a watch that fell silent
 	Wait    time.Duration // for so long a call may wait for its turn
 	After   time.Duration // from the end of that wait, for a call that was silent in it
@@ -53,9 +54,9 @@
 	At   time.Time // then; where it is the module's, it is made here all the same if the module has not called by then
 }
 
-// Clock follows one list. A zero Clock with its Figures is that of a new process.
+// Clock follows one list. A zero Clock with its Timeouts is that of a new process.
 type Clock struct {
-	Figures
+	Timeouts
 
 	call     time.Time // when the last call was made
 	sign     time.Time // when something of it came last, zero before
--- a/internal/told/told_test.go
+++ b/internal/staleness/clock_test.go
@@ -1,4 +1,4 @@
-package told
+package staleness
 
 import (
 	"testing"
@@ -11,7 +11,7 @@
 
 const ms = time.Millisecond
 
-var figures = Figures{Silence: 6000 * ms, Wait: 2000 * ms, After: 2000 * ms, Reload: 4000 * ms, Ask: 10000 * ms, Failed: 4,
+var timeouts = Timeouts{Silence: 6000 * ms, Wait: 2000 * ms, After: 2000 * ms, Reload: 4000 * ms, Ask: 10000 * ms, Failed: 4,
 	Beat: 2000 * ms, Late: 1200 * ms, Slow: 500 * ms, Stood: 1000 * ms, Least: 100 * ms}
 
 var zero = time.Unix(1000, 0)
@@ -53,14 +53,14 @@
 			c.Call(at(3700))
 		}, 3990, Refused, 6500, true, 4000},
 	} {
-		c := Clock{Figures: figures}
+		c := Clock{Timeouts: timeouts}
 		x.went(&c)
 		next := c.Ended(at(x.ended), x.how, 0.999)
 		if held := c.Held(); held != at(x.held) || next.Mine != x.mine || x.mine && next.At.After(at(x.by)) {
 			t.Errorf("%s: held from %v, next %v in %v; want %v, %v by %d", x.what, held.Sub(zero), next.Mine, next.At.Sub(zero), x.held, x.mine, x.by)
 		}
 	}
-	c := Clock{Figures: figures}
+	c := Clock{Timeouts: timeouts}
 	if !c.Held().IsZero() {
 		t.Error("held before its first call")
 	}
@@ -76,7 +76,7 @@
 // no more calls away than the time leaves room for. And without silence, a cut or a move each failure is the module's.
 func TestToldInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Clock{Figures: figures}
+		c := Clock{Timeouts: timeouts}
 		draw := rapid.Float64Range(0, 0.999)
 		within := func(what string, least, most int) time.Duration {
 			return time.Duration(rapid.IntRange(least, most).Draw(t, what)) * ms
@@ -138,7 +138,7 @@
 // While the list turns all calls away, the calls made here grow rarer, as far as two of them, with their waits, fit into the time
 // after which changes count as told; they are spread over half of their gaps.
 func TestCallsGrowRarer(t *testing.T) {
-	c := Clock{Figures: figures}
+	c := Clock{Timeouts: timeouts}
 	c.Call(at(0))
 	now, gaps := at(0), []time.Duration{}
 	c.Sign(now)
@@ -149,7 +149,7 @@
 		next = c.Ended(now, Refused, 0.999)
 		gaps = append(gaps, next.At.Sub(now))
 	}
-	most := figures.Silence - 2*figures.Wait - figures.Slow
+	most := timeouts.Silence - 2*timeouts.Wait - timeouts.Slow
 	for i, g := range gaps {
 		if g > most || i > 6 && g < most*9/10 || i > 0 && g < gaps[i-1]*9/10 && at(6000).Before(now) && i > 6 {
 			t.Fatalf("gaps %v", gaps)
@@ -162,7 +162,7 @@
 // a process on. Of one that fails then as well, another follows within that time.
 func TestReachedInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Clock{Figures: figures}
+		c := Clock{Timeouts: timeouts}
 		draw := func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "draw") }
 		span := func(what string, most int) time.Duration {
 			return time.Duration(rapid.IntRange(0, most).Draw(t, what)) * ms
--- a/internal/told/startup.go
+++ b/internal/staleness/startup.go
@@ -1,4 +1,4 @@
-package told
+package staleness
 
 import "time"
 
@@ -12,8 +12,8 @@
 }
 
 // Begin notes that the process begins with a list that nobody has confirmed. It holds jobs for as long as a call may take.
-func (s *Startup) Begin(now time.Time, figures Figures) {
-	s.until = now.Add(figures.Wait + 2*figures.Slow)
+func (s *Startup) Begin(now time.Time, timeouts Timeouts) {
+	s.until = now.Add(timeouts.Wait + 2*timeouts.Slow)
 }
 
 // Confirmed notes that a list has come in this life of the process.
--- a/internal/told/startup_test.go
+++ b/internal/staleness/startup_test.go
@@ -1,4 +1,4 @@
-package told
+package staleness
 
 import "testing"
 
@@ -9,7 +9,7 @@
 	if none.Holds(at(0)) {
 		t.Error("a process without an old list holds jobs")
 	}
-	most := int((figures.Wait + 2*figures.Slow) / ms)
+	most := int((timeouts.Wait + 2*timeouts.Slow) / ms)
 	for _, x := range []struct {
 		what  string
 		event func(*Startup)
@@ -20,7 +20,7 @@
 		{"a call that failed", (*Startup).Failed, 1},
 	} {
 		var s Startup
-		s.Begin(at(0), figures)
+		s.Begin(at(0), timeouts)
 		if !s.Holds(at(0)) {
 			t.Errorf("%s: does not hold at the start", x.what)
 		}
