--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -273,7 +273,7 @@
 			l := s.All()
 			return len(l) > 0 && len(l[len(l)-1].Entries) == 1 && l[len(l)-1].Entries[0].Status == "draining"
 		})
-		if d := time.Since(began); d > standin.Lim.Told.Beat {
+		if d := time.Since(began); d > standin.Lim.Staleness.Beat {
 			t.Errorf("%s: it took %v", old, d)
 		}
 		for _, l := range s.All() {
