--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -274,7 +274,7 @@
 			last, end := context.WithTimeout(hard, c.Limits.StoreBeat)
 			defer end()
 			held.Deregister(last)
-			duties.LetGo(last)
+			duties.Release(last)
 		}
 		return nil
 	})
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -307,7 +307,7 @@
 	}
 	a := f.nodes[0]
 	p := a.own.Partition()
-	a.LetGo(context.Background())
+	a.Release(context.Background())
 	from := f.at
 	taken := func() bool {
 		for _, x := range f.nodes[1:] {
