--- /dev/null
+++ b/internal/actorhost/calls.go
@@ -0,0 +1,150 @@
+package actorhost
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"gatetack/internal/actor"
+	"gatetack/internal/http1"
+	"gatetack/internal/kv"
+	"gatetack/internal/migration"
+)
+
+// Call makes a client's call at the owner of an actor, wherever that is by now. Via is the zone of the client; hop says that another
+// node forwarded the call, which is then not forwarded again.
+func (h *Host) Call(ctx context.Context, id string, number uint64, body json.RawMessage, via string, hop bool) (answer json.RawMessage, at string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreCall)
+	defer cancel()
+	for {
+		answer, at, err = h.tryCall(ctx, id, number, body, via, hop)
+		if away := (*UnavailableError)(nil); !errors.Is(err, errNotOwner) && !errors.As(err, &away) || hop || ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	if errors.Is(err, errNotOwner) {
+		err = &UnavailableError{id, "it moved meanwhile"}
+	}
+	return answer, at, err
+}
+
+// tryCall makes one attempt at a call.
+func (h *Host) tryCall(ctx context.Context, id string, number uint64, body json.RawMessage, via string, hop bool) (json.RawMessage, string, error) {
+	v := h.Store.View()
+	node, epoch, ok := ownerOf(v, id)
+	if !ok {
+		r, err := h.txn(ctx, kv.Op{Verb: kv.Check, Table: OwnerTable, Key: id, Cond: true})
+		if err != nil {
+			return nil, "", &UnavailableError{id, err.Error()}
+		}
+		if r.OK() {
+			return nil, "", &NotFoundError{id}
+		}
+		return nil, "", &UnavailableError{id, "it is not known here yet"}
+	}
+	if node != h.Name {
+		row, alive := hostOf(v, node)
+		switch {
+		case !alive:
+			return nil, "", h.takeOver(ctx, id, node, epoch)
+		case hop:
+			return nil, "", errNotOwner
+		}
+		return h.forward(ctx, row.Addr, id, number, body, via)
+	}
+	x := h.hosted(id, epoch)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	answer, err := h.applyEvent(ctx, id, x, &actor.Event{Kind: actor.Call, At: time.Now().UnixMilli(), Number: number, Body: body})
+	if err == nil {
+		x.device.ObserveCall(via, h.elapsedMillis(), h.Rules)
+		h.migrate(ctx, id, x)
+	}
+	return answer, h.Name, err
+}
+
+// takeOver makes this node the owner of an actor whose node is lost: its entry in the host table has expired in the log.
+func (h *Host) takeOver(ctx context.Context, id, node string, epoch uint64) error {
+	value, _ := json.Marshal(ownerRow{h.Name})
+	r, err := h.txn(ctx, kv.Op{Verb: kv.Check, Table: HostTable, Key: node, Cond: true},
+		kv.Op{Verb: kv.Put, Table: OwnerTable, Key: id, Value: value, Keep: true, Cond: true, If: epoch})
+	if err == nil && r.OK() {
+		h.Log.Info("desk taken over", "desk", id, "epoch", r.Version, "was", node)
+		_, err = h.waitApplied(ctx, r.Version)
+	}
+	if err != nil {
+		return &UnavailableError{id, err.Error()}
+	}
+	return errNotOwner // the caller looks the owner up again: it is this node or a faster one
+}
+
+// migrate moves an actor after its device if the planner decides so. The lock of x is held: calls that come meanwhile wait, and go on
+// at the new owner.
+func (h *Host) migrate(ctx context.Context, id string, x *hostedActor) {
+	v := h.Store.View()
+	here := migration.Node{Name: h.Name, Zone: h.Zone}
+	if row, ok := hostOf(v, h.Name); ok {
+		here = row.node(h.Name)
+	}
+	h.mu.Lock()
+	to, _ := h.planner.Decide(h.elapsedMillis(), &x.device, here, func() []migration.Node { return candidates(v) })
+	h.mu.Unlock()
+	if to == "" {
+		return
+	}
+	row, ok := hostOf(v, to)
+	if !ok {
+		return
+	}
+	began := time.Now()
+	value, _ := json.Marshal(ownerRow{to})
+	// If the target is lost by then, the actor is taken over as any other of a lost node.
+	r, err := h.txn(ctx, kv.Op{Verb: kv.Put, Table: OwnerTable, Key: id, Value: value, Keep: true, Cond: true, If: x.epoch})
+	if err != nil {
+		x.state = nil // it may have moved: the next load tells
+		return
+	}
+	if !r.OK() {
+		h.evict(id, x)
+		return
+	}
+	h.evict(id, x)
+	h.Log.Info("desk moved", "desk", id, "to", to, "zone", row.Zone, "epoch", r.Version, "took", time.Since(began))
+}
+
+// zoneHeader tells the owner of an actor the zone of the client.
+const zoneHeader = "X-Gatetack-Zone"
+
+// forward makes a call at the owner of an actor.
+func (h *Host) forward(ctx context.Context, addr, id string, number uint64, body json.RawMessage, via string) (json.RawMessage, string, error) {
+	text, _ := json.Marshal(map[string]any{"number": number, "body": body})
+	ctx, cancel := context.WithTimeout(ctx, h.Limits.LeaseTTL/2)
+	defer cancel()
+	m, err := h.Forward(ctx, addr, &http1.Message{Method: "POST", Target: h.Prefix + "/desks/" + url.PathEscape(id) + "/calls", Body: text,
+		Fields: []http1.Field{{Name: zoneHeader, Value: via}}})
+	if err != nil {
+		return nil, "", &UnavailableError{id, err.Error()}
+	}
+	v := gjson.ParseBytes(m.Body)
+	switch v.Get("code").String() {
+	case "":
+	case (&actor.OrderError{}).Code():
+		return nil, "", &actor.OrderError{Number: number, Next: v.Get("next").Uint()}
+	case (&actor.CallError{}).Code():
+		return nil, "", &actor.CallError{Why: v.Get("message").String()}
+	default:
+		return nil, "", &UnavailableError{id, v.Get("message").String()}
+	}
+	if m.Status != 200 {
+		return nil, "", &UnavailableError{id, "the node that has it says " + string(m.Body)}
+	}
+	return json.RawMessage(v.Get("answer").Raw), v.Get("node").String(), nil
+}
--- /dev/null
+++ b/internal/actorhost/errors.go
@@ -0,0 +1,50 @@
+package actorhost
+
+import (
+	"errors"
+	"fmt"
+
+	"gatetack/internal/fault"
+)
+
+// errNotOwner reports that this node does not, or no longer, own an actor. The caller looks its owner up again.
+var errNotOwner = errors.New("desks: the desk is another node's by now")
+
+// NotFoundError reports that there is no such actor.
+type NotFoundError struct{ ID string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("desks: there is no desk %q", e.ID) }
+
+// Code is its kind.
+func (*NotFoundError) Code() string { return "desks.unknown" }
+
+// Do is what can be done.
+func (*NotFoundError) Do() string { return "create the desk first" }
+
+// UnavailableError reports that an actor can not be reached at the moment.
+type UnavailableError struct{ ID, Why string }
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("desks: %q can not be reached: %s", e.ID, e.Why)
+}
+
+// Code is its kind.
+func (*UnavailableError) Code() string { return "desks.away" }
+
+// Do is what can be done.
+func (*UnavailableError) Do() string {
+	return "make the same call, with its number, again in a moment: it has one effect"
+}
+
+// ExistsError reports that an actor of the same id exists.
+type ExistsError struct{ ID string }
+
+func (e *ExistsError) Error() string { return fmt.Sprintf("desks: %q is there already", e.ID) }
+
+// Code is its kind.
+func (*ExistsError) Code() string { return "desks.exists" }
+
+// Do is what can be done.
+func (*ExistsError) Do() string { return "call it, or choose another name" }
+
+var _ = []struct{}{fault.Kind(&NotFoundError{}), fault.Kind(&UnavailableError{}), fault.Kind(&ExistsError{})}
--- a/internal/actorhost/http.go
+++ b/internal/actorhost/http.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"net/url"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -17,76 +14,6 @@
 	"gatetack/internal/owner"
 )
 
-// syncJob submits an open job of an actor, under its key - which is one job, however often and wherever it is submitted - and then
-// checks whether it has ended. The lock of x is held.
-func (h *Host) syncJob(ctx context.Context, id string, x *hostedActor, name string, j actor.OpenJob) {
-	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreCall)
-	defer cancel()
-	if x.jobIDs[name] == "" {
-		key := sha256.Sum256([]byte(j.Key)) // names of actors and jobs may have characters that a key may not
-		wish := map[string]any{"jobCategory": j.Category, "accountingId": j.Account, "payload": j.Payload, "idempotencyKey": hex.EncodeToString(key[:])}
-		if len(j.Inputs) > 0 {
-			wish["inputs"] = j.Inputs
-		}
-		body, _ := json.Marshal(wish)
-		r := h.Front.Handle(ctx, &http1.Message{Method: "POST", Target: h.Prefix + "/jobs", Body: body})
-		switch {
-		case r.Status == 200 || r.Status == 201:
-			x.jobIDs[name] = gjson.GetBytes(r.Body, "jobId").String()
-		case r.Status == 400: // it can not be submitted at all: the function is told, and may go on
-			why := gjson.GetBytes(r.Body, "message").String()
-			h.Log.Warn("a desk's job can not be handed in", "desk", id, "job", name, "field", gjson.GetBytes(r.Body, "field").String(), "why", why)
-			h.jobEnded(ctx, id, x, name, j, false, why)
-		}
-		return
-	}
-	r := h.Front.Handle(ctx, &http1.Message{Method: "GET", Target: h.Prefix + "/jobs/" + x.jobIDs[name]})
-	v := gjson.ParseBytes(r.Body)
-	switch state := v.Get("jobState").String(); {
-	case r.Status != 200:
-	case state == "DONE":
-		h.jobEnded(ctx, id, x, name, j, true, v.Get("result").String())
-	case state == "FAILED":
-		h.jobEnded(ctx, id, x, name, j, false, v.Get("annotation").String())
-	}
-}
-
-// jobEnded applies the end of a job.
-func (h *Host) jobEnded(ctx context.Context, id string, x *hostedActor, name string, j actor.OpenJob, served bool, result string) {
-	if _, err := h.applyEvent(ctx, id, x, &actor.Event{Kind: actor.JobEnded, At: time.Now().UnixMilli(), Job: name, Key: j.Key, Served: served, Result: result}); err != nil && !errors.Is(err, errNotOwner) {
-		h.Log.Warn("a desk's job has ended", "desk", id, "job", name, fault.Attrs(err))
-	}
-}
-
-// zoneHeader tells the owner of an actor the zone of the client.
-const zoneHeader = "X-Gatetack-Zone"
-
-// forward makes a call at the owner of an actor.
-func (h *Host) forward(ctx context.Context, addr, id string, number uint64, body json.RawMessage, via string) (json.RawMessage, string, error) {
-	text, _ := json.Marshal(map[string]any{"number": number, "body": body})
-	ctx, cancel := context.WithTimeout(ctx, h.Limits.LeaseTTL/2)
-	defer cancel()
-	m, err := h.Forward(ctx, addr, &http1.Message{Method: "POST", Target: h.Prefix + "/desks/" + url.PathEscape(id) + "/calls", Body: text,
-		Fields: []http1.Field{{Name: zoneHeader, Value: via}}})
-	if err != nil {
-		return nil, "", &UnavailableError{id, err.Error()}
-	}
-	v := gjson.ParseBytes(m.Body)
-	switch v.Get("code").String() {
-	case "":
-	case (&actor.OrderError{}).Code():
-		return nil, "", &actor.OrderError{Number: number, Next: v.Get("next").Uint()}
-	case (&actor.CallError{}).Code():
-		return nil, "", &actor.CallError{Why: v.Get("message").String()}
-	default:
-		return nil, "", &UnavailableError{id, v.Get("message").String()}
-	}
-	if m.Status != 200 {
-		return nil, "", &UnavailableError{id, "the node that has it says " + string(m.Body)}
-	}
-	return json.RawMessage(v.Get("answer").Raw), v.Get("node").String(), nil
-}
-
 // jsonResponse returns a response with a JSON body.
 func jsonResponse(status int, v any) http1.Response {
 	body, err := json.Marshal(v)
