--- /dev/null
+++ b/cmd/scalerun/main.go
@@ -0,0 +1,238 @@
+// Command scalerun plays a described fleet: real dispatchers as processes, beside them thousands of hollow executors and clients, with
+// faults, all drawn from a seed. It measures from outside, judges what it saw, prints a table and writes a JSON file of results. It is
+// a tool of the project's developers; docs/design/scale-run.md says what is hollow about each party.
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.yaml.in/yaml/v3"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/play"
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/result"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1 // nothing was played
+	exitBroken = 2 // a rule was broken
+	exitEarly  = 3 // the run ended early
+)
+
+var (
+	errBroken = errors.New("a rule was broken")
+	errEarly  = errors.New("the run ended early, and its result is partial")
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := command().ExecuteContext(ctx)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "scalerun:", err)
+	switch {
+	case errors.Is(err, errBroken):
+		os.Exit(exitBroken)
+	case errors.Is(err, errEarly):
+		os.Exit(exitEarly)
+	}
+	os.Exit(exitFailed)
+}
+
+// options are the command's words.
+type options struct {
+	description fleet.Description
+	file        string
+	faults      []string
+	out         string
+	program     string
+	logs        string
+}
+
+func command() *cobra.Command {
+	o := options{description: fleet.Default()}
+	cmd := &cobra.Command{
+		Use: "scalerun", Short: "play a fleet of real dispatchers and hollow executors", SilenceUsage: true, SilenceErrors: true,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd, &o) },
+	}
+	f, d := cmd.Flags(), &o.description
+	f.StringVar(&o.file, "description", "", "a YAML file with a fleet's description, whose keys are the flags' names; flags that are given go before it")
+	f.Uint64Var(&d.Seed, "seed", d.Seed, "everything is drawn from it")
+	f.IntVar(&d.Executors, "executors", d.Executors, "hollow executors")
+	f.IntVar(&d.Dispatchers, "dispatchers", d.Dispatchers, "real dispatchers, each a process")
+	f.IntVar(&d.StoreMembers, "store-members", d.StoreMembers, "dispatchers that are members of the replicated store")
+	f.IntVar(&d.Tenants, "tenants", d.Tenants, "tenants, with equal reserved shares")
+	f.IntVar(&d.Regions, "regions", d.Regions, "regions")
+	f.IntVar(&d.ZonesPerRegion, "zones", d.ZonesPerRegion, "zones in each region")
+	f.Float64Var(&d.Starts, "starts", d.Starts, "task starts asked for each second")
+	f.Float64Var(&d.StartsTo, "starts-to", d.StartsTo, "the rate that a ramp ends with; 0 for an even rate")
+	f.IntVar(&d.Running, "running", d.Running, "tasks that are to run at a time")
+	f.DurationVar(&d.Duration, "duration", d.Duration, "length of the load")
+	f.IntVar(&d.MemoryMB, "dispatcher-memory", d.MemoryMB, "memory granted to each dispatcher, in MB")
+	f.IntVar(&d.Sockets, "dispatcher-sockets", d.Sockets, "descriptors granted to each dispatcher")
+	f.Float64Var(&d.BatchShare, "batch-share", d.BatchShare, "part of the jobs that come through the batch front of the store's members")
+	f.StringSliceVar(&o.faults, "fault", []string{"zone"}, "faults: machine[=FACTOR], rolling[=COUNT], rack, zone, cut-in, cut-out, cut, leader, reconfigure[=SECONDS]; none for none")
+	f.StringVar(&o.out, "out", "", "the file that gets the result; empty for none")
+	f.StringVar(&o.program, "program", "", "the dispatcher's program; empty: it is built")
+	f.StringVar(&o.logs, "logs", "", "keep configurations and logs in this folder")
+	return cmd
+}
+
+func run(cmd *cobra.Command, o *options) error {
+	if err := describe(cmd, o); err != nil {
+		return err
+	}
+	specs, err := parseFaults(o.faults)
+	if err != nil {
+		return err
+	}
+	if err := checkOut(o.out); err != nil {
+		return err
+	}
+	dir, keep := o.logs, o.logs != ""
+	if !keep {
+		if dir, err = os.MkdirTemp("", "scalerun"); err != nil {
+			return fmt.Errorf("folder for logs: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	if o.program == "" {
+		if o.program, err = build(dir); err != nil {
+			return err
+		}
+	}
+	r, err := play.Run(cmd.Context(), play.Options{Description: o.description, Faults: specs, Program: o.program, Dir: dir,
+		Command: words(cmd), Commit: commit(), Budget: process.Bounds})
+	if err != nil {
+		return err
+	}
+	return finish(cmd.OutOrStdout(), o.out, r)
+}
+
+// describe reads the description's file, and puts the flags that were given before it.
+func describe(cmd *cobra.Command, o *options) error {
+	if o.file != "" {
+		given := o.description
+		text, err := os.ReadFile(o.file)
+		if err != nil {
+			return fmt.Errorf("description: %w", err)
+		}
+		read := fleet.Default()
+		dec := yaml.NewDecoder(bytes.NewReader(text))
+		dec.KnownFields(true)
+		if err := dec.Decode(&read); err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("description %s: %w", o.file, err)
+		}
+		o.description = read
+		override(cmd, &o.description, &given)
+	}
+	return o.description.Check()
+}
+
+// override takes the fields over whose flags were given.
+func override(cmd *cobra.Command, to, given *fleet.Description) {
+	for name, take := range map[string]func(){
+		"seed": func() { to.Seed = given.Seed }, "executors": func() { to.Executors = given.Executors },
+		"dispatchers": func() { to.Dispatchers = given.Dispatchers }, "store-members": func() { to.StoreMembers = given.StoreMembers },
+		"tenants": func() { to.Tenants = given.Tenants }, "regions": func() { to.Regions = given.Regions },
+		"zones": func() { to.ZonesPerRegion = given.ZonesPerRegion }, "starts": func() { to.Starts = given.Starts },
+		"starts-to": func() { to.StartsTo = given.StartsTo }, "running": func() { to.Running = given.Running },
+		"duration": func() { to.Duration = given.Duration }, "dispatcher-memory": func() { to.MemoryMB = given.MemoryMB },
+		"dispatcher-sockets": func() { to.Sockets = given.Sockets }, "batch-share": func() { to.BatchShare = given.BatchShare },
+	} {
+		if cmd.Flags().Changed(name) {
+			take()
+		}
+	}
+}
+
+func parseFaults(texts []string) ([]faults.Spec, error) {
+	var out []faults.Spec
+	for _, text := range texts {
+		if text == "none" && len(texts) == 1 {
+			return nil, nil
+		}
+		s, err := faults.Parse(text)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// checkOut says before the run whether its result can be written.
+func checkOut(path string) error {
+	if path == "" {
+		return nil
+	}
+	info, err := os.Stat(filepath.Dir(path))
+	if err != nil || !info.IsDir() {
+		return &fleet.FieldError{Field: "out", Got: path, Expected: "a file in a folder that is there"}
+	}
+	return nil
+}
+
+// build builds the dispatcher from the module that the command is run in.
+func build(dir string) (string, error) {
+	program := filepath.Join(dir, "gatetack")
+	out, err := exec.Command("go", "build", "-o", program, "gatetack/cmd/gatetack").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building the dispatcher: %w: %s", err, out)
+	}
+	return program, nil
+}
+
+// words are the command's own, as the result has them.
+func words(cmd *cobra.Command) string {
+	_ = cmd
+	return strings.Join(append([]string{"go run ./cmd/scalerun"}, os.Args[1:]...), " ")
+}
+
+// commit names what is played, with a mark where files have changed since.
+func commit() string {
+	out, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	name := strings.TrimSpace(string(out))
+	if changed, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no").Output(); err == nil && len(changed) > 0 {
+		name += "-changed"
+	}
+	return name
+}
+
+func finish(w io.Writer, out string, r *result.Result) error {
+	if err := result.Table(w, r); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	if out != "" {
+		if err := result.Write(out, r); err != nil {
+			return err
+		}
+	}
+	switch {
+	case !r.Kept:
+		return errBroken
+	case r.Partial:
+		return errEarly
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/faults/faults.go
@@ -0,0 +1,213 @@
+// Package faults draws from a seed which faults a scale run has and when. It does no I/O and reads no clock.
+package faults
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gatetack/internal/scale/fleet"
+)
+
+// Name of a kind of fault.
+type Name string
+
+// The kinds of faults.
+const (
+	Machine     Name = "machine"     // machines fail: 59 a day, hastened by the value
+	Rolling     Name = "rolling"     // so many executors are drained, restarted and come back cold, spread over the run
+	Rack        Name = "rack"        // a rack is out for a third of the run and comes back cold
+	Zone        Name = "zone"        // a zone, likewise
+	CutInward   Name = "cut-in"      // nothing reaches a region's executors from other regions, for a third of the run
+	CutOutward  Name = "cut-out"     // nothing reaches other regions from them, likewise
+	Cut         Name = "cut"         // both
+	Leader      Name = "leader"      // the store's leader is killed, and started again later
+	Reconfigure Name = "reconfigure" // the dispatchers' configuration changes, every so many seconds
+)
+
+// machinesPerDay fail in the operators' fleet of fleetSize.
+const (
+	machinesPerDay = 59
+	fleetSize      = 6200
+)
+
+// values are what a fault's value is when none is given; a fault that takes none has 0.
+var values = map[Name]float64{Machine: 1000, Rolling: 20, Rack: 0, Zone: 0, CutInward: 0, CutOutward: 0, Cut: 0, Leader: 0, Reconfigure: 1}
+
+// Spec is a fault that was asked for.
+type Spec struct {
+	Name  Name
+	Value float64
+}
+
+// Parse reads NAME or NAME=VALUE.
+func Parse(text string) (Spec, error) {
+	name, value, given := strings.Cut(text, "=")
+	s := Spec{Name: Name(name)}
+	usual, ok := values[s.Name]
+	if !ok {
+		return s, &fleet.FieldError{Field: "fault", Got: text, Expected: "one of " + names()}
+	}
+	if s.Value = usual; !given {
+		return s, nil
+	}
+	v, err := strconv.ParseFloat(value, 64)
+	if err != nil || usual == 0 || !(v > 0) {
+		return s, &fleet.FieldError{Field: "fault", Got: text, Expected: fmt.Sprintf("%s=NUMBER over 0 for machine, rolling or reconfigure, and no value for others", name)}
+	}
+	s.Value = v
+	return s, nil
+}
+
+func names() string {
+	var all []string
+	for n := range values {
+		all = append(all, string(n))
+	}
+	slices.Sort(all)
+	return strings.Join(all, ", ")
+}
+
+// ActionKind says what is done.
+type ActionKind uint8
+
+// The actions.
+const (
+	Kill          ActionKind = iota // Executors end
+	Boot                            // Executors begin cold lives
+	ListDraining                    // the list tells of Executors
+	ListGone                        // likewise
+	ListReady                       // likewise, with their new lives
+	SetCut                          // Region, Inward, Outward
+	LiftCut                         // likewise
+	KillLeader                      // of the store
+	RestartLeader                   // the member that was killed
+	Change                          // of the configuration
+)
+
+// Action is one thing that is done at a time.
+type Action struct {
+	At              time.Duration
+	Kind            ActionKind
+	Executors       []int
+	Region          int
+	Inward, Outward bool
+	Why             Name
+}
+
+// How late the list knows what has become of an executor.
+const (
+	goneAfterLeast  = time.Second
+	goneAfterMost   = 3 * time.Second
+	readyAfterLeast = 500 * time.Millisecond
+	readyAfterMost  = 2 * time.Second
+	repairs         = 5 * time.Second // of a machine that failed
+	restarts        = time.Second     // of one that is restarted in order
+)
+
+// schedule draws actions.
+type schedule struct {
+	d       *fleet.Description
+	plan    []fleet.Executor
+	random  *rand.Rand
+	actions []Action
+}
+
+// Schedule draws what the faults that were asked for lead to, in the order of time.
+func Schedule(d *fleet.Description, plan []fleet.Executor, specs []Spec) ([]Action, error) {
+	s := &schedule{d: d, plan: plan, random: rand.New(rand.NewPCG(d.Seed, 0xfa17))}
+	for _, spec := range specs {
+		if spec.Name == Leader && d.StoreMembers == 0 {
+			return nil, &fleet.FieldError{Field: "fault", Got: spec.Name, Expected: "store-members over 0 where the leader is killed"}
+		}
+		s.add(spec)
+	}
+	slices.SortStableFunc(s.actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
+	return s.actions, nil
+}
+
+func (s *schedule) add(spec Spec) {
+	third := s.d.Duration / 3
+	switch spec.Name {
+	case Machine:
+		s.machines(spec.Value)
+	case Rolling:
+		s.rolling(int(spec.Value))
+	case Rack:
+		rack := s.plan[s.random.IntN(len(s.plan))].Rack
+		s.outage(Rack, third, s.d.Duration/3, s.pick(func(x fleet.Executor) bool { return x.Rack == rack }))
+	case Zone:
+		zone := s.random.IntN(min(s.d.Zones(), len(s.plan)))
+		s.outage(Zone, third, s.d.Duration/3, s.pick(func(x fleet.Executor) bool { return x.Zone == zone }))
+	case CutInward, CutOutward, Cut:
+		a := Action{At: third, Kind: SetCut, Region: s.random.IntN(s.d.Regions), Inward: spec.Name != CutOutward,
+			Outward: spec.Name != CutInward, Why: spec.Name}
+		s.actions = append(s.actions, a)
+		a.At, a.Kind = a.At+third, LiftCut
+		s.actions = append(s.actions, a)
+	case Leader:
+		s.actions = append(s.actions, Action{At: third, Kind: KillLeader, Why: Leader}, Action{At: 2 * third, Kind: RestartLeader, Why: Leader})
+	case Reconfigure:
+		every := time.Duration(spec.Value * float64(time.Second))
+		for at := every; at < s.d.Duration; at += every {
+			s.actions = append(s.actions, Action{At: at, Kind: Change, Why: Reconfigure})
+		}
+	}
+}
+
+func (s *schedule) pick(match func(fleet.Executor) bool) (out []int) {
+	for _, x := range s.plan {
+		if match(x) {
+			out = append(out, x.Number)
+		}
+	}
+	return out
+}
+
+func (s *schedule) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+// outage takes executors down at a moment and up again after a while; the list learns of it late.
+func (s *schedule) outage(why Name, at, down time.Duration, executors []int) {
+	up := at + down
+	s.actions = append(s.actions,
+		Action{At: at, Kind: Kill, Executors: executors, Why: why},
+		Action{At: at + min(down/2, s.between(goneAfterLeast, goneAfterMost)), Kind: ListGone, Executors: executors, Why: why},
+		Action{At: up, Kind: Boot, Executors: executors, Why: why},
+		Action{At: up + s.between(readyAfterLeast, readyAfterMost), Kind: ListReady, Executors: executors, Why: why})
+}
+
+// machines draws single failures at the operators' rate, times a factor.
+func (s *schedule) machines(factor float64) {
+	perSecond := factor * machinesPerDay / (24 * time.Hour).Seconds() * float64(len(s.plan)) / fleetSize
+	for at := time.Duration(0); ; {
+		at += time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second))
+		if at >= s.d.Duration {
+			return
+		}
+		s.outage(Machine, at, repairs, []int{s.random.IntN(len(s.plan))})
+	}
+}
+
+// rolling restarts executors in turn: each is drained, ends once what it runs may have ended, and comes back cold.
+func (s *schedule) rolling(count int) {
+	count = min(count, len(s.plan))
+	order := s.random.Perm(len(s.plan))[:count]
+	drain := 2 * s.d.MeanRun()
+	for i, x := range order {
+		at := s.d.Duration * time.Duration(i) / time.Duration(count)
+		one := []int{x}
+		down := at + drain
+		s.actions = append(s.actions,
+			Action{At: at, Kind: ListDraining, Executors: one, Why: Rolling},
+			Action{At: down, Kind: Kill, Executors: one, Why: Rolling},
+			Action{At: down, Kind: ListGone, Executors: one, Why: Rolling},
+			Action{At: down + restarts, Kind: Boot, Executors: one, Why: Rolling},
+			Action{At: down + restarts + s.between(readyAfterLeast, readyAfterMost), Kind: ListReady, Executors: one, Why: Rolling})
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/clients.go
@@ -0,0 +1,218 @@
+package hollow
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+// Clients submit tasks through the platform's front, each at the moment it is due, and try again what was refused.
+type Clients struct {
+	rules       fleet.Rules
+	dispatchers int
+	network     *Network
+	record      *Record
+	traffic     *Traffic
+	numbers     atomic.Uint64
+	open        atomic.Int64
+	results     Results
+
+	mu   sync.Mutex
+	idle [][]*Conn // by dispatcher, the one used last at the end
+}
+
+// Results count how tasks ended, whatever number of requests each took.
+type Results struct{ Tasks, Served, Refused, Failed, Late [workload.Kinds]atomic.Int64 }
+
+// NewClients makes clients of so many dispatchers.
+func NewClients(r fleet.Rules, dispatchers int, n *Network, rec *Record, t *Traffic) *Clients {
+	return &Clients{rules: r, dispatchers: dispatchers, network: n, record: rec, traffic: t, idle: make([][]*Conn, dispatchers)}
+}
+
+// Open is how many tasks wait for their ends.
+func (c *Clients) Open() int { return int(c.open.Load()) }
+
+// Results are the counts so far.
+func (c *Clients) Results() *Results { return &c.results }
+
+// Play submits a load and returns once all of it has ended, or the context has.
+func (c *Clients) Play(ctx context.Context, load *workload.Generator, start time.Time) {
+	var g errgroup.Group
+	for {
+		t, ok := load.Next()
+		if !ok {
+			break
+		}
+		due := start.Add(t.Due)
+		sleep(ctx, time.Until(due))
+		if ctx.Err() != nil {
+			break
+		}
+		c.record.Due(t, due)
+		c.results.Tasks[t.Kind].Add(1)
+		c.open.Add(1)
+		g.Go(func() error {
+			c.pursue(ctx, t, due)
+			c.open.Add(-1)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// Close closes kept connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, list := range c.idle {
+		for _, conn := range list {
+			_ = conn.Close()
+		}
+		c.idle[i] = nil
+	}
+}
+
+// unreachedPause is how long a client waits before it goes to the next dispatcher.
+const unreachedPause = 100 * time.Millisecond
+
+// leastRetry is how long a refused client that was told nothing stays away.
+const leastRetry = 50 * time.Millisecond
+
+// pursue submits a task, and again after refusals, until it has an end or its time is over.
+func (c *Clients) pursue(ctx context.Context, t workload.Task, due time.Time) {
+	deadline := due.Add(c.rules.Deadlines[t.Class])
+	dispatcher := t.Dispatcher
+	for ctx.Err() == nil {
+		outcome, retry := c.submit(ctx, t, dispatcher, deadline)
+		switch outcome {
+		case verdict.Served:
+			c.results.Served[t.Kind].Add(1)
+			if time.Now().After(deadline) {
+				c.results.Late[t.Kind].Add(1)
+			}
+			return
+		case verdict.Failed, verdict.Broken:
+			c.results.Failed[t.Kind].Add(1)
+			return
+		case verdict.Unreached:
+			dispatcher = (dispatcher + 1) % c.dispatchers
+			retry = unreachedPause
+		case verdict.Refused:
+			retry = max(retry, leastRetry)
+		}
+		if time.Now().Add(retry).After(deadline) {
+			break
+		}
+		sleep(ctx, retry)
+	}
+	c.record.Add(verdict.Event{Kind: verdict.Withdrawn, Task: int32(t.Number)})
+	c.results.Refused[t.Kind].Add(1)
+}
+
+// submit makes one request, and says how it ended and how long its client is to stay away.
+func (c *Clients) submit(ctx context.Context, t workload.Task, dispatcher int, deadline time.Time) (verdict.Answer, time.Duration) {
+	request := RequestID(dispatcher, c.numbers.Add(1))
+	id := verdict.ID(request)
+	conn, kept, err := c.connect(dispatcher)
+	if err != nil {
+		return verdict.Unreached, 0
+	}
+	left := time.Until(deadline)
+	if left <= 0 {
+		c.keep(dispatcher, conn)
+		return verdict.Refused, 0
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	e := verdict.Event{Kind: verdict.Submitted, Request: request, Task: int32(t.Number), Tenant: int32(t.Tenant), Class: uint8(t.Class),
+		Slots: int32(t.Slots), Dispatcher: int16(dispatcher), Deadline: deadline.Sub(c.record.Start())}
+	e.At = c.record.Now()
+	fields := []http1.Field{{Name: "X-Trace-Id", Value: id}, {Name: "X-Customer", Value: fleet.TenantName(t.Tenant)},
+		{Name: "X-Expires-In-Ms", Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: "Idempotency-Key", Value: "key-" + strconv.Itoa(t.Number)},
+		{Name: "X-Props", Value: "slots=" + strconv.Itoa(t.Slots)}}
+	if err := conn.Send("POST", target(t), []byte("task"), fields); err != nil {
+		_ = conn.Close()
+		return verdict.Unreached, 0
+	}
+	c.record.Add(e)
+	sent := time.Now()
+	m, err := conn.Receive(deadline.Add(c.rules.AnswerSlack + answerSpare))
+	switch {
+	case ctx.Err() != nil:
+		return verdict.Unreached, 0 // the run ends; what was asked stays open
+	case err != nil && isTimeout(err):
+		_ = conn.Close()
+		c.record.Add(verdict.Event{Kind: verdict.GivenUp, Request: request})
+		return verdict.Broken, 0
+	case err != nil && kept && !conn.parser.Begun() && time.Since(sent) < crossing:
+		// Between requests a dispatcher may close a connection, which crosses with a request that it has not read.
+		_ = conn.Close()
+		c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: verdict.Unreached, Request: request})
+		return verdict.Unreached, 0
+	case err != nil:
+		_ = conn.Close()
+		c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: verdict.Broken, Request: request})
+		return verdict.Broken, 0
+	}
+	answer, retry := read(m, id)
+	c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: answer, Request: request})
+	if m.Close {
+		_ = conn.Close()
+	} else {
+		c.keep(dispatcher, conn)
+	}
+	return answer, retry
+}
+
+// answerSpare is how long past the slack a client reads on: an answer that late is told from none.
+const answerSpare = 500 * time.Millisecond
+
+// crossing is how soon after a request its kept connection ends where the dispatcher had closed it before.
+const crossing = 20 * time.Millisecond
+
+// read tells what an answer means.
+func read(m *http1.Message, id string) (verdict.Answer, time.Duration) {
+	switch m.Status {
+	case 200:
+		if string(m.Body) != resultOf(id) {
+			return verdict.Broken, 0 // what no executor made for it
+		}
+		return verdict.Served, 0
+	case 429, 503:
+		seconds, err := strconv.ParseFloat(m.Get("Retry-After"), 64)
+		if err != nil {
+			return verdict.Refused, 0
+		}
+		return verdict.Refused, time.Duration(seconds * float64(time.Second))
+	}
+	return verdict.Failed, 0
+}
+
+// connect gives a kept connection to a dispatcher, or a new one.
+func (c *Clients) connect(dispatcher int) (conn *Conn, kept bool, err error) {
+	c.mu.Lock()
+	if list := c.idle[dispatcher]; len(list) > 0 {
+		conn = list[len(list)-1]
+		c.idle[dispatcher] = list[:len(list)-1]
+		c.mu.Unlock()
+		return conn, true, nil
+	}
+	c.mu.Unlock()
+	conn, err = Dial(c.network.Dispatcher(dispatcher), c.traffic, RoleClient)
+	return conn, false, err
+}
+
+func (c *Clients) keep(dispatcher int, conn *Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[dispatcher] = append(c.idle[dispatcher], conn)
+}
--- /dev/null
+++ b/internal/scale/hollow/conn.go
@@ -0,0 +1,77 @@
+package hollow
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+)
+
+// Conn is a kept connection to a dispatcher, on which one request at a time is made.
+type Conn struct {
+	net.Conn
+	in      *http1.Ring
+	parser  *http1.Parser
+	writer  *http1.Writer
+	traffic *Traffic
+	role    Role
+}
+
+// dialWithin is how long a connection may take to come up.
+const dialWithin = 2 * time.Second
+
+// Dial connects for a role.
+func Dial(addr string, t *Traffic, r Role) (*Conn, error) {
+	c, err := net.DialTimeout("tcp", addr, dialWithin)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	lim := limits.New(0, 0, 0, 0, 0)
+	counted := t.count(c, r)
+	return &Conn{counted, http1.NewRing(lim.Ring), http1.NewParser(lim, true), http1.NewWriter(counted, lim.Ring), t, r}, nil
+}
+
+// Send writes a request.
+func (c *Conn) Send(method, target string, body []byte, fields []http1.Field) error {
+	if err := c.writer.Request(method, target, append(fields, http1.Field{Name: "Host", Value: "scalerun"}), body); err != nil {
+		return fmt.Errorf("writing: %w", err)
+	}
+	if err := c.writer.Flush(); err != nil {
+		return fmt.Errorf("writing: %w", err)
+	}
+	c.traffic.in(c.role)
+	return nil
+}
+
+// Receive reads the answer.
+func (c *Conn) Receive(by time.Time) (*http1.Message, error) {
+	if err := c.SetReadDeadline(by); err != nil {
+		return nil, fmt.Errorf("reading: %w", err)
+	}
+	m, err := c.parser.Read(c.in, c.Conn)
+	if err != nil {
+		return nil, err
+	}
+	c.traffic.out(c.role)
+	return m, nil
+}
+
+// Do makes a request and reads the answer.
+func (c *Conn) Do(by time.Time, method, target string, body []byte, fields []http1.Field) (*http1.Message, error) {
+	if err := c.Send(method, target, body, fields); err != nil {
+		return nil, err
+	}
+	return c.Receive(by)
+}
+
+// isClosed says that a socket was closed here.
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// isTimeout says that a deadline passed.
+func isTimeout(err error) bool {
+	timeout := net.Error(nil)
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/scale/hollow/discovery.go
@@ -0,0 +1,213 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+)
+
+// Discovery serves the list of executors and watches on it, to each dispatcher at an address of its own.
+type Discovery struct {
+	record  *Record
+	traffic *Traffic
+	lim     limits.Limits
+	number  map[string]int32
+
+	mu      sync.Mutex
+	rows    []Row // by executor
+	log     []int // executors whose rows changed, the first change having index 2
+	changed chan struct{}
+}
+
+// Row is an executor in the list.
+type Row struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
+
+// Statuses of a row.
+const (
+	StatusReady    = "ready"
+	StatusDraining = "draining"
+	StatusGone     = "gone"
+)
+
+// firstIndex is the version of the list that a run begins with.
+const firstIndex = 1
+
+// beatEvery is the time between empty lines of a watch on which nothing changes.
+const beatEvery = 2 * time.Second
+
+// NewDiscovery serves the list of a fleet.
+func NewDiscovery(ctx context.Context, g *errgroup.Group, d *fleet.Description, plan []fleet.Executor, n *Network, r *Record,
+	t *Traffic) (*Discovery, error) {
+	s := &Discovery{record: r, traffic: t, lim: limits.New(0, 0, 0, 0, 0), number: map[string]int32{}, changed: make(chan struct{})}
+	for _, x := range plan {
+		s.number[x.Name] = int32(x.Number)
+		s.rows = append(s.rows, Row{Name: x.Name, Address: n.Executor(x.Number), Zone: d.ZoneName(x.Zone), Type: fleet.Kinds[x.Kind],
+			Group: x.Rack, Status: StatusReady, Weight: float64(x.Slots)})
+	}
+	for i := range d.Dispatchers {
+		ln, err := net.Listen("tcp", n.Discovery(i))
+		if err != nil {
+			return nil, fmt.Errorf("discovery for dispatcher %d: %w", i, err)
+		}
+		g.Go(func() error {
+			stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+			defer stop()
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return nil
+				}
+				g.Go(func() error { s.serve(ctx, c, i); return nil })
+			}
+		})
+	}
+	return s, nil
+}
+
+// Set changes rows. Those that become ready with since over zero began then.
+func (s *Discovery) Set(executors []int, status string, since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range executors {
+		s.rows[i].Status = status
+		if !since.IsZero() {
+			s.rows[i].SinceMS = since.UnixMilli()
+		}
+		s.log = append(s.log, i)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// answer is one line of the list.
+type answer struct {
+	Index     int   `json:"index"`
+	Snapshot  bool  `json:"snapshot"`
+	Endpoints []Row `json:"endpoints"`
+}
+
+// since gives what changed after a version, or the whole list where the version is not one of this list's.
+func (s *Discovery) since(index int) (answer, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := firstIndex + len(s.log)
+	a := answer{Index: now, Endpoints: []Row{}}
+	if index < firstIndex || index > now {
+		a.Snapshot = true
+		for _, row := range s.rows {
+			if row.Status != StatusGone {
+				a.Endpoints = append(a.Endpoints, row)
+			}
+		}
+		return a, s.changed
+	}
+	told := map[int]bool{}
+	for _, i := range s.log[index-firstIndex:] {
+		if !told[i] {
+			told[i] = true
+			a.Endpoints = append(a.Endpoints, s.rows[i])
+		}
+	}
+	return a, s.changed
+}
+
+func (s *Discovery) serve(ctx context.Context, conn net.Conn, dispatcher int) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	c := s.traffic.count(conn, RoleDiscovery)
+	in, parser := http1.NewRing(s.lim.Ring), http1.NewParser(s.lim, false)
+	for {
+		m, err := parser.Read(in, c)
+		if err != nil {
+			return
+		}
+		s.traffic.out(RoleDiscovery)
+		if strings.Contains(m.Target, "stream=1") {
+			s.watch(ctx, c, m.Target, dispatcher)
+			return
+		}
+		a, _ := s.since(0)
+		text, err := json.Marshal(a)
+		if err != nil {
+			return
+		}
+		if http1.NewWriter(c, s.lim.Ring).Response(&http1.Response{Status: 200, Body: append(text, '\n')}) != nil {
+			return
+		}
+		s.told(a, dispatcher)
+	}
+}
+
+// watch writes changes as they come.
+func (s *Discovery) watch(ctx context.Context, c io.Writer, target string, dispatcher int) {
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return
+	}
+	_, after, _ := strings.Cut(target, "index=")
+	index, err := strconv.Atoi(after)
+	if err != nil {
+		index = 0
+	}
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	for {
+		a, changed := s.since(index)
+		text := []byte("\n")
+		if a.Snapshot || a.Index > index {
+			if text, err = json.Marshal(a); err != nil {
+				return
+			}
+			text = append(text, '\n')
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return
+		}
+		s.told(a, dispatcher)
+		index = a.Index
+		select {
+		case <-changed:
+		case <-beat.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// told notes what a dispatcher has been told.
+func (s *Discovery) told(a answer, dispatcher int) {
+	s.traffic.in(RoleDiscovery)
+	now := s.record.Now()
+	for _, row := range a.Endpoints {
+		e := verdict.Event{At: now, Kind: verdict.Listed, Dispatcher: int16(dispatcher), Executor: s.number[row.Name]}
+		switch row.Status {
+		case StatusDraining:
+			e.Condition = verdict.Draining
+		case StatusGone:
+			e.Condition = verdict.Gone
+		}
+		s.record.Add(e)
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/executor.go
@@ -0,0 +1,338 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/limits"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+// Executors are all of a fleet. Make them with NewExecutors, and begin their lives with Boot.
+type Executors struct {
+	ctx       context.Context
+	g         *errgroup.Group
+	settings  ExecutorSettings
+	network   *Network
+	record    *Record
+	traffic   *Traffic
+	cuts      *Cuts
+	callbacks *callbacks
+	lim       limits.Limits
+	all       []*executor
+}
+
+// ExecutorSettings are what all executors have in common.
+type ExecutorSettings struct {
+	Rules            fleet.Rules
+	ProgressEvery    time.Duration // 0 for no reports
+	QueuePerSlot     int           // tasks that may wait at an executor, for each slot
+	DispatcherRegion func(dispatcher int) int
+}
+
+// executor is one of them.
+type executor struct {
+	*Executors
+	plan fleet.Executor
+
+	mu   sync.Mutex
+	life *life // nil while it is down
+}
+
+// life is what an executor holds between its start and its end.
+type life struct {
+	ctx     context.Context
+	end     context.CancelFunc
+	ln      net.Listener
+	cold    bool
+	booted  time.Time
+	conns   map[net.Conn]bool
+	used    int // slots
+	waiting []*attempt
+}
+
+// attempt is one that an executor took.
+type attempt struct {
+	executor   *executor
+	life       *life
+	id         string
+	request    uint64
+	dispatcher int
+	task       workload.Task
+}
+
+// NewExecutors makes the executors of a plan. Their goroutines belong to g and end with ctx.
+func NewExecutors(ctx context.Context, g *errgroup.Group, plan []fleet.Executor, s ExecutorSettings, n *Network, r *Record, t *Traffic, c *Cuts,
+	dispatchers int) *Executors {
+	e := &Executors{ctx: ctx, g: g, settings: s, network: n, record: r, traffic: t, cuts: c, lim: limits.New(0, 0, 0, 0, 0)}
+	e.callbacks = newCallbacks(ctx, g, n, t, dispatchers)
+	for _, p := range plan {
+		e.all = append(e.all, &executor{Executors: e, plan: p})
+	}
+	return e
+}
+
+// Boot begins a life of an executor, a cold one but at the run's start.
+func (e *Executors) Boot(number int, cold bool) error {
+	x := e.all[number]
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.life != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", e.network.Executor(number))
+	if err != nil {
+		return fmt.Errorf("executor %s: %w", x.plan.Name, err)
+	}
+	l := &life{ln: ln, cold: cold, booted: time.Now(), conns: map[net.Conn]bool{}}
+	l.ctx, l.end = context.WithCancel(e.ctx)
+	x.life = l
+	if cold {
+		e.record.Add(verdict.Event{Kind: verdict.Booted, Executor: int32(number), Slots: int32(x.plan.Slots)})
+	}
+	e.g.Go(func() error {
+		stop := context.AfterFunc(l.ctx, func() { _ = ln.Close() })
+		defer stop()
+		x.accept(l)
+		return nil
+	})
+	return nil
+}
+
+// Kill ends an executor's life as a lost process does: connections are reset, new ones refused, and what it runs is lost.
+func (e *Executors) Kill(number int) {
+	x := e.all[number]
+	x.mu.Lock()
+	l := x.life
+	x.life = nil
+	if l == nil {
+		x.mu.Unlock()
+		return
+	}
+	l.waiting = nil
+	_ = l.ln.Close()
+	for c := range l.conns {
+		reset(c)
+	}
+	x.mu.Unlock()
+	l.end()
+	e.record.Add(verdict.Event{Kind: verdict.Died, Executor: int32(number)})
+}
+
+// Booted says whether an executor stands, and when its life began.
+func (e *Executors) Booted(number int) (time.Time, bool) {
+	x := e.all[number]
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.life == nil {
+		return time.Time{}, false
+	}
+	return x.life.booted, true
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (x *executor) accept(l *life) {
+	for {
+		c, err := l.ln.Accept()
+		if err != nil {
+			return
+		}
+		x.mu.Lock()
+		if x.life != l {
+			x.mu.Unlock()
+			reset(c)
+			return
+		}
+		l.conns[c] = true
+		x.mu.Unlock()
+		x.g.Go(func() error {
+			stop := context.AfterFunc(l.ctx, func() { _ = c.Close() })
+			x.serve(l, c)
+			stop()
+			x.mu.Lock()
+			delete(l.conns, c)
+			x.mu.Unlock()
+			_ = c.Close()
+			return nil
+		})
+	}
+}
+
+// serve answers the requests of one connection.
+func (x *executor) serve(l *life, conn net.Conn) {
+	c := x.traffic.count(conn, RoleExecutor)
+	in, parser, writer := http1.NewRing(x.lim.Ring), http1.NewParser(x.lim, false), http1.NewWriter(c, x.lim.Ring)
+	var firstByte time.Duration
+	for {
+		m, err := parser.Feed(in)
+		if err != nil {
+			return
+		}
+		if m == nil {
+			begun := parser.Begun()
+			if _, err := in.Fill(c); err != nil {
+				return
+			}
+			if !begun {
+				firstByte = x.record.Now()
+			}
+			continue
+		}
+		x.traffic.out(RoleExecutor)
+		response, dispatcher := x.handle(l, m, firstByte)
+		if dispatcher >= 0 && x.cuts.wait(l.ctx, x.plan.Region, x.settings.DispatcherRegion(dispatcher), Outward) != nil {
+			return
+		}
+		if err := writer.Response(&response); err != nil {
+			return
+		}
+		x.traffic.in(RoleExecutor)
+		if m.Close {
+			return
+		}
+	}
+}
+
+// nobody stands for a dispatcher that a request does not name.
+const nobody = -1
+
+// handle answers one request, and says whose it is.
+func (x *executor) handle(l *life, m *http1.Message, firstByte time.Duration) (http1.Response, int) {
+	switch {
+	case m.Method == "DELETE" && strings.HasPrefix(m.Target, "/jobs/"):
+		return http1.Response{Status: 204}, nobody // nothing stops a task
+	case m.Method == "GET" && (m.Target == "/load" || m.Target == "/healthz"):
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return http1.Response{Status: 200, Body: []byte(x.load(l))}, nobody
+	case m.Method != "POST" || m.Get("X-Trace-Id") == "":
+		return http1.Response{Status: 404}, nobody
+	}
+	id := m.Get("X-Trace-Id")
+	request, err := parseID(id)
+	if err != nil {
+		return http1.Text(400, "%v", err), nobody
+	}
+	task, err := parseTarget(m.Target)
+	if err != nil {
+		return http1.Text(400, "%v", err), nobody
+	}
+	a := &attempt{x, l, id, request, dispatcherOf(request), task}
+	if x.cuts.wait(l.ctx, x.plan.Region, x.settings.DispatcherRegion(a.dispatcher), Inward) != nil {
+		return http1.Response{Status: 503, Close: true}, a.dispatcher
+	}
+	return x.take(l, a, firstByte), a.dispatcher
+}
+
+// take puts an attempt to work, or turns it away where too many wait.
+func (x *executor) take(l *life, a *attempt, firstByte time.Duration) http1.Response {
+	e := a.event(verdict.Taken)
+	e.FirstByte, e.Work = firstByte, a.task.Run*time.Duration(a.task.Slots)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(l.waiting) >= x.settings.QueuePerSlot*x.plan.Slots || a.task.Slots > x.plan.Slots {
+		e.Kind = verdict.TurnedAway
+		x.record.Add(e)
+		return http1.Response{Status: 503, Fields: []http1.Field{{Name: "X-Never-Ran", Value: "1"},
+			{Name: "Endpoint-Load-Metrics", Value: fmt.Sprintf("TEXT queue=%d, x0=%d", len(l.waiting), x.plan.Slots-l.used)}}}
+	}
+	x.record.Add(e)
+	l.waiting = append(l.waiting, a)
+	x.next(l)
+	return http1.Response{Status: 202}
+}
+
+// next starts what fits, in the order of arrival: the head waits until it fits. The lock is held.
+func (x *executor) next(l *life) {
+	for len(l.waiting) > 0 && l.used+l.waiting[0].task.Slots <= x.plan.Slots {
+		a := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		l.used += a.task.Slots
+		a.start()
+	}
+}
+
+// start begins to run an attempt. The executor's lock is held.
+func (a *attempt) start() {
+	x, l := a.executor, a.life
+	x.record.Add(a.event(verdict.Started))
+	x.tell(a, `"state":"started"`, func() { x.record.Told(a.task.Number, time.Now()) })
+	run := time.Duration(float64(a.task.Run) / x.speed(l))
+	if every := x.settings.ProgressEvery; every > 0 && run > every {
+		a.progress(every, run)
+	}
+	time.AfterFunc(run, a.finish)
+}
+
+// progress tells how far an attempt is, again and again.
+func (a *attempt) progress(done, run time.Duration) {
+	every := a.executor.settings.ProgressEvery
+	time.AfterFunc(every, func() {
+		if a.life.ctx.Err() != nil {
+			return
+		}
+		a.executor.tell(a, fmt.Sprintf(`"state":"running","share":%.3f`, float64(done)/float64(run)), nil)
+		if done+every < run {
+			a.progress(done+every, run)
+		}
+	})
+}
+
+// finish ends an attempt, unless its executor's life has ended before.
+func (a *attempt) finish() {
+	x, l := a.executor, a.life
+	x.mu.Lock()
+	if x.life != l || l.ctx.Err() != nil {
+		x.mu.Unlock()
+		return
+	}
+	l.used -= a.task.Slots
+	x.record.Add(a.event(verdict.Ended))
+	x.next(l)
+	load := x.load(l)
+	x.mu.Unlock()
+	x.tell(a, `"state":"done","result":"`+resultOf(a.id)+`","load":`+load, nil)
+}
+
+// speed is the part of its capacity that an executor has by now.
+func (x *executor) speed(l *life) float64 {
+	if !l.cold {
+		return 1
+	}
+	r := x.settings.Rules
+	return min(1, r.ColdFrom+(1-r.ColdFrom)*float64(time.Since(l.booted))/float64(r.WarmWithin))
+}
+
+// load is a report as callbacks and probes carry it. The lock is held.
+func (x *executor) load(l *life) string {
+	return fmt.Sprintf(`{"queue":%d,"x0":%d}`, len(l.waiting), x.plan.Slots-l.used)
+}
+
+// event makes an event of an attempt.
+func (a *attempt) event(kind verdict.Kind) verdict.Event {
+	return verdict.Event{Kind: kind, Request: a.request, Task: int32(a.task.Number), Executor: int32(a.executor.plan.Number),
+		Dispatcher: int16(a.dispatcher), Class: uint8(a.task.Class), Tenant: int32(a.task.Tenant), Slots: int32(a.task.Slots)}
+}
+
+// tell calls the attempt's dispatcher back; answered, if set, is called once the dispatcher has answered.
+func (x *executor) tell(a *attempt, rest string, answered func()) {
+	body := `{"id":"` + a.id + `","from":"` + x.plan.Name + `",` + rest + `}`
+	region := x.settings.DispatcherRegion(a.dispatcher)
+	x.callbacks.send(a.dispatcher, a.request, call{body: []byte(body), life: a.life.ctx, answered: answered,
+		pass: func(ctx context.Context) error { return x.cuts.wait(ctx, x.plan.Region, region, Outward) }})
+}
--- /dev/null
+++ b/internal/scale/hollow/executor_test.go
@@ -0,0 +1,318 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+	"gatetack/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// dispatcher stands in for a dispatcher: it takes callbacks and counts them and their bytes.
+type dispatcher struct {
+	mu     sync.Mutex
+	states map[string]int
+	bytes  int
+	done   map[string]string
+}
+
+func (d *dispatcher) Handle(_ context.Context, m *http1.Message) http1.Response {
+	v := gjson.ParseBytes(m.Body)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.states[v.Get("state").String()]++
+	d.bytes += len(m.Body)
+	if v.Get("state").String() == "done" {
+		d.done[v.Get("id").String()] = v.Get("result").String()
+	}
+	return http1.Response{Status: 204}
+}
+
+func (d *dispatcher) count(state string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.states[state]
+}
+
+// world is one dispatcher's stand-in with hollow executors around it.
+type world struct {
+	*dispatcher
+	network   *Network
+	record    *Record
+	traffic   *Traffic
+	cuts      *Cuts
+	executors *Executors
+}
+
+// The usual rules of a test: cold executors have half of their capacity.
+var testRules = fleet.Rules{ColdFrom: 0.5, WarmWithin: time.Hour}
+
+func newWorld(t *testing.T, plan []fleet.Executor, s ExecutorSettings) *world {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &errgroup.Group{}
+	n, err := NewNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{dispatcher: &dispatcher{states: map[string]int{}, done: map[string]string{}}, network: n, record: NewRecord(), traffic: &Traffic{}, cuts: NewCuts()}
+	ln, err := net.Listen("tcp", n.Dispatcher(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := http1.NewServer(standin.Lim, w.dispatcher, nil, standin.Quiet)
+	g.Go(func() error { return server.Serve(ctx, ln) })
+	s.Rules, s.QueuePerSlot = testRules, max(s.QueuePerSlot, 1)
+	if s.DispatcherRegion == nil {
+		s.DispatcherRegion = func(int) int { return 0 }
+	}
+	w.executors = NewExecutors(ctx, g, plan, s, n, w.record, w.traffic, w.cuts, 1)
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+		_ = n.Close()
+	})
+	return w
+}
+
+func someExecutors(n, slots int) (out []fleet.Executor) {
+	for i := range n {
+		out = append(out, fleet.Executor{Number: i, Name: fmt.Sprintf("s-%08x", i+1), Slots: slots})
+	}
+	return out
+}
+
+// hand hands a task to an address as a dispatcher does.
+func hand(addr string, number uint64, run time.Duration) (*http1.Message, error) {
+	task := workload.Task{Number: int(number), Class: fleet.ClassOnce, Slots: 1, Run: run}
+	return standin.Call(addr, "POST", target(task), []byte("task"), http1.Field{Name: "X-Trace-Id", Value: verdict.ID(RequestID(0, number))},
+		http1.Field{Name: "X-Expires-In-Ms", Value: "9000"})
+}
+
+func (w *world) hand(t *testing.T, executor int, number uint64, run time.Duration) int {
+	t.Helper()
+	m, err := hand(w.network.Executor(executor), number, run)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.Status
+}
+
+// events of a kind that were recorded.
+func (w *world) events(k verdict.Kind) (n int) {
+	for _, e := range w.record.Events() {
+		if e.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+// A hollow executor and the one that the project's other tests use tell a dispatcher the same for each task: as many messages of
+// each state, about as many bytes, at each number of tasks. Their slopes, by least squares, are those of the messages of one task.
+func TestHollowTellsWhatTheRealOneTells(t *testing.T) {
+	const run = 10 * time.Millisecond
+	sizes := []int{8, 32, 128}
+	measure := func(t *testing.T, addr string, d *dispatcher) (messages, bytes []float64) {
+		next := uint64(0)
+		for _, size := range sizes {
+			d.mu.Lock()
+			d.states, d.bytes = map[string]int{}, 0
+			d.mu.Unlock()
+			for range size {
+				next++
+				if m, err := hand(addr, next, run); err != nil || m.Status != 202 {
+					t.Fatalf("%v %v", m, err)
+				}
+			}
+			standin.Until(t, "all tasks are told done", func() bool { return d.count("done") == size })
+			if d.count("started") != size || d.count("running") != size {
+				t.Errorf("%d tasks: %v", size, d.states)
+			}
+			messages = append(messages, float64(d.count("started")+d.count("running")+d.count("done")))
+			d.mu.Lock()
+			bytes = append(bytes, float64(d.bytes))
+			d.mu.Unlock()
+		}
+		return messages, bytes
+	}
+	w := newWorld(t, someExecutors(1, 4), ExecutorSettings{ProgressEvery: run * 9 / 10, QueuePerSlot: 100})
+	if err := w.executors.Boot(0, false); err != nil {
+		t.Fatal(err)
+	}
+	hollowMessages, hollowBytes := measure(t, w.network.Executor(0), w.dispatcher)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &errgroup.Group{}
+	defer func() { cancel(); _ = g.Wait() }()
+	real, err := standin.NewBox(ctx, g, "s-00000001", w.network.Dispatcher(0), run)
+	if err != nil {
+		t.Fatal(err)
+	}
+	real.Set(func(b *standin.Behaviour) { b.Slots = 4 })
+	realMessages, realBytes := measure(t, real.Addr, w.dispatcher)
+
+	if a, b := slope(sizes, hollowMessages), slope(sizes, realMessages); a != b || a != 3 {
+		t.Errorf("messages a task: hollow %.2f, real %.2f, want 3", a, b)
+	}
+	if a, b := slope(sizes, hollowBytes), slope(sizes, realBytes); a < 0.9*b || a > 1.1*b {
+		t.Errorf("bytes a task: hollow %.1f, real %.1f, want them within a tenth", a, b)
+	}
+}
+
+// slope of a line through points, by least squares.
+func slope(x []int, y []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		v := float64(x[i])
+		sx, sy, sxx, sxy = sx+v, sy+y[i], sxx+v*v, sxy+v*y[i]
+	}
+	n := float64(len(x))
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// What fits runs, what does not waits in its order, and past that the executor proves that it does not run it.
+func TestSlotsAndQueue(t *testing.T) {
+	w := newWorld(t, someExecutors(1, 2), ExecutorSettings{QueuePerSlot: 1})
+	if err := w.executors.Boot(0, false); err != nil {
+		t.Fatal(err)
+	}
+	for number, want := range map[uint64]int{1: 202, 2: 202} {
+		if got := w.hand(t, 0, number, time.Hour); got != want {
+			t.Fatalf("task %d: %d", number, got)
+		}
+	}
+	for number := uint64(3); number < 5; number++ {
+		if got := w.hand(t, 0, number, time.Hour); got != 202 {
+			t.Fatalf("task %d: %d", number, got)
+		}
+	}
+	m, err := hand(w.network.Executor(0), 5, time.Hour)
+	if err != nil || m.Status != 503 || m.Get("X-Never-Ran") != "1" || !strings.Contains(m.Get("Endpoint-Load-Metrics"), "queue=2, x0=0") {
+		t.Errorf("%+v %v", m, err)
+	}
+	standin.Until(t, "two starts are told", func() bool { return w.count("started") == 2 })
+	if n := w.events(verdict.Started); n != 2 || w.events(verdict.Taken) != 4 || w.events(verdict.TurnedAway) != 1 {
+		t.Errorf("%d started, %d taken, %d turned away", n, w.events(verdict.Taken), w.events(verdict.TurnedAway))
+	}
+}
+
+// A life that ends takes with it what it ran; connections are refused until the next, which begins cold.
+func TestLives(t *testing.T) {
+	w := newWorld(t, someExecutors(1, 1), ExecutorSettings{})
+	if err := w.executors.Boot(0, false); err != nil {
+		t.Fatal(err)
+	}
+	w.hand(t, 0, 1, 50*time.Millisecond)
+	w.executors.Kill(0)
+	if _, err := hand(w.network.Executor(0), 2, time.Millisecond); err == nil {
+		t.Error("an executor that is down took a task")
+	}
+	if _, up := w.executors.Booted(0); up {
+		t.Error("an executor that is down stands")
+	}
+	if err := w.executors.Boot(0, true); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	w.hand(t, 0, 3, 100*time.Millisecond)
+	standin.Until(t, "the task of the next life is done", func() bool { return w.count("done") == 1 })
+	if took := time.Since(began); took < 195*time.Millisecond {
+		t.Errorf("a task of 100ms took %v on an executor that has half of its capacity", took)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := verdict.ID(RequestID(0, 3))
+	if len(w.done) != 1 || w.done[id] != resultOf(id) {
+		t.Errorf("%v: what was lost with a life was told done", w.done)
+	}
+	if w.events(verdict.Booted) != 1 || w.events(verdict.Died) != 1 {
+		t.Error("lives were not recorded")
+	}
+}
+
+// What goes into or out of a region that is cut off is held until the cut is lifted, in that direction alone.
+func TestCuts(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		cut           Direction
+		taken, starts int
+	}{{"inward", Inward, 0, 0}, {"outward", Outward, 1, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			plan := someExecutors(1, 1)
+			plan[0].Region = 1
+			w := newWorld(t, plan, ExecutorSettings{})
+			if err := w.executors.Boot(0, false); err != nil {
+				t.Fatal(err)
+			}
+			w.cuts.Set(1, c.cut, true)
+			answered := make(chan error, 1)
+			go func() {
+				m, err := hand(w.network.Executor(0), 1, time.Millisecond)
+				if err == nil && m.Status != 202 {
+					err = fmt.Errorf("status %d", m.Status)
+				}
+				answered <- err
+			}()
+			standin.Until(t, "the task has come to the executor", func() bool { return w.traffic.Sum()["executor"].MessagesOut == 1 })
+			time.Sleep(50 * time.Millisecond)
+			select {
+			case err := <-answered:
+				t.Fatalf("an answer came across a cut: %v", err)
+			default:
+			}
+			if w.events(verdict.Taken) != c.taken || w.count("started") != c.starts {
+				t.Errorf("%d taken, %d starts told, want %d and %d", w.events(verdict.Taken), w.count("started"), c.taken, c.starts)
+			}
+			w.cuts.Set(1, c.cut, false)
+			if err := <-answered; err != nil {
+				t.Error(err)
+			}
+			standin.Until(t, "the task is told done", func() bool { return w.count("done") == 1 })
+		})
+	}
+}
+
+// What no dispatcher sends is refused, and giving up stops nothing.
+func TestOddRequests(t *testing.T) {
+	w := newWorld(t, someExecutors(1, 1), ExecutorSettings{})
+	if err := w.executors.Boot(0, false); err != nil {
+		t.Fatal(err)
+	}
+	id := http1.Field{Name: "X-Trace-Id", Value: verdict.ID(1)}
+	for _, c := range []struct {
+		method, target string
+		id             http1.Field
+		want           int
+	}{
+		{"POST", "/once/run?task=1&tenant=0&slots=1&run=5", http1.Field{Name: "X-None", Value: "x"}, 404},
+		{"POST", "/once/run?task=1&tenant=0&slots=1&run=5", http1.Field{Name: "X-Trace-Id", Value: "zz"}, 400},
+		{"POST", "/other/run?task=1&tenant=0&slots=1&run=5", id, 400},
+		{"POST", "/once/run?task=1&slots=1&run=5", id, 400},
+		{"GET", "/once/run", id, 404},
+		{"GET", "/load", id, 200},
+		{"DELETE", "/jobs/" + verdict.ID(1), id, 204},
+	} {
+		m, err := standin.Call(w.network.Executor(0), c.method, c.target, nil, c.id)
+		if err != nil || m.Status != c.want {
+			t.Errorf("%s %s: %+v %v, want %d", c.method, c.target, m, err, c.want)
+		}
+	}
+	if w.events(verdict.Taken) != 0 {
+		t.Error("one of them was taken")
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/traffic.go
@@ -0,0 +1,80 @@
+package hollow
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Role is what a connection with a dispatcher is for.
+type Role uint8
+
+// The roles.
+const (
+	RoleClient    Role = iota // clients' requests and answers
+	RoleExecutor              // attempts, probes and what is given up
+	RoleCallback              // what executors tell
+	RoleDiscovery             // the list
+	RolePeer                  // messages between dispatchers
+	Roles
+)
+
+// String names a role.
+func (r Role) String() string {
+	return [Roles]string{"client", "executor", "callback", "discovery", "peer"}[r]
+}
+
+// Traffic counts what went over the connections of each role, as the dispatchers see it.
+type Traffic struct{ roles [Roles]counters }
+
+type counters struct{ bytesIn, bytesOut, messagesIn, messagesOut atomic.Int64 }
+
+// RoleTraffic is what went over one role's connections.
+type RoleTraffic struct {
+	BytesIn     int64 `json:"bytesIn"`
+	BytesOut    int64 `json:"bytesOut"`
+	MessagesIn  int64 `json:"messagesIn"`
+	MessagesOut int64 `json:"messagesOut"`
+}
+
+// in counts a message to a dispatcher, and out one from it.
+func (t *Traffic) in(r Role)  { t.roles[r].messagesIn.Add(1) }
+func (t *Traffic) out(r Role) { t.roles[r].messagesOut.Add(1) }
+
+// datagram counts one that a dispatcher sent to so many others.
+func (t *Traffic) datagram(bytes, receivers int) {
+	c := &t.roles[RolePeer]
+	c.messagesOut.Add(1)
+	c.bytesOut.Add(int64(bytes))
+	c.messagesIn.Add(int64(receivers))
+	c.bytesIn.Add(int64(bytes * receivers))
+}
+
+// Sum gives the counts by role.
+func (t *Traffic) Sum() map[string]RoleTraffic {
+	out := map[string]RoleTraffic{}
+	for i := range t.roles {
+		c := &t.roles[i]
+		out[Role(i).String()] = RoleTraffic{c.bytesIn.Load(), c.bytesOut.Load(), c.messagesIn.Load(), c.messagesOut.Load()}
+	}
+	return out
+}
+
+// counted is a connection whose bytes are counted: what is written here comes in at a dispatcher.
+type counted struct {
+	net.Conn
+	to *counters
+}
+
+func (t *Traffic) count(c net.Conn, r Role) net.Conn { return counted{c, &t.roles[r]} }
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.to.bytesOut.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.to.bytesIn.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/scale/play/inject.go
@@ -0,0 +1,68 @@
+package play
+
+import (
+	"context"
+	"time"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/hollow"
+)
+
+// inject carries out the faults when they are due.
+func (r *run) inject(ctx context.Context) {
+	for _, a := range r.actions {
+		select {
+		case <-time.After(time.Until(r.loadStart.Add(a.At))):
+			r.act(ctx, a)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *run) act(ctx context.Context, a faults.Action) {
+	switch a.Kind {
+	case faults.Kill:
+		for _, x := range a.Executors {
+			r.executors.Kill(x)
+		}
+	case faults.Boot:
+		for _, x := range a.Executors {
+			if err := r.executors.Boot(x, true); err != nil {
+				r.note("an executor did not come back: %v", err)
+			}
+		}
+	case faults.ListDraining:
+		r.discovery.Set(a.Executors, hollow.StatusDraining, time.Time{})
+	case faults.ListGone:
+		r.discovery.Set(a.Executors, hollow.StatusGone, time.Time{})
+	case faults.ListReady:
+		r.listReady(a.Executors)
+	case faults.SetCut, faults.LiftCut:
+		if a.Inward {
+			r.cuts.Set(a.Region, hollow.Inward, a.Kind == faults.SetCut)
+		}
+		if a.Outward {
+			r.cuts.Set(a.Region, hollow.Outward, a.Kind == faults.SetCut)
+		}
+	case faults.KillLeader:
+		r.killLeader(ctx)
+	case faults.RestartLeader:
+		r.restartLeader(ctx)
+	case faults.Change:
+		r.changes.make(ctx)
+	}
+}
+
+// listReady tells of executors that stand, with the starts of their lives.
+func (r *run) listReady(executors []int) {
+	born := map[time.Time][]int{}
+	for _, x := range executors {
+		if at, up := r.executors.Booted(x); up {
+			born[at] = append(born[at], x)
+		}
+	}
+	for at, group := range born {
+		r.discovery.Set(group, hollow.StatusReady, at)
+	}
+}
--- /dev/null
+++ b/internal/scale/play/leader.go
@@ -0,0 +1,7 @@
+package play
+
+import "context"
+
+func (r *run) killLeader(ctx context.Context) {}
+
+func (r *run) restartLeader(ctx context.Context) {}
--- /dev/null
+++ b/internal/scale/play/play.go
@@ -0,0 +1,171 @@
+// Package play puts a scale run together: it starts the real dispatchers, the hollow parties around them, the load and the faults,
+// measures from outside, and has what was seen judged.
+package play
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/hollow"
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/result"
+	"gatetack/internal/scale/workload"
+)
+
+// Options say what is played.
+type Options struct {
+	Description fleet.Description
+	Faults      []faults.Spec
+	Program     string // the dispatcher's, built
+	Dir         string // for configurations and logs
+	Command     string // as it stands in the result
+	Commit      string
+	Budget      process.Budget
+}
+
+// Times of a run beside its load's.
+const (
+	readyWithin  = 30 * time.Second // of a dispatcher, from its start
+	settleFor    = time.Second      // between the last dispatcher's readiness and the load's start
+	answerSpare  = 5 * time.Second  // past the longest deadline, all answers must have come
+	queuePerSlot = 4                // tasks that may wait at an executor
+)
+
+// A hollow executor takes about so much, connections included, and a running task so much; dispatchers may use what they are granted.
+const (
+	executorBytes = 64 << 10
+	taskBytes     = 16 << 10
+	toolBytes     = 256 << 20
+)
+
+// need is the memory a run may use.
+func need(d *fleet.Description) int64 {
+	return toolBytes + int64(d.Executors)*executorBytes + int64(d.Running)*taskBytes + int64(d.Dispatchers)*int64(d.MemoryMB)<<20
+}
+
+// run is one that is played.
+type run struct {
+	Options
+	plan        []fleet.Executor
+	actions     []faults.Action
+	network     *hollow.Network
+	record      *hollow.Record
+	traffic     hollow.Traffic
+	cuts        *hollow.Cuts
+	executors   *hollow.Executors
+	discovery   *hollow.Discovery
+	clients     *hollow.Clients
+	starter     *process.Starter
+	dispatchers []*dispatcher
+	changes     *changes
+	lag         lag
+	loadStart   time.Time
+}
+
+// Run plays a fleet. An error means that nothing was played; a run that ended early gives a partial result.
+func Run(ctx context.Context, o Options) (*result.Result, error) {
+	d := &o.Description
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	r := &run{Options: o, plan: d.Plan(), cuts: hollow.NewCuts()}
+	var err error
+	if r.actions, err = faults.Schedule(d, r.plan, o.Faults); err != nil {
+		return nil, err
+	}
+	if err := o.Budget.Before(need(d), d.Dispatchers+1); err != nil {
+		return nil, err
+	}
+	if r.network, err = hollow.NewNetwork(); err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.network.Close() }()
+	r.starter = process.NewStarter()
+	defer r.starter.Close()
+
+	stand, leave := context.WithCancel(context.Background())
+	g := &errgroup.Group{}
+	defer func() {
+		r.stopDispatchers()
+		leave()
+		_ = g.Wait()
+	}()
+	r.record = hollow.NewRecord()
+	if err := r.stand(stand, g); err != nil {
+		return nil, err
+	}
+	if err := r.startDispatchers(ctx); err != nil {
+		return nil, err
+	}
+	return r.play(ctx, stand)
+}
+
+// stand sets up what stands around the dispatchers.
+func (r *run) stand(ctx context.Context, g *errgroup.Group) error {
+	d := &r.Description
+	settings := hollow.ExecutorSettings{Rules: d.Rules(), ProgressEvery: d.ProgressEvery(), QueuePerSlot: queuePerSlot, DispatcherRegion: d.DispatcherRegion}
+	r.executors = hollow.NewExecutors(ctx, g, r.plan, settings, r.network, r.record, &r.traffic, r.cuts, d.Dispatchers)
+	for i := range r.plan {
+		if err := r.executors.Boot(i, false); err != nil {
+			return err
+		}
+	}
+	var err error
+	if r.discovery, err = hollow.NewDiscovery(ctx, g, d, r.plan, r.network, r.record, &r.traffic); err != nil {
+		return err
+	}
+	if _, err = hollow.NewPeers(ctx, g, d.Dispatchers, d.DispatcherRegion, r.network, &r.traffic, r.cuts); err != nil {
+		return err
+	}
+	r.clients = hollow.NewClients(d.Rules(), d.Dispatchers, r.network, r.record, &r.traffic)
+	r.changes = newChanges(r)
+	g.Go(func() error { r.lag.watch(ctx); return nil })
+	return nil
+}
+
+// errTime ends a run early.
+var errTime = errors.New("answers were still owed when the longest deadline had passed")
+
+// play runs load, faults and measuring to their ends.
+func (r *run) play(ctx context.Context, stand context.Context) (*result.Result, error) {
+	d := &r.Description
+	time.Sleep(settleFor)
+	rules := d.Rules()
+	longest := max(rules.Deadlines[fleet.ClassOnce], rules.Deadlines[fleet.ClassUrgent])
+	playing, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	timer := time.AfterFunc(d.Duration+longest+answerSpare, func() { end(errTime) })
+	defer timer.Stop()
+
+	samples := newSampler(r)
+	samples.take() // processor time counts from here
+	r.loadStart = time.Now()
+	beside, stop := context.WithCancel(playing)
+	var g errgroup.Group
+	g.Go(func() error { r.inject(beside); return nil })
+	g.Go(func() error {
+		if err := samples.run(beside); err != nil {
+			end(err)
+		}
+		return nil
+	})
+	r.clients.Play(playing, workload.New(*d), r.loadStart)
+	played := time.Since(r.loadStart)
+	why := context.Cause(playing)
+	stop()
+	_ = g.Wait()
+	samples.take()
+	r.changes.wait()
+	r.clients.Close()
+	out := r.report(samples, played)
+	if why != nil {
+		out.Partial, out.PartialWhy = true, fmt.Sprint(why)
+	}
+	return out, stand.Err()
+}
--- /dev/null
+++ b/internal/scale/play/play_test.go
@@ -0,0 +1,135 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/result"
+	"gatetack/internal/scale/verdict"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "gatetack")
+	if out, err := exec.Command("go", "build", "-o", program, "gatetack/cmd/gatetack").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// small is a fleet that plays in some seconds.
+func small() fleet.Description {
+	d := fleet.Default()
+	d.Executors, d.Dispatchers, d.Tenants, d.Starts, d.Running, d.Duration = 60, 3, 4, 40, 20, 6*time.Second
+	d.MemoryMB, d.Sockets = 192, 1024
+	return d
+}
+
+func options(t *testing.T, d fleet.Description, specs ...faults.Spec) Options {
+	return Options{Description: d, Faults: specs, Program: program, Dir: t.TempDir(), Command: "test", Commit: "test", Budget: process.Bounds}
+}
+
+// The short form of a run: real dispatchers, a zone out and back cold, changes of the configuration. What is judged are counts and
+// rules, whatever the machine's speed.
+func TestShortRun(t *testing.T) {
+	r, err := Run(context.Background(), options(t, small(), faults.Spec{Name: faults.Zone}, faults.Spec{Name: faults.Reconfigure, Value: 2}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Kept || r.Partial {
+		t.Errorf("partial %v %s; %+v", r.Partial, r.PartialWhy, r.Verdict.Violations)
+	}
+	for _, j := range r.Jobs {
+		if j.Served+j.Refused+j.Failed != j.Tasks {
+			t.Errorf("%s: %d tasks, and %d served, %d refused, %d failed", j.Kind, j.Tasks, j.Served, j.Refused, j.Failed)
+		}
+	}
+	c := r.Verdict.Counts
+	if c.Served == 0 || c.Starts < c.Served || c.Lost+c.Crashed+c.Open+c.Doubled != 0 {
+		t.Errorf("%+v", c)
+	}
+	if r.Changes.Made != 2 || int(r.Changes.InForce.Count)+r.Changes.Missing != 2 {
+		t.Errorf("changes: %+v", r.Changes)
+	}
+	if len(r.Processes) != 4 || r.Processes[0].Role != "dispatcher" || r.Processes[0].PrivateMB <= 0 || r.Processes[0].Descriptors == 0 {
+		t.Errorf("processes: %+v", r.Processes)
+	}
+	for _, role := range []string{"client", "executor", "callback", "discovery", "peer"} {
+		if x := r.Traffic[role]; x.MessagesIn == 0 || x.BytesOut == 0 {
+			t.Errorf("%s: %+v", role, x)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "scalerun-test.json")
+	if err := result.Write(path, r); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := result.Read(path); err != nil {
+		t.Error(err)
+	}
+}
+
+// A run that is interrupted writes what it has, marked partial, and leaves no process.
+func TestInterrupted(t *testing.T) {
+	d := small()
+	d.Duration = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	o := options(t, d)
+	go func() {
+		for !served(o.Dir) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+	}()
+	r, err := Run(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Partial || r.PartialWhy == "" {
+		t.Errorf("partial %v, why %q", r.Partial, r.PartialWhy)
+	}
+	if n := r.Verdict.Broken[verdict.FinalAnswer]; n != 0 {
+		t.Errorf("%d requests count as lost that were open when the run was interrupted", n)
+	}
+}
+
+// served says whether the first dispatcher has begun to serve.
+func served(dir string) bool {
+	info, err := os.Stat(filepath.Join(dir, fleet.DispatcherName(0), "log"))
+	return err == nil && info.Size() > 0
+}
+
+// A run that needs more than it may is not begun, and one that comes to need more ends early and says so.
+func TestBounds(t *testing.T) {
+	o := options(t, small())
+	o.Budget = process.Budget{MemoryBytes: 1 << 20, Processes: 200}
+	if r, err := Run(context.Background(), o); err == nil || r != nil {
+		t.Errorf("%+v %v", r, err)
+	}
+	o.Budget = process.Budget{MemoryBytes: 12 << 30, Processes: 3}
+	if r, err := Run(context.Background(), o); err == nil || r != nil {
+		t.Errorf("%+v %v", r, err)
+	}
+}
--- /dev/null
+++ b/internal/scale/play/report.go
@@ -0,0 +1,172 @@
+package play
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/result"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+// shareGrace is how long a tenant may wait under its reserved share: the retries of a refused client take up to two seconds, and
+// what runs is not stopped for it.
+const shareGrace = 5 * time.Second
+
+// listedWithin is when what the list has to tell counts as told at the latest.
+const listedWithin = 6 * time.Second
+
+// protocolSpare is by how much each limit of time is longer on sockets.
+const protocolSpare = 50 * time.Millisecond
+
+// judgeRules are what the run is judged by.
+func (r *run) judgeRules() verdict.Rules {
+	d := &r.Description
+	rules := d.Rules()
+	v := verdict.Rules{Effects: []verdict.Effect{fleet.ClassOnce: verdict.Once, fleet.ClassKeyed: verdict.KeyedByRack, fleet.ClassUrgent: verdict.Repeatable},
+		Dispatchers: d.Dispatchers, AnswerSlack: rules.AnswerSlack, DrainGrace: rules.DrainGrace, KeyWindow: rules.KeyWindow,
+		ColdFrom: rules.ColdFrom, WarmWithin: rules.WarmWithin, Fall: rules.Fall, FallMultiple: rules.FallMultiple, ListedWithin: listedWithin,
+		ShareGrace: shareGrace, MeasuredWithin: protocolSpare + r.lag.worst()}
+	for _, x := range r.plan {
+		v.Executors = append(v.Executors, verdict.Executor{Rack: x.Rack, Slots: x.Slots})
+	}
+	for range d.Tenants {
+		v.Portions = append(v.Portions, d.Portion())
+	}
+	return v
+}
+
+// asked is how many starts a second are asked for at a moment.
+func (r *run) asked(now time.Time) float64 {
+	d := &r.Description
+	if d.StartsTo <= d.Starts {
+		return d.Starts
+	}
+	return d.Starts + (d.StartsTo-d.Starts)*min(1, float64(now.Sub(r.loadStart))/float64(d.Duration))
+}
+
+// report judges the run and puts its result together.
+func (r *run) report(s *sampler, played time.Duration) *result.Result {
+	events := r.record.Events()
+	end := r.record.Now()
+	out := &result.Result{Tool: result.Tool, Format: result.Format, Commit: r.Commit, Command: r.Command, Machine: machine(), Began: r.loadStart.UTC().Truncate(time.Second),
+		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(r.judgeRules(), events, end),
+		Traffic: r.traffic.Sum(), Saturated: s.saturated, ToolLag: r.lag.sum(), MemoryMB: float64(s.peak) / (1 << 20), Changes: r.changes.sum(), Notes: r.notes()}
+	out.Kept = out.Verdict.Kept()
+	out.Jobs = r.jobs()
+	whole, part, none, spread := r.record.Gangs()
+	out.Gangs = result.Gangs{Whole: whole, Part: part, None: none, SpreadMS: float64(spread) / float64(time.Millisecond)}
+	out.Running = r.running(events)
+	for _, w := range s.watched {
+		out.Processes = append(out.Processes, w.result(played))
+	}
+	return out
+}
+
+func faultNames(specs []faults.Spec) []string {
+	out := []string{}
+	for _, s := range specs {
+		name := string(s.Name)
+		if s.Value > 0 {
+			name += "=" + strconv.FormatFloat(s.Value, 'g', -1, 64)
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+func (r *run) jobs() []result.Jobs {
+	latencies, counts := r.record.Latencies(), r.clients.Results()
+	var out []result.Jobs
+	for kind := range workload.Kinds {
+		j := result.Jobs{Kind: kind.String(), Tasks: counts.Tasks[kind].Load(), Served: counts.Served[kind].Load(),
+			Refused: counts.Refused[kind].Load(), Failed: counts.Failed[kind].Load()}
+		j.StartTold = latency(latencies[kind], j.Tasks)
+		out = append(out, j)
+	}
+	return out
+}
+
+// latency sums up a histogram in microseconds, of so many that were due.
+func latency(h *hdrhistogram.Histogram, due int64) result.Latency {
+	ms := func(quantile float64) float64 { return float64(h.ValueAtQuantile(quantile)) / 1000 }
+	l := result.Latency{Count: h.TotalCount(), P50: ms(50), P90: ms(90), P99: ms(99), Max: float64(h.Max()) / 1000}
+	if due > 0 {
+		within := int64(0)
+		for _, bar := range h.Distribution() {
+			if bar.To <= fleet.UrgentWithin.Microseconds() {
+				within += bar.Count
+			}
+		}
+		l.Within = math.Round(1000*float64(within)/float64(due)) / 1000
+	}
+	return l
+}
+
+// running counts what ran at a time and what was started in each second; events are in the order of their times by now.
+func (r *run) running(events []verdict.Event) result.Running {
+	d := &r.Description
+	out := result.Running{MeanRunMillis: float64(d.MeanRun()) / float64(time.Millisecond)}
+	for _, x := range r.plan {
+		out.Slots += x.Slots
+	}
+	starts, asked := map[int]int{}, map[int]int{}
+	begun := map[int32]int32{} // tasks that run, by executor
+	seen := map[int32]bool{}
+	now, total, tasks := 0, 0, 0
+	for _, e := range events {
+		second := int(e.At / time.Second)
+		switch e.Kind {
+		case verdict.Submitted:
+			if !seen[e.Task] {
+				seen[e.Task] = true
+				tasks++
+				asked[second]++
+			}
+		case verdict.Started:
+			now++
+			total++
+			starts[second]++
+			begun[e.Executor]++
+			out.Peak = max(out.Peak, now)
+		case verdict.Ended:
+			now--
+			begun[e.Executor]--
+		case verdict.Died:
+			now -= int(begun[e.Executor])
+			begun[e.Executor] = 0
+		}
+	}
+	for _, n := range starts {
+		out.StartsPeakPS = max(out.StartsPeakPS, n)
+	}
+	for _, n := range asked {
+		out.AskedPeakPS = max(out.AskedPeakPS, n)
+	}
+	out.StartsPerS = float64(total) / d.Duration.Seconds()
+	out.AskedPerS = float64(tasks) / d.Duration.Seconds()
+	return out
+}
+
+func machine() result.Machine {
+	m := result.Machine{Cores: runtime.NumCPU(), Go: runtime.Version()}
+	if text, err := os.ReadFile("/proc/sys/kernel/osrelease"); err == nil {
+		m.Kernel = strings.TrimSpace(string(text))
+	}
+	if text, err := os.ReadFile("/proc/meminfo"); err == nil {
+		kb := 0
+		if _, err := fmt.Sscanf(string(text), "MemTotal: %d kB", &kb); err == nil {
+			m.MemoryMB = kb >> 10
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/scale/play/sample.go
@@ -0,0 +1,139 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/result"
+)
+
+// sampler measures all processes of a run, the tool's own among them, once a second.
+type sampler struct {
+	r         *run
+	at        time.Time
+	began     time.Time
+	watched   []*watched
+	saturated *result.Saturated
+	peak      int64 // bytes of private memory together
+}
+
+type watched struct {
+	name, role  string
+	pid         int
+	cores       float64 // it may use
+	first, last process.Usage
+	seen        bool
+	peak        process.Usage
+	peakCPU     float64 // cores, in the busiest second
+	ended       string
+	target      *dispatcher
+	spent       process.Usage // of earlier processes of a dispatcher that was started again
+}
+
+// sampleEvery is the time between two looks, and saturatedFrom the part of what a process may use from which it counts as saturated.
+const (
+	sampleEvery   = time.Second
+	saturatedFrom = 0.9
+)
+
+// toolName is the name of the tool's own process.
+const toolName = "hollow parties"
+
+func newSampler(r *run) *sampler {
+	s := &sampler{r: r, began: time.Now()}
+	for _, d := range r.dispatchers {
+		s.watched = append(s.watched, &watched{name: d.process.Name, role: "dispatcher", pid: d.process.Pid, cores: 1, target: d})
+	}
+	s.watched = append(s.watched, &watched{name: toolName, role: "tool", pid: os.Getpid(), cores: float64(runtime.NumCPU())})
+	return s
+}
+
+// run measures until the context ends; an error says that a bound was passed.
+func (s *sampler) run(ctx context.Context) error {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		bytes := s.take()
+		if err := s.r.Budget.During(bytes, len(s.watched)); err != nil {
+			return fmt.Errorf("the run needs more than it may: %w", err)
+		}
+	}
+}
+
+// take measures once, and gives the private memory of all.
+func (s *sampler) take() int64 {
+	now := time.Now()
+	span := now.Sub(s.at)
+	bytes := int64(0)
+	for _, w := range s.watched {
+		if w.follow() {
+			bytes += s.measure(w, now, span)
+		}
+	}
+	s.at = now
+	s.peak = max(s.peak, bytes)
+	return bytes
+}
+
+// follow goes over to the process that a dispatcher has now.
+func (w *watched) follow() bool {
+	if w.target == nil {
+		return true
+	}
+	p := w.target.current()
+	if p == nil {
+		return false
+	}
+	if p.Pid != w.pid {
+		w.spent = w.total()
+		w.pid, w.first, w.last, w.seen = p.Pid, process.Usage{}, process.Usage{}, true
+	}
+	return true
+}
+
+func (s *sampler) measure(w *watched, now time.Time, span time.Duration) int64 {
+	u, err := process.Measure(w.pid)
+	if err != nil {
+		if w.ended == "" {
+			w.ended = fmt.Sprintf("not there %.0f s after the load's start", now.Sub(s.r.loadStart).Seconds())
+		}
+		return 0
+	}
+	if !w.seen {
+		w.first, w.last, w.seen = u, u, true
+		w.peak = u
+		return u.PrivateBytes
+	}
+	cores := float64(u.CPU-w.last.CPU) / float64(span)
+	w.peakCPU = max(w.peakCPU, cores)
+	w.peak.PrivateBytes = max(w.peak.PrivateBytes, u.PrivateBytes)
+	w.peak.Descriptors = max(w.peak.Descriptors, u.Descriptors)
+	w.last = u
+	if s.saturated == nil && span > sampleEvery/2 && cores >= saturatedFrom*w.cores {
+		s.saturated = &result.Saturated{Process: w.name, AtSeconds: now.Sub(s.r.loadStart).Seconds(), Cores: cores, StartsPerS: s.r.asked(now)}
+	}
+	return u.PrivateBytes
+}
+
+// total is what all processes under a name have used since the load's start.
+func (w *watched) total() process.Usage {
+	return process.Usage{CPU: w.spent.CPU + w.last.CPU - w.first.CPU,
+		ReadBytes: w.spent.ReadBytes + w.last.ReadBytes - w.first.ReadBytes, WrittenBytes: w.spent.WrittenBytes + w.last.WrittenBytes - w.first.WrittenBytes,
+		ReadCalls: w.spent.ReadCalls + w.last.ReadCalls - w.first.ReadCalls, WriteCalls: w.spent.WriteCalls + w.last.WriteCalls - w.first.WriteCalls}
+}
+
+func (w *watched) result(span time.Duration) result.Process {
+	total := w.total()
+	return result.Process{Name: w.name, Role: w.role, CPUSeconds: total.CPU.Seconds(), CPUMean: total.CPU.Seconds() / span.Seconds(), CPUPeak: w.peakCPU,
+		PrivateMB: float64(w.peak.PrivateBytes) / (1 << 20), Descriptors: w.peak.Descriptors, ReadBytes: total.ReadBytes,
+		WrittenBytes: total.WrittenBytes, ReadCalls: total.ReadCalls, WriteCalls: total.WriteCalls, Ended: w.ended}
+}
--- /dev/null
+++ b/internal/scale/process/measure.go
@@ -0,0 +1,121 @@
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/procfs"
+)
+
+// Usage is what a process has used, as the kernel tells it.
+type Usage struct {
+	CPU          time.Duration // processor time since its start
+	PrivateBytes int64         // resident memory that it shares with no file and no other process
+	Descriptors  int
+	ReadBytes    int64 // by read calls, most of them from sockets
+	WrittenBytes int64
+	ReadCalls    int64
+	WriteCalls   int64
+}
+
+// Measure looks at a process.
+func Measure(pid int) (Usage, error) {
+	proc, err := procfs.NewProc(pid)
+	if err != nil {
+		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	stat, err := proc.Stat()
+	if err != nil {
+		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	status, err := proc.NewStatus()
+	if err != nil {
+		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	descriptors, err := proc.FileDescriptorsLen()
+	if err != nil {
+		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	io, err := proc.IO()
+	if err != nil {
+		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
+	}
+	return Usage{CPU: time.Duration(stat.CPUTime() * float64(time.Second)), PrivateBytes: int64(status.RssAnon), Descriptors: descriptors,
+		ReadBytes: int64(io.RChar), WrittenBytes: int64(io.WChar), ReadCalls: int64(io.SyscR), WriteCalls: int64(io.SyscW)}, nil
+}
+
+// Budget bounds a run.
+type Budget struct {
+	MemoryBytes int64
+	Processes   int
+}
+
+// Bounds are those of every run.
+var Bounds = Budget{MemoryBytes: 12 << 30, Processes: 200}
+
+// BudgetError names a bound that a run needs more than.
+type BudgetError struct {
+	What       string
+	Need, Have int64
+}
+
+func (e *BudgetError) Error() string {
+	return fmt.Sprintf("%s: %d are needed, and %d may be used", e.What, e.Need, e.Have)
+}
+
+// Before checks that a run that needs so much can begin: within its bounds, and within what the machine has free.
+func (b Budget) Before(memoryBytes int64, processes int) error {
+	if processes > b.Processes {
+		return &BudgetError{"processes", int64(processes), int64(b.Processes)}
+	}
+	if memoryBytes > b.MemoryBytes {
+		return &BudgetError{"bytes of memory", memoryBytes, b.MemoryBytes}
+	}
+	free, err := available()
+	if err != nil {
+		return err
+	}
+	if memoryBytes > free {
+		return &BudgetError{"bytes of free memory", memoryBytes, free}
+	}
+	return nil
+}
+
+// During checks what a run uses.
+func (b Budget) During(memoryBytes int64, processes int) error {
+	if processes > b.Processes {
+		return &BudgetError{"processes", int64(processes), int64(b.Processes)}
+	}
+	if memoryBytes > b.MemoryBytes {
+		return &BudgetError{"bytes of memory", memoryBytes, b.MemoryBytes}
+	}
+	return nil
+}
+
+var errMeminfo = errors.New("/proc/meminfo names no MemAvailable")
+
+func available() (int64, error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, fmt.Errorf("free memory: %w", err)
+	}
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		rest, ok := strings.CutPrefix(lines.Text(), "MemAvailable:")
+		if !ok {
+			continue
+		}
+		kb, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("free memory: %w", err)
+		}
+		return kb << 10, nil
+	}
+	return 0, errMeminfo
+}
--- /dev/null
+++ b/internal/scale/process/process_test.go
@@ -0,0 +1,120 @@
+package process
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// parentVar makes the test's program a parent that starts a child, says its number and waits to be killed.
+const parentVar = "SCALE_TEST_PARENT"
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv(parentVar); dir != "" {
+		beParent(dir)
+	}
+	os.Exit(m.Run())
+}
+
+func beParent(dir string) {
+	p, err := NewStarter().Start(Command{Name: "child", Program: "/bin/sleep", Args: []string{"60"}, Log: filepath.Join(dir, "log")})
+	if err != nil {
+		os.Exit(1)
+	}
+	_, _ = os.Stdout.WriteString(strconv.Itoa(p.Pid) + "\n")
+	time.Sleep(time.Minute)
+	os.Exit(1)
+}
+
+// A child ends with the process that started it, also when that is killed outright.
+func TestChildrenEndWithTheirParent(t *testing.T) {
+	parent := exec.Command(os.Args[0])
+	parent.Env = append(os.Environ(), parentVar+"="+t.TempDir())
+	out, err := parent.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := parent.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	child, err := strconv.Atoi(strings.TrimSpace(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !runs(child) {
+		t.Fatal("the child does not run")
+	}
+	if err := parent.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = parent.Wait()
+	for end := time.Now().Add(20 * time.Second); runs(child); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			_ = syscall.Kill(child, syscall.SIGKILL)
+			t.Fatal("the child outlives its parent")
+		}
+	}
+}
+
+// runs says whether a process is there and has not ended.
+func runs(pid int) bool {
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	return !strings.HasPrefix(rest, "Z") && !strings.HasPrefix(rest, "X")
+}
+
+func TestStartMeasureKill(t *testing.T) {
+	s := NewStarter()
+	defer s.Close()
+	p, err := s.Start(Command{Name: "child", Program: "/bin/sh", Args: []string{"-c", "echo here; exec sleep 60"}, Log: filepath.Join(t.TempDir(), "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	u, err := Measure(p.Pid)
+	if err != nil || u.Descriptors < 3 || u.PrivateBytes <= 0 {
+		t.Errorf("%+v %v", u, err)
+	}
+	own, err := Measure(os.Getpid())
+	if err != nil || own.CPU <= 0 || own.PrivateBytes < 1<<20 || own.PrivateBytes > 1<<30 {
+		t.Errorf("%+v %v", own, err)
+	}
+	p.Kill()
+	if err := p.Until(context.Background(), time.Second, func() bool { return false }); !errors.Is(err, ErrEnded) {
+		t.Errorf("waiting for one that has ended: %v", err)
+	}
+	if _, err := Measure(p.Pid); err == nil {
+		t.Error("a process that has ended was measured")
+	}
+}
+
+// A run that needs more than it may does not begin, or ends.
+func TestBudget(t *testing.T) {
+	be := (*BudgetError)(nil)
+	for name, err := range map[string]error{
+		"processes before": Bounds.Before(1, 201), "memory before": Bounds.Before(Bounds.MemoryBytes+1, 1),
+		"memory that is not free": Budget{MemoryBytes: 1 << 60, Processes: 9}.Before(1<<50, 1),
+		"processes during":        Bounds.During(1, 201), "memory during": Bounds.During(Bounds.MemoryBytes+1, 1),
+	} {
+		if !errors.As(err, &be) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := errors.Join(Bounds.Before(1, 200), Bounds.During(1, 200)); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/scale/verdict/cold.go
@@ -0,0 +1,82 @@
+package verdict
+
+import "time"
+
+// coldBudgets keeps what cold executors were sent by all dispatchers together. Over any window of the stated length that must stay
+// under a multiple of what the executor can do at the window's end. A budget can not be spent in parts of an attempt, so the
+// largest one in the window does not count. The rule holds where two thirds of the work came from dispatchers that were told of the
+// executor's start, or count as told.
+type coldBudgets struct {
+	rules Rules
+	lives map[int32]*coldLife
+}
+
+type coldLife struct {
+	slots   int32
+	booted  time.Duration
+	told    []time.Duration // by dispatcher, 0 for not yet
+	arrived []arrival
+}
+
+type arrival struct {
+	at         time.Duration
+	work       time.Duration
+	dispatcher int16
+}
+
+type overBudget struct{ sent, budget time.Duration }
+
+// informedPart is how much of the work must have come from dispatchers that knew.
+const informedPart = 2.0 / 3
+
+func newColdBudgets(rules Rules) coldBudgets { return coldBudgets{rules, map[int32]*coldLife{}} }
+
+func (c *coldBudgets) booted(e Event) {
+	c.lives[e.Executor] = &coldLife{slots: e.Slots, booted: e.At, told: make([]time.Duration, c.rules.Dispatchers)}
+}
+
+func (c *coldBudgets) died(e Event) { delete(c.lives, e.Executor) }
+
+func (c *coldBudgets) listed(e Event) {
+	life := c.lives[e.Executor]
+	if life != nil && e.Condition == Ready && life.told[e.Dispatcher] == 0 {
+		life.told[e.Dispatcher] = e.At
+	}
+}
+
+// share is the part of its capacity that an executor has at a time after its start.
+func (c *coldBudgets) share(since time.Duration) float64 {
+	return min(1, c.rules.ColdFrom+(1-c.rules.ColdFrom)*float64(since)/float64(c.rules.WarmWithin))
+}
+
+// attempt takes in what reached an executor, and says by how much it is over its budget then.
+func (c *coldBudgets) attempt(e Event) (overBudget, bool) {
+	life := c.lives[e.Executor]
+	if life == nil {
+		return overBudget{}, false
+	}
+	since := e.At - life.booted
+	if since >= c.rules.WarmWithin {
+		delete(c.lives, e.Executor)
+		return overBudget{}, false
+	}
+	life.arrived = append(life.arrived, arrival{e.At, e.Work, e.Dispatcher})
+	var sent, informed, largest time.Duration
+	for i := len(life.arrived) - 1; i >= 0 && life.arrived[i].at > e.At-c.rules.Fall; i-- {
+		a := life.arrived[i]
+		sent += a.work
+		largest = max(largest, a.work)
+		if c.knew(life, a) {
+			informed += a.work
+		}
+	}
+	budget := time.Duration(c.rules.FallMultiple * c.share(since+c.rules.MeasuredWithin) * float64(life.slots) * float64(c.rules.Fall))
+	over := sent-largest > budget && float64(informed) >= informedPart*float64(sent)
+	return overBudget{sent, budget}, over
+}
+
+// knew says whether the dispatcher of an arrival was told of the life, or counts as told.
+func (c *coldBudgets) knew(life *coldLife, a arrival) bool {
+	told := life.told[a.dispatcher]
+	return told > 0 && told <= a.at || a.at-life.booted >= c.rules.ListedWithin
+}
--- /dev/null
+++ b/internal/scale/verdict/shares.go
@@ -0,0 +1,165 @@
+package verdict
+
+import (
+	"math"
+	"time"
+)
+
+// shares keeps what each tenant has running and asks for. A tenant is held under its share while a task of its waits and, with that
+// task, it would still have no more slots than are reserved for it. For a while that is the time work takes to start; past the
+// grace the rule is broken. What is reserved goes by the slots of the executors that stand and are warm.
+type shares struct {
+	rules    Rules
+	tenants  []tenantShare
+	waiting  map[int32]*waitingTask
+	running  map[int32]runningTask // by task
+	up       []bool                // executors
+	warmFrom []time.Duration
+	capacity int
+	lookAt   time.Duration
+	warming  []warming
+}
+
+type tenantShare struct {
+	running int
+	waits   []*waitingTask // the oldest first; those that are over are dropped when looked at
+	since   time.Duration  // since when it has been held under its share; 0 for not
+	told    bool           // of this time
+}
+
+type waitingTask struct {
+	request uint64
+	slots   int
+	over    bool
+}
+
+type runningTask struct {
+	tenant, slots int
+	executor      int32
+}
+
+type warming struct {
+	at       time.Duration
+	executor int32
+}
+
+type underShare struct {
+	request                   uint64
+	tenant, running, reserved int
+	since                     time.Duration
+}
+
+// lookEvery is the time between two looks at all tenants.
+const lookEvery = 100 * time.Millisecond
+
+func newShares(rules Rules) shares {
+	s := shares{rules: rules, tenants: make([]tenantShare, len(rules.Portions)), waiting: map[int32]*waitingTask{},
+		running: map[int32]runningTask{}, up: make([]bool, len(rules.Executors)), warmFrom: make([]time.Duration, len(rules.Executors))}
+	for i, x := range rules.Executors {
+		s.up[i] = true
+		s.capacity += x.Slots
+	}
+	return s
+}
+
+func (s *shares) submitted(e Event) {
+	if s.waiting[e.Task] != nil {
+		s.waiting[e.Task].request = e.Request // tried again
+		return
+	}
+	w := &waitingTask{e.Request, int(e.Slots), false}
+	s.waiting[e.Task] = w
+	t := &s.tenants[e.Tenant]
+	t.waits = append(t.waits, w)
+}
+
+func (s *shares) withdrawn(task int32) {
+	if w := s.waiting[task]; w != nil {
+		w.over = true
+		delete(s.waiting, task)
+	}
+}
+
+func (s *shares) taken(e Event) { s.withdrawn(e.Task) }
+
+func (s *shares) started(e Event) {
+	s.withdrawn(e.Task)
+	s.running[e.Task] = runningTask{int(e.Tenant), int(e.Slots), e.Executor}
+	s.tenants[e.Tenant].running += int(e.Slots)
+}
+
+func (s *shares) ended(e Event) {
+	if r, ok := s.running[e.Task]; ok {
+		s.tenants[r.tenant].running -= r.slots
+		delete(s.running, e.Task)
+	}
+}
+
+func (s *shares) died(e Event) {
+	if !s.up[e.Executor] {
+		return
+	}
+	s.up[e.Executor] = false
+	if s.warmFrom[e.Executor] <= e.At {
+		s.capacity -= s.rules.Executors[e.Executor].Slots
+	}
+	for task, r := range s.running {
+		if r.executor == e.Executor {
+			s.tenants[r.tenant].running -= r.slots
+			delete(s.running, task)
+		}
+	}
+}
+
+func (s *shares) booted(e Event) {
+	s.up[e.Executor] = true
+	s.warmFrom[e.Executor] = e.At + s.rules.WarmWithin
+	s.warming = append(s.warming, warming{s.warmFrom[e.Executor], e.Executor})
+}
+
+// warm takes in the executors that are warm by now.
+func (s *shares) warm(now time.Duration) {
+	for len(s.warming) > 0 && s.warming[0].at <= now {
+		w := s.warming[0]
+		s.warming = s.warming[1:]
+		if s.up[w.executor] && s.warmFrom[w.executor] == w.at {
+			s.capacity += s.rules.Executors[w.executor].Slots
+		}
+	}
+}
+
+// advance looks at all tenants, no more often than lookEvery, and gives those that have newly been held for too long.
+func (s *shares) advance(now time.Duration) []*underShare {
+	if now < s.lookAt {
+		return nil
+	}
+	s.lookAt = now + lookEvery
+	s.warm(now)
+	var found []*underShare
+	for i := range s.tenants {
+		if under := s.look(i, now); under != nil {
+			found = append(found, under)
+		}
+	}
+	return found
+}
+
+func (s *shares) look(tenant int, now time.Duration) *underShare {
+	t := &s.tenants[tenant]
+	for len(t.waits) > 0 && t.waits[0].over {
+		t.waits = t.waits[1:]
+	}
+	reserved := int(math.Floor(s.rules.Portions[tenant] * float64(s.capacity)))
+	if len(t.waits) == 0 || t.running+t.waits[0].slots > reserved {
+		t.since, t.told = 0, false
+		return nil
+	}
+	if t.since == 0 {
+		t.since = now
+	}
+	if t.told || now-t.since <= s.rules.ShareGrace+s.rules.MeasuredWithin {
+		return nil
+	}
+	t.told = true
+	return &underShare{t.waits[0].request, tenant, t.running, reserved, t.since}
+}
