--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -77,6 +77,7 @@
 	f.Uint64Var(&d.Seed, "seed", d.Seed, "everything is drawn from it")
 	f.IntVar(&d.Executors, "executors", d.Executors, "hollow executors")
 	f.IntVar(&d.Dispatchers, "dispatchers", d.Dispatchers, "real dispatchers, each a process")
+	f.IntVar(&d.Hollow, "hollow-dispatchers", d.Hollow, "hollow dispatchers, in the tool's process: the decision module with its messages, and no front")
 	f.IntVar(&d.StoreMembers, "store-members", d.StoreMembers, "dispatchers that are members of the replicated store")
 	f.IntVar(&d.Tenants, "tenants", d.Tenants, "tenants, with equal reserved shares")
 	f.IntVar(&d.Regions, "regions", d.Regions, "regions")
@@ -150,7 +151,7 @@
 func override(cmd *cobra.Command, to, given *fleet.Description) {
 	for name, take := range map[string]func(){
 		"seed": func() { to.Seed = given.Seed }, "executors": func() { to.Executors = given.Executors },
-		"dispatchers": func() { to.Dispatchers = given.Dispatchers }, "store-members": func() { to.StoreMembers = given.StoreMembers },
+		"dispatchers": func() { to.Dispatchers = given.Dispatchers }, "hollow-dispatchers": func() { to.Hollow = given.Hollow }, "store-members": func() { to.StoreMembers = given.StoreMembers },
 		"tenants": func() { to.Tenants = given.Tenants }, "regions": func() { to.Regions = given.Regions },
 		"zones": func() { to.ZonesPerRegion = given.ZonesPerRegion }, "starts": func() { to.Starts = given.Starts },
 		"starts-to": func() { to.StartsTo = given.StartsTo }, "running": func() { to.Running = given.Running },
--- a/internal/scale/fleet/description.go
+++ b/internal/scale/fleet/description.go
@@ -13,18 +13,19 @@
 type Description struct {
 	Seed           uint64        `yaml:"seed" json:"seed"`
 	Executors      int           `yaml:"executors" json:"executors"`
-	Dispatchers    int           `yaml:"dispatchers" json:"dispatchers"`     // real processes
-	StoreMembers   int           `yaml:"store-members" json:"storeMembers"`  // of them, members of the replicated store; 0 for no store
-	Tenants        int           `yaml:"tenants" json:"tenants"`             //
-	Regions        int           `yaml:"regions" json:"regions"`             //
-	ZonesPerRegion int           `yaml:"zones" json:"zonesPerRegion"`        //
-	Starts         float64       `yaml:"starts" json:"startsPerSecond"`      // task starts that are asked for each second
-	StartsTo       float64       `yaml:"starts-to" json:"startsPerSecondTo"` // the rate at the end of a ramp; 0 for an even rate
-	Running        int           `yaml:"running" json:"running"`             // tasks that are to run at a time
-	Duration       time.Duration `yaml:"duration" json:"duration"`           // of the load; answers are waited for after it
-	MemoryMB       int           `yaml:"dispatcher-memory" json:"memoryMB"`  // granted to each dispatcher
-	Sockets        int           `yaml:"dispatcher-sockets" json:"sockets"`  // likewise
-	BatchShare     float64       `yaml:"batch-share" json:"batchShare"`      // part of the jobs that come through the batch front of the store's members
+	Dispatchers    int           `yaml:"dispatchers" json:"dispatchers"`              // real processes
+	Hollow         int           `yaml:"hollow-dispatchers" json:"hollowDispatchers"` // beside them, in the tool's process
+	StoreMembers   int           `yaml:"store-members" json:"storeMembers"`           // of them, members of the replicated store; 0 for no store
+	Tenants        int           `yaml:"tenants" json:"tenants"`                      //
+	Regions        int           `yaml:"regions" json:"regions"`                      //
+	ZonesPerRegion int           `yaml:"zones" json:"zonesPerRegion"`                 //
+	Starts         float64       `yaml:"starts" json:"startsPerSecond"`               // task starts that are asked for each second
+	StartsTo       float64       `yaml:"starts-to" json:"startsPerSecondTo"`          // the rate at the end of a ramp; 0 for an even rate
+	Running        int           `yaml:"running" json:"running"`                      // tasks that are to run at a time
+	Duration       time.Duration `yaml:"duration" json:"duration"`                    // of the load; answers are waited for after it
+	MemoryMB       int           `yaml:"dispatcher-memory" json:"memoryMB"`           // granted to each dispatcher
+	Sockets        int           `yaml:"dispatcher-sockets" json:"sockets"`           // likewise
+	BatchShare     float64       `yaml:"batch-share" json:"batchShare"`               // part of the jobs that come through the batch front of the store's members
 }
 
 // Default is the fleet that is played when nothing is said.
@@ -35,7 +36,7 @@
 
 // Bounds of a description. Executor addresses have two octets, and dispatcher numbers two hexadecimal digits of a request's id.
 const (
-	MaxExecutors   = 20000
+	MaxExecutors   = 12000
 	MaxDispatchers = 100
 	MaxStore       = 5
 	MaxTenants     = 5000
@@ -44,6 +45,7 @@
 	MaxDuration    = 10 * time.Minute
 	maxRegions     = 20
 	maxZones       = 10
+	maxListeners   = 12000 // a process may have 20,000 descriptors, and connections need some
 )
 
 // FieldError names a field that can not be used and what was expected.
@@ -59,13 +61,18 @@
 
 // Check names the first field that can not be used.
 func (d *Description) Check() error {
+	leastReal := 1
+	if d.Hollow > 0 {
+		leastReal = 0
+	}
 	whole := []struct {
 		field       string
 		value       int
 		least, most int
 	}{
 		{"executors", d.Executors, 1, MaxExecutors},
-		{"dispatchers", d.Dispatchers, 1, MaxDispatchers},
+		{"dispatchers", d.Dispatchers, leastReal, MaxDispatchers},
+		{"hollow-dispatchers", d.Hollow, 0, MaxDispatchers - d.Dispatchers},
 		{"store-members", d.StoreMembers, 0, min(MaxStore, d.Dispatchers)},
 		{"tenants", d.Tenants, 1, MaxTenants},
 		{"regions", d.Regions, 1, maxRegions},
@@ -88,6 +95,9 @@
 	if d.Duration < time.Second || d.Duration > MaxDuration {
 		return &FieldError{"duration", d.Duration, fmt.Sprintf("a span from 1s to %v", MaxDuration)}
 	}
+	if n := d.Executors * (1 + d.StoreMembers); n > maxListeners {
+		return &FieldError{"executors", d.Executors, fmt.Sprintf("at most %d with %d store-members: each executor listens for each of them", maxListeners/(1+d.StoreMembers), d.StoreMembers)}
+	}
 	if !(d.BatchShare >= 0) || d.BatchShare > 1 {
 		return &FieldError{"batch-share", d.BatchShare, "a number from 0 to 1"}
 	}
@@ -97,6 +107,9 @@
 	return nil
 }
 
+// AllDispatchers is how many there are, real and hollow; the real ones have the first numbers.
+func (d *Description) AllDispatchers() int { return d.Dispatchers + d.Hollow }
+
 // MeanRun is how long a task runs on the mean, so that the asked-for rate keeps the asked-for number running.
 func (d *Description) MeanRun() time.Duration {
 	return time.Duration(float64(d.Running) / max(d.Starts, d.StartsTo) * float64(time.Second))
@@ -150,8 +163,11 @@
 // executorsPerRack is how many share a rack, and with it a switch and the memory of repeated keys.
 const executorsPerRack = 20
 
-// Kinds of machine.
-var Kinds = []string{"type-a", "type-b"}
+// Kinds of machine, by how many accelerators one has.
+var Kinds = []string{"one", "two", "four"}
+
+// kindOf is the kind of a machine with so many accelerators.
+func kindOf(accelerators int) int { return accelerators / 2 }
 
 // Plan gives the fleet's executors: zones are filled in turn, racks lie within one zone.
 func (d *Description) Plan() []Executor {
@@ -162,9 +178,9 @@
 	for i := range out {
 		zone := i % zones
 		inZone := i / zones
+		accelerators := acceleratorMix[i%len(acceleratorMix)]
 		out[i] = Executor{Number: i, Name: fmt.Sprintf("s-%08x", i+1), Region: zone / d.ZonesPerRegion, Zone: zone,
-			Rack: zone*racksPerZone + inZone/executorsPerRack, Kind: inZone % len(Kinds),
-			Slots: acceleratorMix[i%len(acceleratorMix)] * share}
+			Rack: zone*racksPerZone + inZone/executorsPerRack, Kind: kindOf(accelerators), Slots: accelerators * share}
 	}
 	return out
 }
--- a/internal/scale/fleet/fleet_test.go
+++ b/internal/scale/fleet/fleet_test.go
@@ -83,6 +83,7 @@
 	for field, change := range map[string]func(*Description){
 		"executors":          func(d *Description) { d.Executors = 0 },
 		"dispatchers":        func(d *Description) { d.Dispatchers = MaxDispatchers + 1 },
+		"hollow-dispatchers": func(d *Description) { d.Hollow = MaxDispatchers },
 		"store-members":      func(d *Description) { d.StoreMembers = 6 },
 		"tenants":            func(d *Description) { d.Tenants = -1 },
 		"regions":            func(d *Description) { d.Regions = 0 },
--- a/internal/scale/fleet/settings.go
+++ b/internal/scale/fleet/settings.go
@@ -95,7 +95,7 @@
 	classes = append(classes, object{"name": ChangeClass(changes), "aim": millis(leastDeadline), "deadline": millis(leastDeadline), "worth": 1.0,
 		"effect": "free", "dedupScope": "cell", "window": 0.0})
 	return object{
-		"me": dispatcher, "balancers": d.Dispatchers, "zone": d.DispatcherZone(dispatcher), "zones": zones, "kinds": Kinds, "step": 4.0,
+		"me": dispatcher, "balancers": d.AllDispatchers(), "zone": d.DispatcherZone(dispatcher), "zones": zones, "kinds": Kinds, "step": 4.0,
 		"discovery": "subscribe", "weights": "rough", "workload": "jobs", "worthBy": "request", "overShareWorth": 0.2,
 		"telemetry": object{"how": "piggyback", "fields": []string{"pending", "x0"}},
 		"familyInfo": object{"classKind": []float64{-1, -1, -1, -1}, "classStretch": []float64{2, 2, 2, 2}, "reportX0": "free slots",
--- a/internal/scale/hollow/address.go
+++ b/internal/scale/hollow/address.go
@@ -58,11 +58,19 @@
 // hostsPerOctet is how many executors share a third octet: none has host number 0 or 255.
 const hostsPerOctet = 254
 
-// Executor is where an executor listens.
-func (n *Network) Executor(number int) string {
-	return n.address(number/hostsPerOctet, firstHost+number%hostsPerOctet, executorPort)
+// Executor is where an executor listens for a dispatcher. Members of the store have addresses of their own there, since the requests
+// of their batch fronts do not name the dispatcher that is to be called back; everybody is for the others.
+func (n *Network) Executor(number, dispatcher int) string {
+	port := executorPort
+	if dispatcher != everybody {
+		port += 1 + dispatcher
+	}
+	return n.address(number/hostsPerOctet, firstHost+number%hostsPerOctet, port)
 }
 
+// everybody stands for all dispatchers that share an address of an executor.
+const everybody = -1
+
 // Dispatcher is where a dispatcher's clients and callbacks connect.
 func (n *Network) Dispatcher(number int) string {
 	return n.address(dispatcherNet, firstHost+number, listenPort)
--- a/internal/scale/hollow/clients.go
+++ b/internal/scale/hollow/clients.go
@@ -25,6 +25,8 @@
 	numbers     atomic.Uint64
 	open        atomic.Int64
 	results     Results
+	hollow      map[int]*Dispatcher
+	batch       *BatchClients
 
 	mu   sync.Mutex
 	idle [][]*Conn // by dispatcher, the one used last at the end
@@ -33,9 +35,14 @@
 // Results count how tasks ended, whatever number of requests each took.
 type Results struct{ Tasks, Served, Refused, Failed, Late [workload.Kinds]atomic.Int64 }
 
-// NewClients makes clients of so many dispatchers.
-func NewClients(r fleet.Rules, dispatchers int, n *Network, rec *Record, t *Traffic) *Clients {
-	return &Clients{rules: r, dispatchers: dispatchers, network: n, record: rec, traffic: t, idle: make([][]*Conn, dispatchers)}
+// NewClients makes clients of so many dispatchers, of which some are hollow, by their numbers.
+func NewClients(r fleet.Rules, dispatchers int, hollow map[int]*Dispatcher, n *Network, rec *Record, t *Traffic) *Clients {
+	return &Clients{hollow: hollow, rules: r, dispatchers: dispatchers, network: n, record: rec, traffic: t, idle: make([][]*Conn, dispatchers)}
+}
+
+// UseBatch has arrays of the load that are marked for it go through the batch fronts of the first dispatchers.
+func (c *Clients) UseBatch(members int) {
+	c.batch = NewBatchClients(c.rules, members, c.network, c.record, &c.results)
 }
 
 // Open is how many tasks wait for their ends.
@@ -52,17 +59,28 @@
 		if !ok {
 			break
 		}
+		tasks := []workload.Task{t}
+		for t.Batch && len(tasks) < t.Size {
+			t, _ = load.Next()
+			tasks = append(tasks, t)
+		}
 		due := start.Add(t.Due)
 		sleep(ctx, time.Until(due))
 		if ctx.Err() != nil {
 			break
 		}
-		c.record.Due(t, due)
-		c.results.Tasks[t.Kind].Add(1)
-		c.open.Add(1)
+		for _, t := range tasks {
+			c.record.Due(t, due)
+			c.results.Tasks[t.Kind].Add(1)
+		}
+		c.open.Add(int64(len(tasks)))
 		g.Go(func() error {
-			c.pursue(ctx, t, due)
-			c.open.Add(-1)
+			if t.Batch {
+				c.batch.Pursue(ctx, tasks, due)
+			} else {
+				c.pursue(ctx, t, due)
+			}
+			c.open.Add(-int64(len(tasks)))
 			return nil
 		})
 	}
@@ -121,6 +139,9 @@
 // submit makes one request, and says how it ended and how long its client is to stay away.
 func (c *Clients) submit(ctx context.Context, t workload.Task, dispatcher int, deadline time.Time) (verdict.Answer, time.Duration) {
 	request := RequestID(dispatcher, c.numbers.Add(1))
+	if d := c.hollow[dispatcher]; d != nil {
+		return c.submitHollow(ctx, d, t, dispatcher, request, deadline)
+	}
 	id := verdict.ID(request)
 	conn, kept, err := c.connect(dispatcher)
 	if err != nil {
@@ -133,9 +154,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	e := verdict.Event{Kind: verdict.Submitted, Request: request, Task: int32(t.Number), Tenant: int32(t.Tenant), Class: uint8(t.Class),
-		Slots: int32(t.Slots), Dispatcher: int16(dispatcher), Deadline: deadline.Sub(c.record.Start())}
-	e.At = c.record.Now()
+	e := c.submitted(t, dispatcher, request, deadline)
 	fields := []http1.Field{{Name: "X-Trace-Id", Value: id}, {Name: "X-Customer", Value: fleet.TenantName(t.Tenant)},
 		{Name: "X-Expires-In-Ms", Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: "Idempotency-Key", Value: "key-" + strconv.Itoa(t.Number)},
 		{Name: "X-Props", Value: "slots=" + strconv.Itoa(t.Slots)}}
@@ -173,6 +192,29 @@
 	return answer, retry
 }
 
+// submitted is the event of a request that is written now.
+func (c *Clients) submitted(t workload.Task, dispatcher int, request uint64, deadline time.Time) verdict.Event {
+	return verdict.Event{At: c.record.Now(), Kind: verdict.Submitted, Request: request, Task: int32(t.Number), Tenant: int32(t.Tenant),
+		Class: uint8(t.Class), Slots: int32(t.Slots), Dispatcher: int16(dispatcher), Deadline: deadline.Sub(c.record.Start())}
+}
+
+// submitHollow is submit at a hollow dispatcher.
+func (c *Clients) submitHollow(ctx context.Context, d *Dispatcher, t workload.Task, number int, request uint64, deadline time.Time) (verdict.Answer, time.Duration) {
+	left := time.Until(deadline)
+	if left <= 0 {
+		return verdict.Refused, 0
+	}
+	c.record.Add(c.submitted(t, number, request, deadline))
+	answer, retry, answered := d.submit(ctx, t, verdict.ID(request), left, deadline.Add(c.rules.AnswerSlack+answerSpare))
+	switch {
+	case answered:
+		c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: answer, Request: request})
+	case ctx.Err() == nil:
+		c.record.Add(verdict.Event{Kind: verdict.GivenUp, Request: request})
+	}
+	return answer, retry
+}
+
 // answerSpare is how long past the slack a client reads on: an answer that late is told from none.
 const answerSpare = 500 * time.Millisecond
 
--- a/internal/scale/hollow/conn.go
+++ b/internal/scale/hollow/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"gatetack/drmaa2"
 	"gatetack/internal/http1"
 	"gatetack/internal/limits"
 )
@@ -75,3 +76,6 @@
 	timeout := net.Error(nil)
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// isRefusal says that a call was refused in words, and not lost on its way.
+func isRefusal(err error, to **drmaa2.Error) bool { return errors.As(err, to) && (*to).Status == 503 }
--- a/internal/scale/hollow/discovery.go
+++ b/internal/scale/hollow/discovery.go
@@ -24,6 +24,8 @@
 	record  *Record
 	traffic *Traffic
 	lim     limits.Limits
+	network *Network
+	members int
 	number  map[string]int32
 
 	mu      sync.Mutex
@@ -60,13 +62,13 @@
 // NewDiscovery serves the list of a fleet.
 func NewDiscovery(ctx context.Context, g *errgroup.Group, d *fleet.Description, plan []fleet.Executor, n *Network, r *Record,
 	t *Traffic) (*Discovery, error) {
-	s := &Discovery{record: r, traffic: t, lim: limits.New(0, 0, 0, 0, 0), number: map[string]int32{}, changed: make(chan struct{})}
+	s := &Discovery{network: n, members: d.StoreMembers, record: r, traffic: t, lim: limits.New(0, 0, 0, 0, 0), number: map[string]int32{}, changed: make(chan struct{})}
 	for _, x := range plan {
 		s.number[x.Name] = int32(x.Number)
-		s.rows = append(s.rows, Row{Name: x.Name, Address: n.Executor(x.Number), Zone: d.ZoneName(x.Zone), Type: fleet.Kinds[x.Kind],
+		s.rows = append(s.rows, Row{Name: x.Name, Zone: d.ZoneName(x.Zone), Type: fleet.Kinds[x.Kind],
 			Group: x.Rack, Status: StatusReady, Weight: float64(x.Slots)})
 	}
-	for i := range d.Dispatchers {
+	for i := range d.AllDispatchers() {
 		ln, err := net.Listen("tcp", n.Discovery(i))
 		if err != nil {
 			return nil, fmt.Errorf("discovery for dispatcher %d: %w", i, err)
@@ -108,8 +110,20 @@
 	Endpoints []Row `json:"endpoints"`
 }
 
-// since gives what changed after a version, or the whole list where the version is not one of this list's.
-func (s *Discovery) since(index int) (answer, <-chan struct{}) {
+// since gives what changed after a version, or the whole list where the version is not one of this list's, as a dispatcher is told.
+func (s *Discovery) since(index, dispatcher int) (answer, <-chan struct{}) {
+	a, changed := s.changes(index)
+	if dispatcher >= s.members {
+		dispatcher = everybody
+	}
+	for i := range a.Endpoints {
+		row := &a.Endpoints[i]
+		row.Address = s.network.Executor(int(s.number[row.Name]), dispatcher)
+	}
+	return a, changed
+}
+
+func (s *Discovery) changes(index int) (answer, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := firstIndex + len(s.log)
@@ -149,7 +163,7 @@
 			s.watch(ctx, c, m.Target, dispatcher)
 			return
 		}
-		a, _ := s.since(0)
+		a, _ := s.since(0, dispatcher)
 		text, err := json.Marshal(a)
 		if err != nil {
 			return
@@ -174,7 +188,7 @@
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
 	for {
-		a, changed := s.since(index)
+		a, changed := s.since(index, dispatcher)
 		text := []byte("\n")
 		if a.Snapshot || a.Index > index {
 			if text, err = json.Marshal(a); err != nil {
--- a/internal/scale/hollow/doc.go
+++ b/internal/scale/hollow/doc.go
@@ -11,6 +11,9 @@
 //   - The list serves each dispatcher at an address of its own and writes a change to all at once; it is never overloaded.
 //   - A client submits at the moment a task is due, whatever became of those before, and waits for the answer on a connection of its
 //     own that is kept for the next. Clients of one dispatcher share kept connections.
+//   - A dispatcher has the decision module in the program's own core, and the program's own carriers to executors, list and other
+//     dispatchers, so that its messages are the real ones. It has no front: clients of the tool hand it tasks by a call. It shares
+//     processor and memory with all others of the tool's process, reads no new configuration, and logs nothing.
 //   - The network between dispatchers delivers each datagram at once and loses none, but across a cut.
 //
 // How it was checked: the package's tests compare a hollow executor with the one that the project's other tests use, message by
--- a/internal/scale/hollow/executor.go
+++ b/internal/scale/hollow/executor.go
@@ -36,6 +36,7 @@
 	Rules            fleet.Rules
 	ProgressEvery    time.Duration // 0 for no reports
 	QueuePerSlot     int           // tasks that may wait at an executor, for each slot
+	StoreMembers     int           // the first dispatchers, which have addresses of their own at each executor
 	DispatcherRegion func(dispatcher int) int
 }
 
@@ -52,7 +53,7 @@
 type life struct {
 	ctx     context.Context
 	end     context.CancelFunc
-	ln      net.Listener
+	ln      []net.Listener
 	cold    bool
 	booted  time.Time
 	conns   map[net.Conn]bool
@@ -89,25 +90,43 @@
 	if x.life != nil {
 		return nil
 	}
-	ln, err := net.Listen("tcp", e.network.Executor(number))
+	listeners, err := e.listen(number)
 	if err != nil {
 		return fmt.Errorf("executor %s: %w", x.plan.Name, err)
 	}
-	l := &life{ln: ln, cold: cold, booted: time.Now(), conns: map[net.Conn]bool{}}
+	l := &life{ln: listeners, cold: cold, booted: time.Now(), conns: map[net.Conn]bool{}}
 	l.ctx, l.end = context.WithCancel(e.ctx)
 	x.life = l
 	if cold {
 		e.record.Add(verdict.Event{Kind: verdict.Booted, Executor: int32(number), Slots: int32(x.plan.Slots)})
 	}
-	e.g.Go(func() error {
-		stop := context.AfterFunc(l.ctx, func() { _ = ln.Close() })
-		defer stop()
-		x.accept(l)
-		return nil
-	})
+	for i, ln := range listeners {
+		e.g.Go(func() error {
+			stop := context.AfterFunc(l.ctx, func() { _ = ln.Close() })
+			defer stop()
+			x.accept(l, ln, i-1)
+			return nil
+		})
+	}
 	return nil
 }
 
+// listen takes an executor's addresses: the one for everybody, and one for each member of the store.
+func (e *Executors) listen(number int) ([]net.Listener, error) {
+	var out []net.Listener
+	for caller := everybody; caller < e.settings.StoreMembers; caller++ {
+		ln, err := net.Listen("tcp", e.network.Executor(number, caller))
+		if err != nil {
+			for _, had := range out {
+				_ = had.Close()
+			}
+			return nil, err
+		}
+		out = append(out, ln)
+	}
+	return out, nil
+}
+
 // Kill ends an executor's life as a lost process does: connections are reset, new ones refused, and what it runs is lost.
 func (e *Executors) Kill(number int) {
 	x := e.all[number]
@@ -119,7 +138,9 @@
 		return
 	}
 	l.waiting = nil
-	_ = l.ln.Close()
+	for _, ln := range l.ln {
+		_ = ln.Close()
+	}
 	for c := range l.conns {
 		reset(c)
 	}
@@ -146,9 +167,9 @@
 	_ = c.Close()
 }
 
-func (x *executor) accept(l *life) {
+func (x *executor) accept(l *life, ln net.Listener, caller int) {
 	for {
-		c, err := l.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -162,7 +183,7 @@
 		x.mu.Unlock()
 		x.g.Go(func() error {
 			stop := context.AfterFunc(l.ctx, func() { _ = c.Close() })
-			x.serve(l, c)
+			x.serve(l, c, caller)
 			stop()
 			x.mu.Lock()
 			delete(l.conns, c)
@@ -174,7 +195,7 @@
 }
 
 // serve answers the requests of one connection.
-func (x *executor) serve(l *life, conn net.Conn) {
+func (x *executor) serve(l *life, conn net.Conn, caller int) {
 	c := x.traffic.count(conn, RoleExecutor)
 	in, parser, writer := http1.NewRing(x.lim.Ring), http1.NewParser(x.lim, false), http1.NewWriter(c, x.lim.Ring)
 	var firstByte time.Duration
@@ -194,7 +215,7 @@
 			continue
 		}
 		x.traffic.out(RoleExecutor)
-		response, dispatcher := x.handle(l, m, firstByte)
+		response, dispatcher := x.handle(l, m, firstByte, caller)
 		if dispatcher >= 0 && x.cuts.wait(l.ctx, x.plan.Region, x.settings.DispatcherRegion(dispatcher), Outward) != nil {
 			return
 		}
@@ -212,7 +233,7 @@
 const nobody = -1
 
 // handle answers one request, and says whose it is.
-func (x *executor) handle(l *life, m *http1.Message, firstByte time.Duration) (http1.Response, int) {
+func (x *executor) handle(l *life, m *http1.Message, firstByte time.Duration, caller int) (http1.Response, int) {
 	switch {
 	case m.Method == "DELETE" && strings.HasPrefix(m.Target, "/jobs/"):
 		return http1.Response{Status: 204}, nobody // nothing stops a task
@@ -232,7 +253,10 @@
 	if err != nil {
 		return http1.Text(400, "%v", err), nobody
 	}
-	a := &attempt{x, l, id, request, dispatcherOf(request), task}
+	if caller == everybody {
+		caller = dispatcherOf(request)
+	}
+	a := &attempt{x, l, id, request, caller, task}
 	if x.cuts.wait(l.ctx, x.plan.Region, x.settings.DispatcherRegion(a.dispatcher), Inward) != nil {
 		return http1.Response{Status: 503, Close: true}, a.dispatcher
 	}
--- /dev/null
+++ b/internal/scale/play/batch_test.go
@@ -0,0 +1,36 @@
+package play
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gatetack/internal/scale/faults"
+)
+
+// The short form with a store: arrays come through the batch front of its members, and the leader is killed and comes back. What was
+// submitted has one end each, and what must not run twice does not.
+func TestShortRunWithAStore(t *testing.T) {
+	d := small()
+	d.StoreMembers, d.BatchShare, d.Duration = 3, 1, 9*time.Second
+	r, err := Run(context.Background(), options(t, d, faults.Spec{Name: faults.Leader}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Kept || r.Partial {
+		t.Errorf("partial %v %s; %+v", r.Partial, r.PartialWhy, r.Verdict.Violations)
+	}
+	for _, j := range r.Jobs {
+		if j.Served+j.Refused+j.Failed != j.Tasks {
+			t.Errorf("%s: %d tasks, and %d served, %d refused, %d failed", j.Kind, j.Tasks, j.Served, j.Refused, j.Failed)
+		}
+	}
+	if c := r.Verdict.Counts; c.Served == 0 || c.Doubled+c.Lost != 0 {
+		t.Errorf("%+v", c)
+	}
+	if notes := strings.Join(r.Notes, "; "); !strings.Contains(notes, "was killed") {
+		t.Errorf("notes: %s", notes)
+	}
+	t.Logf("%+v\n%v", r.Verdict.Counts, r.Notes)
+}
--- a/internal/scale/play/inject.go
+++ b/internal/scale/play/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gatetack/internal/scale/faults"
@@ -10,9 +11,15 @@
 
 // inject carries out the faults when they are due.
 func (r *run) inject(ctx context.Context) {
+	var slow sync.WaitGroup
+	defer slow.Wait()
 	for _, a := range r.actions {
 		select {
 		case <-time.After(time.Until(r.loadStart.Add(a.At))):
+			if a.Kind == faults.KillLeader || a.Kind == faults.RestartLeader {
+				slow.Go(func() { r.act(ctx, a) })
+				continue
+			}
 			r.act(ctx, a)
 		case <-ctx.Done():
 			return
--- a/internal/scale/play/sample.go
+++ b/internal/scale/play/sample.go
@@ -63,6 +63,9 @@
 			return nil
 		}
 		bytes := s.take()
+		if err := s.r.ended(); err != nil {
+			return err
+		}
 		if err := s.r.Budget.During(bytes, len(s.watched)); err != nil {
 			return fmt.Errorf("the run needs more than it may: %w", err)
 		}
--- a/internal/scale/workload/workload.go
+++ b/internal/scale/workload/workload.go
@@ -27,10 +27,12 @@
 
 // Task is one unit of work that is due at a moment, whatever became of those before.
 type Task struct {
-	Number     int
+	Number     int           // from 1 on
 	Due        time.Duration // since the load's start
 	Job        int
+	Size       int // tasks of the job, which follow one another
 	Kind       Kind
+	Batch      bool // the job comes through a batch front, whole
 	Class      int
 	Tenant     int
 	Dispatcher int
@@ -38,45 +40,45 @@
 	Run        time.Duration
 }
 
-// The mix by which the operators' figures agree: 57,000 jobs a day are 0.66 a second; at five times that, 3.3 jobs a second, arrays
-// with 1,283 members and gangs of 48 on the mean make 1,500 task starts a second; tasks that run 56 s make 84,000 running.
+// The mix by which the operators' figures agree: 57,000 jobs a day are 0.66 a second; at the peak, six times that, 4.0 jobs a second,
+// of which 1.4 are plain, 1.0 urgent and 0.4 gangs of 69 on the mean. The rest are arrays, whose members make up 1,500 task starts a
+// second: 1,225 each. With tasks of 56 s there are 84,000 running.
+var jobsPerSecond = [Kinds]float64{Plain: 1.4, Array: 1.2, Gang: 0.4, Urgent: 1.0}
+
 const (
-	jobsPerSecond = 3.3
-	gangShare     = 0.10
-	urgentShare   = 0.05
-	arrayShare    = 0.35
-	largestGang   = 256
-	peakStarts    = 1500.0
-	gangMeanAll   = 48.0 // mean of gang sizes from 8 to 256, evenly drawn by doubling
-	smallestGang  = 8
+	peakStarts   = 1500.0 // at which gangs have their full sizes
+	smallestGang = 8
+	largestGang  = 256
+	leastGang    = 2 // of a fleet that is asked for less
+	arrayMost    = 4 // means that an array has at most
+	keyedShare   = 0.46
 )
 
-// arrayMost bounds an array, in multiples of the mean.
-const arrayMost = 4
-
-// keyedShare is the part of plain and array jobs whose tasks carry a key.
-const keyedShare = 0.46
+// meanGang is the mean of sizes from the smallest to the largest, each doubling as often as the next.
+var meanGang = (largestGang - smallestGang) / math.Log(largestGang/smallestGang)
 
 // Generator draws tasks in the order in which they are due.
 type Generator struct {
 	description fleet.Description
 	random      *rand.Rand
-	at          time.Duration
+	next        [Kinds]time.Duration // when the next job of each kind is due
 	jobs, tasks int
 	pending     []Task // of the job that was drawn last
 }
 
 // New makes a generator; equal descriptions give equal loads.
 func New(d fleet.Description) *Generator {
-	return &Generator{description: d, random: rand.New(rand.NewPCG(d.Seed, 0x10ad))}
+	g := &Generator{description: d, random: rand.New(rand.NewPCG(d.Seed, 0x10ad))}
+	for kind := range Kinds {
+		g.next[kind] = time.Duration(g.random.ExpFloat64() / jobsPerSecond[kind] * float64(time.Second))
+	}
+	return g
 }
 
 // Next gives the next task, and false once the load's time is over.
 func (g *Generator) Next() (Task, bool) {
-	for len(g.pending) == 0 {
-		if !g.draw() {
-			return Task{}, false
-		}
+	if len(g.pending) == 0 && !g.draw() {
+		return Task{}, false
 	}
 	next := g.pending[0]
 	g.pending = g.pending[1:]
@@ -84,38 +86,66 @@
 }
 
 // rate is how many starts a second are asked for at a moment: even, or on a ramp.
-func (g *Generator) rate() float64 {
+func (g *Generator) rate(at time.Duration) float64 {
 	d := &g.description
 	if d.StartsTo <= d.Starts {
 		return d.Starts
 	}
-	return d.Starts + (d.StartsTo-d.Starts)*min(1, float64(g.at)/float64(d.Duration))
+	return d.Starts + (d.StartsTo-d.Starts)*min(1, float64(at)/float64(d.Duration))
 }
 
-// scale is how far the load lies under the operators' peak: the sizes of arrays and gangs, not the mix, go by it.
-func (g *Generator) scale() float64 { return min(1, g.rate()/peakStarts) }
+// draw makes the tasks of the job that is due next.
+func (g *Generator) draw() bool {
+	kind := Plain
+	for k, at := range g.next {
+		if at < g.next[kind] {
+			kind = Kind(k)
+		}
+	}
+	at := g.next[kind]
+	if at >= g.description.Duration {
+		return false
+	}
+	size := g.size(kind, at)
+	g.next[kind] += g.gap(kind, size, at)
+	g.job(kind, size, at)
+	return true
+}
 
-// meanTasks is how many tasks a job has on the mean.
-func (g *Generator) meanTasks() float64 {
-	return (1 - gangShare - arrayShare) + gangShare*g.gangMean() + arrayShare*g.arrayMean()
+// gap is the time to the next job of a kind. Arrays come so that their members keep the rate, whatever sizes were drawn; the others
+// come by chance.
+func (g *Generator) gap(kind Kind, size int, at time.Duration) time.Duration {
+	if kind == Array {
+		return time.Duration(float64(size) / g.arrayRate(at) * (0.5 + g.random.Float64()) * float64(time.Second))
+	}
+	return time.Duration(g.random.ExpFloat64() / jobsPerSecond[kind] * float64(time.Second))
 }
 
-func (g *Generator) gangMean() float64 { return max(2, gangMeanAll*g.scale()) }
+// gangScale is how far gangs are under their full sizes.
+func (g *Generator) gangScale(at time.Duration) float64 { return min(1, g.rate(at)/peakStarts) }
 
-// arrayMean fills up what the other kinds leave of the asked-for rate, at the usual rate of jobs or more.
-func (g *Generator) arrayMean() float64 {
-	perJob := g.rate() / jobsPerSecond
-	return max(2, (perJob-(1-gangShare-arrayShare)-gangShare*g.gangMean())/arrayShare)
+// arrayRate is how many starts a second are left to arrays.
+func (g *Generator) arrayRate(at time.Duration) float64 {
+	gangs := jobsPerSecond[Gang] * max(leastGang, meanGang*g.gangScale(at))
+	return max(1, g.rate(at)-jobsPerSecond[Plain]-jobsPerSecond[Urgent]-gangs)
 }
 
-// draw makes the next job's tasks.
-func (g *Generator) draw() bool {
-	jobs := g.rate() / g.meanTasks()
-	g.at += time.Duration(g.random.ExpFloat64() / jobs * float64(time.Second))
-	if g.at >= g.description.Duration {
-		return false
+func (g *Generator) size(kind Kind, at time.Duration) int {
+	switch kind {
+	case Array:
+		mean := g.arrayRate(at) / jobsPerSecond[Array]
+		return max(1, int(math.Round(min(arrayMost, g.random.ExpFloat64())*mean)))
+	case Gang:
+		doublings := math.Log2(largestGang / smallestGang)
+		size := smallestGang * math.Exp2(g.random.Float64()*doublings)
+		return max(leastGang, int(math.Round(size*g.gangScale(at))))
 	}
-	kind, size := g.kind()
+	return 1
+}
+
+// job makes the tasks of one job.
+func (g *Generator) job(kind Kind, size int, at time.Duration) {
+	d := &g.description
 	class := fleet.ClassOnce
 	switch {
 	case kind == Urgent:
@@ -123,35 +153,19 @@
 	case g.random.Float64() < keyedShare:
 		class = fleet.ClassKeyed
 	}
-	tenant := g.random.IntN(g.description.Tenants)
-	first := g.random.IntN(g.description.Dispatchers)
+	tenant, first := g.random.IntN(d.Tenants), g.random.IntN(d.AllDispatchers())
+	batch := kind == Array && g.random.Float64() < d.BatchShare
+	run := g.run(kind)
 	for member := range size {
-		g.pending = append(g.pending, Task{Number: g.tasks, Due: g.at, Job: g.jobs, Kind: kind, Class: class, Tenant: tenant,
-			Dispatcher: (first + member) % g.description.Dispatchers, Slots: 1, Run: g.run(kind)})
 		g.tasks++
+		t := Task{Number: g.tasks, Due: at, Job: g.jobs, Size: size, Kind: kind, Batch: batch, Class: class, Tenant: tenant,
+			Dispatcher: (first + member) % d.AllDispatchers(), Slots: 1, Run: run}
+		if !batch { // the members of a batch array have one template
+			t.Run = g.run(kind)
+		}
+		g.pending = append(g.pending, t)
 	}
 	g.jobs++
-	return true
-}
-
-func (g *Generator) kind() (Kind, int) {
-	switch x := g.random.Float64(); {
-	case x < urgentShare:
-		return Urgent, 1
-	case x < urgentShare+gangShare:
-		return Gang, g.gang()
-	case x < urgentShare+gangShare+arrayShare:
-		mean := g.arrayMean()
-		return Array, max(1, int(min(arrayMost*mean, g.random.ExpFloat64()*mean)))
-	}
-	return Plain, 1
-}
-
-// gang draws a size, each doubling from 8 to 256 as often as the next, and scales it with the load.
-func (g *Generator) gang() int {
-	doublings := math.Log2(largestGang / smallestGang)
-	size := smallestGang * math.Exp2(g.random.Float64()*doublings)
-	return max(2, min(largestGang, int(math.Round(size*g.scale()))))
 }
 
 // Bounds of a task's run, in parts of the mean; urgent tasks are shorter.
