--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -63,6 +63,7 @@
 	out         string
 	program     string
 	logs        string
+	virtual     bool
 }
 
 func command() *cobra.Command {
@@ -90,6 +91,7 @@
 	f.IntVar(&d.Sockets, "dispatcher-sockets", d.Sockets, "descriptors granted to each dispatcher")
 	f.Float64Var(&d.BatchShare, "batch-share", d.BatchShare, "part of the jobs that come through the batch front of the store's members")
 	f.StringSliceVar(&o.faults, "fault", []string{"zone"}, "faults: machine[=FACTOR], rolling[=COUNT], rack, zone, cut-in, cut-out, cut, leader, reconfigure[=SECONDS]; none for none")
+	f.BoolVar(&o.virtual, "virtual", false, "play the decision modules alone, on virtual time: no processes and no sockets")
 	f.StringVar(&o.out, "out", "", "the file that gets the result; empty for none")
 	f.StringVar(&o.program, "program", "", "the dispatcher's program; empty: it is built")
 	f.StringVar(&o.logs, "logs", "", "keep configurations and logs in this folder")
@@ -107,6 +109,13 @@
 	if err := checkOut(o.out); err != nil {
 		return err
 	}
+	if o.virtual {
+		r, err := play.RunVirtual(play.Options{Description: o.description, Faults: specs, Command: words(), Commit: commit()})
+		if err != nil {
+			return err
+		}
+		return finish(cmd.OutOrStdout(), o.out, r)
+	}
 	dir, keep := o.logs, o.logs != ""
 	if !keep {
 		if dir, err = os.MkdirTemp("", "scalerun"); err != nil {
@@ -120,7 +129,7 @@
 		}
 	}
 	r, err := play.Run(cmd.Context(), play.Options{Description: o.description, Faults: specs, Program: o.program, Dir: dir,
-		Command: words(cmd), Commit: commit(), Budget: process.Bounds})
+		Command: words(), Commit: commit(), Budget: process.Bounds})
 	if err != nil {
 		return err
 	}
@@ -202,8 +211,7 @@
 }
 
 // words are the command's own, as the result has them.
-func words(cmd *cobra.Command) string {
-	_ = cmd
+func words() string {
 	return strings.Join(append([]string{"go run ./cmd/scalerun"}, os.Args[1:]...), " ")
 }
 
--- a/internal/scale/play/report.go
+++ b/internal/scale/play/report.go
@@ -18,33 +18,6 @@
 	"gatetack/internal/scale/workload"
 )
 
-// shareGrace is how long a tenant may wait under its reserved share: the retries of a refused client take up to two seconds, and
-// what runs is not stopped for it.
-const shareGrace = 5 * time.Second
-
-// listedWithin is when what the list has to tell counts as told at the latest.
-const listedWithin = 6 * time.Second
-
-// protocolSpare is by how much each limit of time is longer on sockets.
-const protocolSpare = 50 * time.Millisecond
-
-// judgeRules are what the run is judged by.
-func (r *run) judgeRules() verdict.Rules {
-	d := &r.Description
-	rules := d.Rules()
-	v := verdict.Rules{Effects: []verdict.Effect{fleet.ClassOnce: verdict.Once, fleet.ClassKeyed: verdict.KeyedByRack, fleet.ClassUrgent: verdict.Repeatable},
-		Dispatchers: d.AllDispatchers(), AnswerSlack: rules.AnswerSlack, DrainGrace: rules.DrainGrace, KeyWindow: rules.KeyWindow,
-		ColdFrom: rules.ColdFrom, WarmWithin: rules.WarmWithin, Fall: rules.Fall, FallMultiple: rules.FallMultiple, ListedWithin: listedWithin,
-		ShareGrace: shareGrace, MeasuredWithin: protocolSpare + r.lag.worst()}
-	for _, x := range r.plan {
-		v.Executors = append(v.Executors, verdict.Executor{Rack: x.Rack, Slots: x.Slots})
-	}
-	for range d.Tenants {
-		v.Portions = append(v.Portions, d.Portion())
-	}
-	return v
-}
-
 // asked is how many starts a second are asked for at a moment.
 func (r *run) asked(now time.Time) float64 {
 	d := &r.Description
@@ -59,7 +32,7 @@
 	events := r.record.Events()
 	end := r.record.Now()
 	out := &result.Result{Tool: result.Tool, Format: result.Format, Commit: r.Commit, Command: r.Command, Machine: machine(), Began: r.loadStart.UTC().Truncate(time.Second),
-		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(r.judgeRules(), events, end),
+		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(verdict.For(&r.Description, r.lag.worst()), events, end),
 		Traffic: r.traffic.Sum(), Saturated: s.saturated, ToolLag: r.lag.sum(), MemoryMB: float64(s.peak) / (1 << 20), Changes: r.changes.sum(), Notes: r.notes()}
 	out.Kept = out.Verdict.Kept()
 	out.Jobs = r.jobs()
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -32,6 +32,7 @@
 	Began       time.Time                     `json:"began"`
 	Description fleet.Description             `json:"description"`
 	Faults      []string                      `json:"faults"`
+	Virtual     bool                          `json:"virtualTime"` // the decision modules alone; processes are modules then
 	Partial     bool                          `json:"partial"`
 	PartialWhy  string                        `json:"partialWhy,omitempty"`
 	Seconds     float64                       `json:"seconds"` // from the first task due to the last answer
--- a/internal/scale/result/table.go
+++ b/internal/scale/result/table.go
@@ -16,6 +16,12 @@
 	d := &r.Description
 	t.line("%d hollow executors (%d slots), %d real dispatchers (%d of them store members), %d tenants, seed %d, faults: %s",
 		d.Executors, r.Running.Slots, d.Dispatchers, d.StoreMembers, d.Tenants, d.Seed, strings.Join(r.Faults, " "))
+	for _, note := range r.Notes {
+		t.line("%s", note)
+	}
+	if r.Virtual {
+		t.line("on virtual time: the decision modules alone")
+	}
 	if r.Partial {
 		t.line("PARTIAL: %s", r.PartialWhy)
 	}
@@ -56,7 +62,7 @@
 func (t *table) processes(r *Result) {
 	t.line("\n| process | cpu mean | cpu peak | private MB | descriptors | read MB | written MB | |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, p := range r.Processes {
-		t.line("| %s | %.3f | %.2f | %.1f | %d | %.1f | %.1f | %s |", p.Name, p.CPUMean, p.CPUPeak, p.PrivateMB, p.Descriptors,
+		t.line("| %s | %.4f | %.2f | %.1f | %d | %.1f | %.1f | %s |", p.Name, p.CPUMean, p.CPUPeak, p.PrivateMB, p.Descriptors,
 			float64(p.ReadBytes)/1e6, float64(p.WrittenBytes)/1e6, p.Ended)
 	}
 	if s := r.Saturated; s != nil {
--- /dev/null
+++ b/internal/scale/verdict/rules.go
@@ -0,0 +1,34 @@
+package verdict
+
+import (
+	"time"
+
+	"gatetack/internal/scale/fleet"
+)
+
+// Limits of the judge's own.
+const (
+	// shareGrace is how long a tenant may wait under its reserved share: the retries of a refused client take up to two seconds, and what
+	// runs is not stopped for it.
+	shareGrace = 5 * time.Second
+	// listedWithin is when what the list has to tell counts as told at the latest.
+	listedWithin = 6 * time.Second
+	// protocolSpare is by how much each limit of time is longer on sockets.
+	protocolSpare = 50 * time.Millisecond
+)
+
+// For gives the rules of a described fleet. Lag is by how much the times of events may be off beside what sockets are granted.
+func For(d *fleet.Description, lag time.Duration) Rules {
+	rules := d.Rules()
+	v := Rules{Effects: []Effect{fleet.ClassOnce: Once, fleet.ClassKeyed: KeyedByRack, fleet.ClassUrgent: Repeatable},
+		Dispatchers: d.AllDispatchers(), AnswerSlack: rules.AnswerSlack, DrainGrace: rules.DrainGrace, KeyWindow: rules.KeyWindow,
+		ColdFrom: rules.ColdFrom, WarmWithin: rules.WarmWithin, Fall: rules.Fall, FallMultiple: rules.FallMultiple, ListedWithin: listedWithin,
+		ShareGrace: shareGrace, MeasuredWithin: protocolSpare + lag}
+	for _, x := range d.Plan() {
+		v.Executors = append(v.Executors, Executor{Rack: x.Rack, Slots: x.Slots})
+	}
+	for range d.Tenants {
+		v.Portions = append(v.Portions, d.Portion())
+	}
+	return v
+}
--- /dev/null
+++ b/internal/scale/virtual/dispatcher.go
@@ -0,0 +1,259 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+// dispatcher hosts one decision module as the program's core does.
+type dispatcher struct {
+	world   *World
+	number  int
+	module  *brain.Dispatcher
+	step    time.Duration // least time between steps
+	batch   []brain.Event
+	actions []brain.Action
+	stepAt  time.Duration
+	planned bool // a step is on the agenda
+	jobs    map[uint32]*job
+	last    uint32
+	watches bool
+}
+
+// job is a request that a dispatcher owes an answer.
+type job struct {
+	id       uint32
+	request  uint64
+	task     workload.Task
+	due      time.Duration
+	deadline time.Duration
+	tries    []*attempt
+	live     int
+	answered bool
+}
+
+// attempt is one send of a job.
+type attempt struct {
+	job        *job
+	dispatcher *dispatcher
+	number     uint16
+	executor   *executor
+	life       int // of the executor, that it went to
+	sent       time.Duration
+	over       bool
+	started    bool
+}
+
+func newDispatcher(w *World, number int) (*dispatcher, error) {
+	c, err := w.settings(number)
+	if err != nil {
+		return nil, err
+	}
+	module, err := brain.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("dispatcher %d: %w", number, err)
+	}
+	d := &dispatcher{world: w, number: number, module: module, step: span(c.Settings.Step), jobs: map[uint32]*job{}}
+	d.event(brain.Event{Kind: brain.EvList, Form: brain.ListCached, Version: w.listVersion, Rows: w.rows()})
+	return d, nil
+}
+
+// rows are the whole list.
+func (w *World) rows() []brain.Row {
+	var out []brain.Row
+	for _, x := range w.executors {
+		if x.status != brain.Gone {
+			out = append(out, x.row())
+		}
+	}
+	return out
+}
+
+// event puts an event into the next step's batch.
+func (d *dispatcher) event(e brain.Event) {
+	d.batch = append(d.batch, e)
+	if d.planned {
+		return
+	}
+	d.planned = true
+	d.world.at(d.stepAt, d.turn)
+}
+
+// turn steps the module and carries out its actions.
+func (d *dispatcher) turn() {
+	w := d.world
+	d.planned = false
+	d.stepAt = w.now + d.step
+	batch := d.batch
+	d.batch = nil
+	w.counts.Steps++
+	if w.meter != nil {
+		w.meter.Begin(d.number)
+	}
+	d.actions = d.module.Step(clock(w.now), batch, d.actions[:0])
+	if w.meter != nil {
+		w.meter.End(d.number)
+	}
+	for i := range d.actions {
+		d.act(&d.actions[i])
+	}
+}
+
+func (d *dispatcher) act(a *brain.Action) {
+	w := d.world
+	switch a.Kind {
+	case brain.ActSend:
+		d.send(a)
+	case brain.ActRefuse:
+		d.answer(d.jobs[a.Job], verdict.Refused, span(a.For))
+	case brain.ActFail:
+		d.answer(d.jobs[a.Job], verdict.Failed, 0)
+	case brain.ActCancel:
+		if j := d.jobs[a.Job]; j != nil && int(a.Attempt) < len(j.tries) {
+			d.end(j.tries[a.Attempt], brain.Cancelled, nil)
+		}
+	case brain.ActTimer:
+		token := a.Token
+		w.after(span(a.For), func() { d.event(brain.Event{Kind: brain.EvTimer, Token: token}) })
+	case brain.ActProbe:
+		d.probe(a.Worker)
+	case brain.ActWatch:
+		d.watches = a.On
+		if a.On {
+			w.after(listLate, func() {
+				d.event(brain.Event{Kind: brain.EvList, Form: brain.ListFull, Version: w.listVersion, Rows: w.rows()})
+			})
+		}
+	case brain.ActTell:
+		d.tell(a)
+	}
+}
+
+// told tells of a change of the list, where the module watches it.
+func (d *dispatcher) told(e brain.Event, executors []int, c brain.Condition) {
+	d.world.after(listLate, func() {
+		if d.watches {
+			d.event(e)
+		}
+		condition := map[brain.Condition]verdict.Condition{brain.Ready: verdict.Ready, brain.Draining: verdict.Draining, brain.Gone: verdict.Gone}[c]
+		for _, x := range executors {
+			d.world.see(verdict.Event{Kind: verdict.Listed, Dispatcher: int16(d.number), Executor: int32(x), Condition: condition})
+		}
+	})
+}
+
+func (d *dispatcher) tell(a *brain.Action) {
+	w := d.world
+	data := append([]byte(nil), a.Data...)
+	w.counts.Tells++
+	for _, other := range w.dispatchers {
+		if other == d || a.To != brain.AllPeers && int(a.To) != other.number {
+			continue
+		}
+		w.counts.TellBytes += len(data)
+		w.after(hopPeer, func() { other.event(brain.Event{Kind: brain.EvPeer, From: uint32(d.number), Data: data}) })
+	}
+}
+
+func (d *dispatcher) probe(worker uint32) {
+	w := d.world
+	w.counts.Probes++
+	i, ok := w.byID[worker]
+	if !ok {
+		return
+	}
+	x := w.executors[i]
+	trip := 2 * w.hop(d.number, x)
+	w.after(trip, func() {
+		e := brain.Event{Kind: brain.EvProbed, Worker: worker, Outcome: brain.ConnectFailed, Elapsed: millis(trip)}
+		if x.up {
+			e.Outcome, e.Report = brain.Served, x.report()
+		}
+		d.event(e)
+	})
+}
+
+// send begins an attempt.
+func (d *dispatcher) send(a *brain.Action) {
+	w := d.world
+	j := d.jobs[a.Job]
+	i, known := w.byID[a.Worker]
+	if j == nil || !known {
+		return
+	}
+	t := &attempt{job: j, dispatcher: d, number: uint16(len(j.tries)), executor: w.executors[i], sent: w.now}
+	j.tries = append(j.tries, t)
+	j.live++
+	w.counts.Sends++
+	until := j.deadline - answerEarly
+	if a.For > 0 {
+		until = min(until, w.now+span(a.For))
+	}
+	if j.answered || until <= w.now {
+		d.end(t, brain.Moot, nil)
+		return
+	}
+	w.at(until, func() { d.end(t, brain.TimedOut, nil) })
+	w.after(w.hop(d.number, t.executor), func() { t.executor.arrive(t) })
+}
+
+// end takes the outcome of an attempt in, once.
+func (d *dispatcher) end(t *attempt, o brain.Outcome, report []float32) {
+	if t.over {
+		return
+	}
+	t.over = true
+	j := t.job
+	j.live--
+	if o == brain.Served {
+		d.answer(j, verdict.Served, 0)
+	}
+	d.event(brain.Event{Kind: brain.EvOutcome, Job: j.id, Attempt: t.number, Worker: t.executor.id, Outcome: o, Elapsed: millis(d.world.now - t.sent),
+		Final: j.answered, Report: report})
+	d.forget(j)
+}
+
+func (d *dispatcher) forget(j *job) {
+	if j.answered && j.live == 0 {
+		delete(d.jobs, j.id)
+	}
+}
+
+// answer gives a job's final answer, once.
+func (d *dispatcher) answer(j *job, a verdict.Answer, retry time.Duration) {
+	if j == nil || j.answered {
+		return
+	}
+	j.answered = true
+	d.world.see(verdict.Event{Kind: verdict.Answered, Request: j.request, Answer: a})
+	d.world.answered(j, a, retry)
+	d.forget(j)
+}
+
+// take takes a request in.
+func (d *dispatcher) take(j *job) {
+	w := d.world
+	d.last++
+	j.id = d.last
+	d.jobs[j.id] = j
+	d.event(brain.Event{Kind: brain.EvRequest, Job: j.id, Class: uint8(j.task.Class), Tenant: uint16(j.task.Tenant), TimeLeft: millis(j.deadline - w.now),
+		Slots: float64(j.task.Slots)})
+	w.at(j.deadline-overdueBy, func() { d.overdue(j) })
+}
+
+// overdue answers a job that the module has left unanswered.
+func (d *dispatcher) overdue(j *job) {
+	if j.answered {
+		return
+	}
+	answer := verdict.Failed
+	if len(j.tries) == 0 {
+		answer = verdict.Refused
+	}
+	d.event(brain.Event{Kind: brain.EvGone, Job: j.id})
+	d.answer(j, answer, 0)
+}
--- /dev/null
+++ b/internal/scale/virtual/executor.go
@@ -0,0 +1,156 @@
+package virtual
+
+import (
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+)
+
+// executor is a modelled one.
+type executor struct {
+	world   *World
+	plan    fleet.Executor
+	id      uint32
+	up      bool
+	status  brain.Condition // as the list has it
+	cold    bool
+	booted  time.Duration
+	life    int
+	used    int
+	waiting []*attempt
+}
+
+func (x *executor) row() brain.Row {
+	r := brain.Row{Worker: x.id, Zone: uint8(x.plan.Zone), Kind: uint8(x.plan.Kind), Cell: uint16(x.plan.Rack), Condition: x.status, Scale: float64(x.plan.Slots)}
+	if x.cold {
+		r.Born = clock(x.booted)
+	}
+	return r
+}
+
+// report is a load report, in the order of the settings' fields.
+func (x *executor) report() []float32 {
+	return []float32{float32(len(x.waiting)), float32(x.plan.Slots - x.used)}
+}
+
+// speed is the part of its capacity that it has by now.
+func (x *executor) speed() float64 {
+	if !x.cold {
+		return 1
+	}
+	r := x.world.rules
+	return min(1, r.ColdFrom+(1-r.ColdFrom)*float64(x.world.now-x.booted)/float64(r.WarmWithin))
+}
+
+// kill ends its life. It tells nothing: a dispatcher learns of lost attempts by its own clock, as where a machine vanishes.
+func (x *executor) kill() {
+	if !x.up {
+		return
+	}
+	x.up = false
+	x.life++
+	x.world.see(verdict.Event{Kind: verdict.Died, Executor: int32(x.plan.Number)})
+	x.world.running -= x.used
+	x.used, x.waiting = 0, nil
+}
+
+func (x *executor) boot() {
+	if x.up {
+		return
+	}
+	x.up, x.cold, x.booted = true, true, x.world.now
+	x.world.see(verdict.Event{Kind: verdict.Booted, Executor: int32(x.plan.Number), Slots: int32(x.plan.Slots)})
+}
+
+// event makes the judge's event of an attempt.
+func (t *attempt) event(k verdict.Kind) verdict.Event {
+	return verdict.Event{Kind: k, Request: t.job.request, Task: int32(t.job.task.Number), Executor: int32(t.executor.plan.Number),
+		Dispatcher: int16(t.dispatcher.number), Class: uint8(t.job.task.Class), Tenant: int32(t.job.task.Tenant), Slots: int32(t.job.task.Slots),
+		FirstByte: t.dispatcher.world.now, Work: t.job.task.Run * time.Duration(t.job.task.Slots)}
+}
+
+// arrive takes an attempt, or turns it away.
+func (x *executor) arrive(t *attempt) {
+	w := x.world
+	back := w.hop(t.dispatcher.number, x)
+	switch {
+	case t.over:
+		return // given up on its way
+	case !x.up:
+		w.after(back, func() { t.dispatcher.end(t, brain.ConnectFailed, nil) })
+		return
+	case len(x.waiting) >= queueOfSlot*x.plan.Slots || t.job.task.Slots > x.plan.Slots:
+		w.see(t.event(verdict.TurnedAway))
+		report := x.report()
+		w.after(back, func() { t.dispatcher.end(t, brain.Full, report) })
+		return
+	}
+	w.see(t.event(verdict.Taken))
+	t.life = x.life
+	x.waiting = append(x.waiting, t)
+	x.next()
+}
+
+// next starts what fits, in the order of arrival.
+func (x *executor) next() {
+	w := x.world
+	for len(x.waiting) > 0 && x.used+x.waiting[0].job.task.Slots <= x.plan.Slots {
+		t := x.waiting[0]
+		x.waiting = x.waiting[1:]
+		x.used += t.job.task.Slots
+		w.running += t.job.task.Slots
+		w.counts.RunningPeak = max(w.counts.RunningPeak, w.running)
+		x.start(t)
+	}
+}
+
+func (x *executor) start(t *attempt) {
+	w := x.world
+	w.see(t.event(verdict.Started))
+	back := w.hop(t.dispatcher.number, x)
+	w.after(back, func() {
+		if !t.started {
+			t.started = true
+			w.counts.Told[t.job.task.Kind] = append(w.counts.Told[t.job.task.Kind], w.now-t.job.due)
+		}
+		x.note(t, brain.NoteStarted, 0)
+	})
+	run := time.Duration(float64(t.job.task.Run) / x.speed())
+	x.progress(t, run, w.d.ProgressEvery(), w.d.ProgressEvery())
+	w.after(run, func() { x.finish(t) })
+}
+
+// note tells of an attempt that has not ended.
+func (x *executor) note(t *attempt, topic uint8, amount float64) {
+	if !t.over {
+		t.dispatcher.event(brain.Event{Kind: brain.EvNote, Job: t.job.id, Attempt: t.number, Worker: x.id, Topic: topic, Amount: amount})
+	}
+}
+
+func (x *executor) progress(t *attempt, run, done, every time.Duration) {
+	if done >= run {
+		return
+	}
+	x.world.after(every, func() {
+		if t.life != x.life || !x.up {
+			return
+		}
+		x.note(t, brain.NoteProgress, float64(done)/float64(run))
+		x.progress(t, run, done+every, every)
+	})
+}
+
+func (x *executor) finish(t *attempt) {
+	if t.life != x.life || !x.up {
+		return // lost with its life
+	}
+	w := x.world
+	x.used -= t.job.task.Slots
+	w.running -= t.job.task.Slots
+	w.see(t.event(verdict.Ended))
+	x.next()
+	report := x.report()
+	w.after(w.hop(t.dispatcher.number, x), func() { t.dispatcher.end(t, brain.Served, report) })
+}
--- /dev/null
+++ b/internal/scale/virtual/world_test.go
@@ -0,0 +1,105 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gatetack/internal/scale/faults"
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+func some() fleet.Description {
+	d := fleet.Default()
+	d.Executors, d.Dispatchers, d.Tenants, d.Starts, d.Running, d.Duration = 120, 4, 8, 60, 90, 20*time.Second
+	return d
+}
+
+func playOne(t *testing.T, d fleet.Description, m Meter, names ...faults.Name) (*verdict.Verdict, Counts) {
+	t.Helper()
+	var specs []faults.Spec
+	for _, name := range names {
+		s, err := faults.Parse(string(name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		specs = append(specs, s)
+	}
+	actions, err := faults.Schedule(&d, d.Plan(), specs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := New(d, actions, verdict.For(&d, 0), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.Play()
+}
+
+// Each fault is played with all rules kept, and each task has one end.
+func TestFaults(t *testing.T) {
+	for _, name := range []faults.Name{faults.Zone, faults.Rack, faults.Machine, faults.Rolling} {
+		t.Run(string(name), func(t *testing.T) {
+			v, c := playOne(t, some(), nil, name)
+			if !v.Kept() || v.Counts.Lost+v.Counts.Open+v.Counts.Doubled != 0 {
+				t.Errorf("%+v %+v", v.Counts, v.Violations)
+			}
+			for kind := range workload.Kinds {
+				if n := c.Served[kind] + c.Refused[kind] + c.Failed[kind]; n != c.Tasks[kind] {
+					t.Errorf("%s: %d tasks, %d ends", kind, c.Tasks[kind], n)
+				}
+			}
+			if v.Counts.Served < v.Counts.Requests/2 {
+				t.Errorf("%+v", v.Counts)
+			}
+		})
+	}
+}
+
+// counter counts steps.
+type counter struct{ begun, ended []int }
+
+func (c *counter) Begin(d int) { c.begun[d]++ }
+func (c *counter) End(d int)   { c.ended[d]++ }
+
+// Equal seeds give equal runs, and each step is measured.
+func TestEqualSeeds(t *testing.T) {
+	one, other := &counter{make([]int, 4), make([]int, 4)}, &counter{make([]int, 4), make([]int, 4)}
+	v1, c1 := playOne(t, some(), one, faults.Zone)
+	v2, c2 := playOne(t, some(), other, faults.Zone)
+	if diff := cmp.Diff(v1, v2) + cmp.Diff(c1, c2) + cmp.Diff(one.begun, other.begun); diff != "" {
+		t.Error(diff)
+	}
+	steps := 0
+	for d := range one.begun {
+		if steps += one.begun[d]; one.begun[d] != one.ended[d] {
+			t.Errorf("dispatcher %d: %d steps begun, %d ended", d, one.begun[d], one.ended[d])
+		}
+	}
+	if steps != c1.Steps {
+		t.Errorf("%d steps measured of %d", steps, c1.Steps)
+	}
+}
+
+// With room for all, a task starts after one trip, ends after its run, and what runs at a time is what was asked for. A module that has
+// no report of an executor yet tries it with two slots, so that at the start a task can wait behind another on an executor with one:
+// of such a few may be too late.
+func TestAtRest(t *testing.T) {
+	d := some()
+	d.Executors, d.Duration = 400, time.Minute
+	v, c := playOne(t, d, nil)
+	if late := v.Counts.Failed + v.Counts.Refused; v.Counts.Served+late != v.Counts.Requests || late > v.Counts.Requests/1000 {
+		t.Errorf("%+v", v.Counts)
+	}
+	if c.RunningPeak < 40 || c.RunningPeak > 400 {
+		t.Errorf("%d running at most, 90 are asked for on the mean", c.RunningPeak)
+	}
+	for _, told := range c.Told[workload.Urgent] {
+		if told < 2*hopSame || told > fleet.UrgentWithin {
+			t.Errorf("an urgent task was told to have started %v after it was due", told)
+		}
+	}
+}
