scalerun: clients in processes of their own, and a check of the tool's descriptors

Cause: executors, dispatchers' connections to them and clients' connections do not fit into the 20,000 descriptors of one process at 6,200 executors.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -89,15 +89,25 @@
 	f.DurationVar(&d.Duration, "duration", d.Duration, "length of the load")
 	f.IntVar(&d.MemoryMB, "dispatcher-memory", d.MemoryMB, "memory granted to each dispatcher, in MB")
 	f.IntVar(&d.Sockets, "dispatcher-sockets", d.Sockets, "descriptors granted to each dispatcher")
+	f.IntVar(&d.Clients, "client-processes", d.Clients, "processes that the load's clients run in; 0 for the tool's own, whose descriptors the executors need too")
 	f.Float64Var(&d.BatchShare, "batch-share", d.BatchShare, "part of the jobs that come through the batch front of the store's members")
 	f.StringSliceVar(&o.faults, "fault", []string{"zone"}, "faults: machine[=FACTOR], rolling[=COUNT], rack, zone, cut-in, cut-out, cut, leader, reconfigure[=SECONDS]; none for none")
 	f.BoolVar(&o.virtual, "virtual", false, "play the decision modules alone, on virtual time: no processes and no sockets")
 	f.StringVar(&o.out, "out", "", "the file that gets the result; empty for none")
 	f.StringVar(&o.program, "program", "", "the dispatcher's program; empty: it is built")
+	cmd.AddCommand(clientsCommand())
 	f.StringVar(&o.logs, "logs", "", "keep configurations and logs in this folder")
 	return cmd
 }
 
+// clientsCommand is what the tool starts itself with where clients run in processes of their own.
+func clientsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: play.ClientsCommand + " ORDER", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return play.RunClients(cmd.Context(), args[0]) },
+	}
+}
+
 func run(cmd *cobra.Command, o *options) error {
 	if err := describe(cmd, o); err != nil {
 		return err
@@ -128,7 +138,11 @@
 			return err
 		}
 	}
-	r, err := play.Run(cmd.Context(), play.Options{Description: o.description, Faults: specs, Program: o.program, Dir: dir,
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("the tool's own program: %w", err)
+	}
+	r, err := play.Run(cmd.Context(), play.Options{Self: self, Description: o.description, Faults: specs, Program: o.program, Dir: dir,
 		Command: words(), Commit: commit(), Budget: process.Bounds})
 	if err != nil {
 		return err
@@ -165,7 +179,7 @@
 		"zones": func() { to.ZonesPerRegion = given.ZonesPerRegion }, "starts": func() { to.Starts = given.Starts },
 		"starts-to": func() { to.StartsTo = given.StartsTo }, "running": func() { to.Running = given.Running },
 		"duration": func() { to.Duration = given.Duration }, "dispatcher-memory": func() { to.MemoryMB = given.MemoryMB },
-		"dispatcher-sockets": func() { to.Sockets = given.Sockets }, "batch-share": func() { to.BatchShare = given.BatchShare },
+		"dispatcher-sockets": func() { to.Sockets = given.Sockets }, "client-processes": func() { to.Clients = given.Clients }, "batch-share": func() { to.BatchShare = given.BatchShare },
 	} {
 		if cmd.Flags().Changed(name) {
 			take()
--- a/internal/scale/fleet/description.go
+++ b/internal/scale/fleet/description.go
@@ -25,6 +25,7 @@
 	Duration       time.Duration `yaml:"duration" json:"duration"`                    // of the load; answers are waited for after it
 	MemoryMB       int           `yaml:"dispatcher-memory" json:"memoryMB"`           // granted to each dispatcher
 	Sockets        int           `yaml:"dispatcher-sockets" json:"sockets"`           // likewise
+	Clients        int           `yaml:"client-processes" json:"clientProcesses"`     // that the load's clients run in; 0 for the tool's own
 	BatchShare     float64       `yaml:"batch-share" json:"batchShare"`               // part of the jobs that come through the batch front of the store's members
 }
 
@@ -45,6 +46,7 @@
 	MaxDuration    = 10 * time.Minute
 	maxRegions     = 20
 	maxZones       = 10
+	maxClients     = 8
 	maxListeners   = 12000 // a process may have 20,000 descriptors, and connections need some
 )
 
@@ -77,6 +79,7 @@
 		{"tenants", d.Tenants, 1, MaxTenants},
 		{"regions", d.Regions, 1, maxRegions},
 		{"zones", d.ZonesPerRegion, 1, maxZones},
+		{"client-processes", d.Clients, 0, maxClients},
 		{"running", d.Running, 1, MaxRunning},
 		{"dispatcher-memory", d.MemoryMB, 32, 16384},
 		{"dispatcher-sockets", d.Sockets, 256, 20000},
@@ -98,6 +101,9 @@
 	if n := d.Executors * (1 + d.StoreMembers); n > maxListeners {
 		return &FieldError{"executors", d.Executors, fmt.Sprintf("at most %d with %d store-members: each executor listens for each of them", maxListeners/(1+d.StoreMembers), d.StoreMembers)}
 	}
+	if d.Clients > 0 && d.Hollow > 0 {
+		return &FieldError{"client-processes", d.Clients, "0 with hollow-dispatchers, which take tasks by calls"}
+	}
 	if !(d.BatchShare >= 0) || d.BatchShare > 1 {
 		return &FieldError{"batch-share", d.BatchShare, "a number from 0 to 1"}
 	}
--- a/internal/scale/fleet/fleet_test.go
+++ b/internal/scale/fleet/fleet_test.go
@@ -94,6 +94,7 @@
 		"duration":           func(d *Description) { d.Duration = time.Millisecond },
 		"dispatcher-memory":  func(d *Description) { d.MemoryMB = 1 },
 		"dispatcher-sockets": func(d *Description) { d.Sockets = 1 },
+		"client-processes":   func(d *Description) { d.Clients, d.Hollow = 1, 1 },
 		"batch-share":        func(d *Description) { d.BatchShare = 0.5 },
 	} {
 		d := Default()
--- a/internal/scale/hollow/address.go
+++ b/internal/scale/hollow/address.go
@@ -48,8 +48,19 @@
 	return nil, ErrNoNetwork
 }
 
+// Block is the number of the block, by which another process of the run has the same addresses.
+func (n *Network) Block() int { return n.octet }
+
+// JoinNetwork gives the addresses of a block that another process of the run has claimed.
+func JoinNetwork(block int) *Network { return &Network{octet: block} }
+
 // Close gives the block back.
-func (n *Network) Close() error { return n.claim.Close() }
+func (n *Network) Close() error {
+	if n.claim == nil {
+		return nil
+	}
+	return n.claim.Close()
+}
 
 func (n *Network) address(third, fourth, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", n.octet, third, fourth, port)
--- a/internal/scale/hollow/clients.go
+++ b/internal/scale/hollow/clients.go
@@ -33,13 +33,66 @@
 }
 
 // Results count how tasks ended, whatever number of requests each took.
-type Results struct{ Tasks, Served, Refused, Failed, Late [workload.Kinds]atomic.Int64 }
+type Results struct{ Tasks, Served, Refused, Failed [workload.Kinds]atomic.Int64 }
+
+// ResultCounts are results at a moment.
+type ResultCounts struct{ Tasks, Served, Refused, Failed [workload.Kinds]int64 }
+
+// Counts are the results so far.
+func (r *Results) Counts() (out ResultCounts) {
+	for k := range workload.Kinds {
+		out.Tasks[k], out.Served[k], out.Refused[k], out.Failed[k] = r.Tasks[k].Load(), r.Served[k].Load(), r.Refused[k].Load(), r.Failed[k].Load()
+	}
+	return out
+}
+
+// Merge takes in what another process of the run has counted.
+func (r *Results) Merge(c ResultCounts) {
+	for k := range workload.Kinds {
+		r.Tasks[k].Add(c.Tasks[k])
+		r.Served[k].Add(c.Served[k])
+		r.Refused[k].Add(c.Refused[k])
+		r.Failed[k].Add(c.Failed[k])
+	}
+}
+
+// Load gives the tasks that are to be submitted, in the order in which they are due.
+type Load interface {
+	Next() (workload.Task, bool)
+}
+
+// Part is every so many'th job of a load: what one of several processes plays.
+type Part struct {
+	Load        Load
+	Part, Parts int
+}
+
+// Next gives the next task of the part.
+func (p Part) Next() (workload.Task, bool) {
+	for {
+		t, ok := p.Load.Next()
+		if !ok || t.Job%p.Parts == p.Part {
+			return t, ok
+		}
+	}
+}
 
 // NewClients makes clients of so many dispatchers, of which some are hollow, by their numbers.
 func NewClients(r fleet.Rules, dispatchers int, hollow map[int]*Dispatcher, n *Network, rec *Record, t *Traffic) *Clients {
 	return &Clients{hollow: hollow, rules: r, dispatchers: dispatchers, network: n, record: rec, traffic: t, idle: make([][]*Conn, dispatchers)}
 }
 
+// partShift places the number of a process of clients in its requests' ids.
+const partShift = 48
+
+// SetPart makes the ids of requests those of one of several processes.
+func (c *Clients) SetPart(part int) {
+	c.numbers.Store(uint64(part) << partShift)
+	if c.batch != nil {
+		c.batch.numbers.Store(uint64(part) << partShift)
+	}
+}
+
 // UseBatch has arrays of the load that are marked for it go through the batch fronts of the first dispatchers.
 func (c *Clients) UseBatch(members int) {
 	c.batch = NewBatchClients(c.rules, members, c.network, c.record, &c.results)
@@ -52,7 +105,7 @@
 func (c *Clients) Results() *Results { return &c.results }
 
 // Play submits a load and returns once all of it has ended, or the context has.
-func (c *Clients) Play(ctx context.Context, load *workload.Generator, start time.Time) {
+func (c *Clients) Play(ctx context.Context, load Load, start time.Time) {
 	var g errgroup.Group
 	for {
 		t, ok := load.Next()
@@ -114,9 +167,6 @@
 		switch outcome {
 		case verdict.Served:
 			c.results.Served[t.Kind].Add(1)
-			if time.Now().After(deadline) {
-				c.results.Late[t.Kind].Add(1)
-			}
 			return
 		case verdict.Failed, verdict.Broken:
 			c.results.Failed[t.Kind].Add(1)
--- a/internal/scale/hollow/record.go
+++ b/internal/scale/hollow/record.go
@@ -49,8 +49,11 @@
 )
 
 // NewRecord makes a record whose times count from now.
-func NewRecord() *Record {
-	r := &Record{start: time.Now(), due: map[int]dueTask{}, gangs: map[int]*gang{}}
+func NewRecord() *Record { return NewRecordFrom(time.Now()) }
+
+// NewRecordFrom makes a record whose times count from a moment.
+func NewRecordFrom(start time.Time) *Record {
+	r := &Record{start: start, due: map[int]dueTask{}, gangs: map[int]*gang{}}
 	for i := range r.toldH {
 		r.toldH[i] = hdrhistogram.New(1, latencyMost, latencyDigits)
 	}
@@ -74,6 +77,14 @@
 	s.mu.Unlock()
 }
 
+// Merge takes in what another process of the run has seen.
+func (r *Record) Merge(events []verdict.Event) {
+	s := &r.shards[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, events...)
+}
+
 // Events gives all that were kept, in no order.
 func (r *Record) Events() []verdict.Event {
 	var out []verdict.Event
--- a/internal/scale/hollow/traffic.go
+++ b/internal/scale/hollow/traffic.go
@@ -49,6 +49,17 @@
 	c.bytesIn.Add(int64(bytes * receivers))
 }
 
+// Merge takes in what another process of the run has counted.
+func (t *Traffic) Merge(sum map[string]RoleTraffic) {
+	for i := range t.roles {
+		c, other := &t.roles[i], sum[Role(i).String()]
+		c.bytesIn.Add(other.BytesIn)
+		c.bytesOut.Add(other.BytesOut)
+		c.messagesIn.Add(other.MessagesIn)
+		c.messagesOut.Add(other.MessagesOut)
+	}
+}
+
 // Sum gives the counts by role.
 func (t *Traffic) Sum() map[string]RoleTraffic {
 	out := map[string]RoleTraffic{}
--- a/internal/scale/play/batch_test.go
+++ b/internal/scale/play/batch_test.go
@@ -12,6 +12,7 @@
 // The short form with a store: arrays come through the batch front of its members, and the leader is killed and comes back. What was
 // submitted has one end each, and what must not run twice does not.
 func TestShortRunWithAStore(t *testing.T) {
+	t.Parallel()
 	d := small()
 	d.StoreMembers, d.BatchShare, d.Duration = 3, 1, 9*time.Second
 	r, err := Run(context.Background(), options(t, d, faults.Spec{Name: faults.Leader}))
--- /dev/null
+++ b/internal/scale/play/clients.go
@@ -0,0 +1,170 @@
+package play
+
+import (
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/hollow"
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/verdict"
+	"gatetack/internal/scale/workload"
+)
+
+// ClientsCommand is the tool's own command by which it starts clients in processes of their own.
+const ClientsCommand = "clients"
+
+// clientsOrder says which part of a load a process of clients plays, and where its report goes.
+type clientsOrder struct {
+	Description fleet.Description
+	Block       int // of addresses
+	Part, Parts int
+	Zero        int64 // the run's first moment and
+	Start       int64 // the load's, in Unix nanoseconds
+	Report      string
+}
+
+// clientsReport is what it has seen.
+type clientsReport struct {
+	Events  []verdict.Event
+	Results hollow.ResultCounts
+	Traffic map[string]hollow.RoleTraffic
+	Lag     time.Duration
+}
+
+// submit plays the load's clients, here or in processes of their own.
+func (r *run) submit(ctx context.Context, s *sampler) {
+	d := &r.Description
+	if d.Clients == 0 {
+		r.clients.Play(ctx, workload.New(*d), r.loadStart)
+		return
+	}
+	r.noteDue()
+	var children []*process.Process
+	for part := range d.Clients {
+		p, err := r.startClients(part)
+		if err != nil {
+			r.note("clients %d: %v", part, err)
+			continue
+		}
+		children = append(children, p)
+		s.add(p)
+	}
+	for part, p := range children {
+		r.await(ctx, p)
+		if err := r.merge(part); err != nil {
+			r.note("clients %d: %v", part, errors.Join(err, p.Err()))
+		}
+	}
+}
+
+// noteDue notes when all tasks are due: this process, which learns of starts, draws the same load.
+func (r *run) noteDue() {
+	load := workload.New(r.Description)
+	for t, ok := load.Next(); ok; t, ok = load.Next() {
+		r.record.Due(t, r.loadStart.Add(t.Due))
+	}
+}
+
+func (r *run) reportPath(part int) string {
+	return filepath.Join(r.Dir, fmt.Sprintf("clients-%d.report", part))
+}
+
+func (r *run) startClients(part int) (*process.Process, error) {
+	order := clientsOrder{Description: r.Description, Block: r.network.Block(), Part: part, Parts: r.Description.Clients,
+		Zero: r.record.Start().UnixNano(), Start: r.loadStart.UnixNano(), Report: r.reportPath(part)}
+	text, err := json.Marshal(order)
+	if err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	path := filepath.Join(r.Dir, fmt.Sprintf("clients-%d.json", part))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	return r.starter.Start(process.Command{Name: fmt.Sprintf("clients %d", part), Program: r.Self, Args: []string{ClientsCommand, path},
+		Log: filepath.Join(r.Dir, fmt.Sprintf("clients-%d.log", part))})
+}
+
+// reportWithin is how long a process of clients that was told to end may take to report.
+const reportWithin = 20 * time.Second
+
+// await waits for the end of a process of clients, and asks it to end once the run does.
+func (r *run) await(ctx context.Context, p *process.Process) {
+	select {
+	case <-p.Ended():
+		return
+	case <-ctx.Done():
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		r.note("%v", err)
+	}
+	select {
+	case <-p.Ended():
+	case <-time.After(reportWithin):
+		p.Kill()
+	}
+}
+
+// merge takes in what a process of clients has seen.
+func (r *run) merge(part int) error {
+	file, err := os.Open(r.reportPath(part))
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	var report clientsReport
+	if err := gob.NewDecoder(file).Decode(&report); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	r.record.Merge(report.Events)
+	r.clients.Results().Merge(report.Results)
+	r.traffic.Merge(report.Traffic)
+	r.clientLag = max(r.clientLag, report.Lag)
+	return nil
+}
+
+// RunClients plays a part of a load, as its order says, and writes a report of it.
+func RunClients(ctx context.Context, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("order: %w", err)
+	}
+	var order clientsOrder
+	if err := json.Unmarshal(text, &order); err != nil {
+		return fmt.Errorf("order %s: %w", path, err)
+	}
+	d := &order.Description
+	if err := d.Check(); err != nil {
+		return err
+	}
+	var late lag
+	watching, stop := context.WithCancel(ctx)
+	go late.watch(watching)
+	defer stop()
+	record, traffic := hollow.NewRecordFrom(time.Unix(0, order.Zero)), &hollow.Traffic{}
+	clients := hollow.NewClients(d.Rules(), d.AllDispatchers(), nil, hollow.JoinNetwork(order.Block), record, traffic)
+	clients.UseBatch(d.StoreMembers)
+	clients.SetPart(order.Part)
+	clients.Play(ctx, hollow.Part{Load: workload.New(*d), Part: order.Part, Parts: order.Parts}, time.Unix(0, order.Start))
+	clients.Close()
+	return writeReport(order.Report, &clientsReport{record.Events(), clients.Results().Counts(), traffic.Sum(), late.worst()})
+}
+
+func writeReport(path string, report *clientsReport) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	err = gob.NewEncoder(file).Encode(report)
+	if err = errors.Join(err, file.Close()); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
--- a/internal/scale/play/hollow_test.go
+++ b/internal/scale/play/hollow_test.go
@@ -12,6 +12,7 @@
 // same load, by least squares, are within a tenth. Tasks are shorter than the time between reports of progress, so that the number of
 // messages does not go by the machine's speed.
 func TestHollowDispatcherSendsWhatARealOneSends(t *testing.T) {
+	t.Parallel()
 	spans := []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second}
 	measure := func(t *testing.T, dispatchers, hollow int) (tasks, messages, bytes []float64) {
 		for _, span := range spans {
--- a/internal/scale/play/report.go
+++ b/internal/scale/play/report.go
@@ -32,7 +32,7 @@
 	events := r.record.Events()
 	end := r.record.Now()
 	out := &result.Result{Tool: result.Tool, Format: result.Format, Commit: r.Commit, Command: r.Command, Machine: machine(), Began: r.loadStart.UTC().Truncate(time.Second),
-		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(verdict.For(&r.Description, r.lag.worst()), events, end),
+		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(verdict.For(&r.Description, max(r.lag.worst(), r.clientLag)), events, end),
 		Traffic: r.traffic.Sum(), Saturated: s.saturated, ToolLag: r.lag.sum(), MemoryMB: float64(s.peak) / (1 << 20), Changes: r.changes.sum(), Notes: r.notes()}
 	out.Kept = out.Verdict.Kept()
 	out.Jobs = r.jobs()
@@ -58,11 +58,11 @@
 }
 
 func (r *run) jobs() []result.Jobs {
-	latencies, counts := r.record.Latencies(), r.clients.Results()
+	latencies, counts := r.record.Latencies(), r.clients.Results().Counts()
 	var out []result.Jobs
 	for kind := range workload.Kinds {
-		j := result.Jobs{Kind: kind.String(), Tasks: counts.Tasks[kind].Load(), Served: counts.Served[kind].Load(),
-			Refused: counts.Refused[kind].Load(), Failed: counts.Failed[kind].Load()}
+		j := result.Jobs{Kind: kind.String(), Tasks: counts.Tasks[kind], Served: counts.Served[kind],
+			Refused: counts.Refused[kind], Failed: counts.Failed[kind]}
 		j.StartTold = latency(latencies[kind], j.Tasks)
 		out = append(out, j)
 	}
--- a/internal/scale/play/sample.go
+++ b/internal/scale/play/sample.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"sync"
 	"time"
 
 	"gatetack/internal/scale/process"
@@ -14,6 +15,7 @@
 // sampler measures all processes of a run, the tool's own among them, once a second.
 type sampler struct {
 	r         *run
+	mu        sync.Mutex
 	at        time.Time
 	began     time.Time
 	watched   []*watched
@@ -31,7 +33,8 @@
 	peakCPU     float64 // cores, in the busiest second
 	ended       string
 	target      *dispatcher
-	spent       process.Usage // of earlier processes of a dispatcher that was started again
+	child       *process.Process // of the tool's
+	spent       process.Usage    // of earlier processes of a dispatcher that was started again
 }
 
 // sampleEvery is the time between two looks, and saturatedFrom the part of what a process may use from which it counts as saturated.
@@ -72,8 +75,17 @@
 	}
 }
 
+// add watches a child of the tool's as well.
+func (s *sampler) add(p *process.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watched = append(s.watched, &watched{name: p.Name, role: "tool", pid: p.Pid, cores: float64(runtime.NumCPU()), child: p})
+}
+
 // take measures once, and gives the private memory of all.
 func (s *sampler) take() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	span := now.Sub(s.at)
 	bytes := int64(0)
@@ -89,6 +101,9 @@
 
 // follow goes over to the process that a dispatcher has now.
 func (w *watched) follow() bool {
+	if w.child != nil && w.child.Gone() {
+		return false
+	}
 	if w.target == nil {
 		return true
 	}
--- a/internal/scale/process/measure.go
+++ b/internal/scale/process/measure.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
 )
 
 // Usage is what a process has used, as the kernel tells it.
@@ -98,6 +99,20 @@
 	return nil
 }
 
+// Descriptors checks that this process may have so many.
+func Descriptors(need int64) error {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	if have := int64(limit.Cur); need+spareDescriptors > have {
+		return &BudgetError{"descriptors of the tool", need + spareDescriptors, have}
+	}
+	return nil
+}
+
+const spareDescriptors = 256
+
 var errMeminfo = errors.New("/proc/meminfo names no MemAvailable")
 
 func available() (int64, error) {
--- a/internal/scale/process/process.go
+++ b/internal/scale/process/process.go
@@ -82,6 +82,19 @@
 // Ended is closed once the child has ended.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
+// Gone says that the child has ended.
+func (p *Process) Gone() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Err is how the child ended, once it has.
+func (p *Process) Err() error { return p.err }
+
 // Signal sends the child a signal.
 func (p *Process) Signal(sig os.Signal) error {
 	if err := p.cmd.Process.Signal(sig); err != nil {
