--- /dev/null
+++ b/internal/scale/play/dispatchers.go
@@ -0,0 +1,212 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/hollow"
+	"gatetack/internal/scale/process"
+	"gatetack/internal/scale/verdict"
+)
+
+// dispatcher is a real one: the built program as a process.
+type dispatcher struct {
+	number int
+	dir    string
+
+	mu      sync.Mutex
+	process *process.Process // nil while it is down
+}
+
+// current is the process it has now, nil for none.
+func (x *dispatcher) current() *process.Process {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.process
+}
+
+func (x *dispatcher) set(p *process.Process) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.process = p
+}
+
+// startDispatchers starts all at once and waits until they serve.
+func (r *run) startDispatchers(ctx context.Context) error {
+	for i := range r.Description.Dispatchers {
+		r.dispatchers = append(r.dispatchers, &dispatcher{number: i, dir: filepath.Join(r.Dir, fleet.DispatcherName(i))})
+	}
+	var g errgroup.Group
+	for _, x := range r.dispatchers {
+		g.Go(func() error { return r.startDispatcher(ctx, x) })
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	for number, h := range r.hollow {
+		if err := r.untilReady(ctx, number, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// untilReady waits until a hollow dispatcher can serve.
+func (r *run) untilReady(ctx context.Context, number int, h *hollow.Dispatcher) error {
+	for end := time.Now().Add(readyWithin); !h.Ready(); {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return fmt.Errorf("hollow dispatcher %d: not ready within %v", number, readyWithin)
+		}
+		time.Sleep(readyEvery)
+	}
+	return nil
+}
+
+const readyEvery = 10 * time.Millisecond
+
+func (r *run) startDispatcher(ctx context.Context, x *dispatcher) error {
+	if err := os.MkdirAll(x.dir, 0o700); err != nil {
+		return fmt.Errorf("folder of dispatcher %d: %w", x.number, err)
+	}
+	if err := r.writeConfig(x, 0); err != nil {
+		return err
+	}
+	args := []string{"serve", "--log-level", "info"}
+	if file := r.operatorsFile(x.number); file != "" {
+		path := filepath.Join(x.dir, "gatetack.yaml")
+		if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+			return fmt.Errorf("operators' file of dispatcher %d: %w", x.number, err)
+		}
+		args = append(args, "--config", path)
+	}
+	p, err := r.starter.Start(process.Command{Name: fleet.DispatcherName(x.number), Program: r.Program, Args: args,
+		Env: []string{"EDGE_CONFIG=" + x.config(), "TMPDIR=" + x.dir}, Log: filepath.Join(x.dir, "log")})
+	if err != nil {
+		return err
+	}
+	x.set(p)
+	return p.Until(ctx, readyWithin, func() bool { return r.healthy(x.number) })
+}
+
+func (x *dispatcher) config() string { return filepath.Join(x.dir, "config.json") }
+
+// configuration of a dispatcher, as it is after so many changes.
+func (r *run) configuration(number, changes int) ([]byte, error) {
+	d := &r.Description
+	at := fleet.Addresses{Listen: r.network.Dispatcher(number), Discovery: r.network.Discovery(number),
+		PeerListen: r.network.PeerListen(number), PeersAll: r.network.PeersAll(number)}
+	for i := range d.AllDispatchers() {
+		at.Peers = append(at.Peers, r.network.Peer(number, i))
+	}
+	return d.Config(number, changes, at)
+}
+
+// hollowDispatchers begins those that stand in this process, by their numbers.
+func (r *run) hollowDispatchers(ctx context.Context, g *errgroup.Group) (map[int]*hollow.Dispatcher, error) {
+	d := &r.Description
+	out := map[int]*hollow.Dispatcher{}
+	for number := d.Dispatchers; number < d.AllDispatchers(); number++ {
+		text, err := r.configuration(number, 0)
+		if err != nil {
+			return nil, err
+		}
+		if out[number], err = hollow.NewDispatcher(ctx, g, text); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// writeConfig writes a dispatcher's configuration, as it is after so many changes, in one piece.
+func (r *run) writeConfig(x *dispatcher, changes int) error {
+	text, err := r.configuration(x.number, changes)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(x.config()+".new", text, 0o600); err != nil {
+		return fmt.Errorf("configuration of dispatcher %d: %w", x.number, err)
+	}
+	return os.Rename(x.config()+".new", x.config())
+}
+
+// operatorsFile is what a member of the store is started with beside its configuration; empty for the others.
+func (r *run) operatorsFile(number int) string {
+	d := &r.Description
+	if number >= d.StoreMembers {
+		return ""
+	}
+	var members []string
+	for i := range d.StoreMembers {
+		members = append(members, fmt.Sprintf("%s: %q", fleet.DispatcherName(i), r.network.Store(i)))
+	}
+	return fmt.Sprintf("batch:\n  listen: %s\nstore:\n  dir: store\n  listen: %s\n  members: {%s}\n  marks: marks\n",
+		r.network.Batch(number), r.network.Store(number), strings.Join(members, ", "))
+}
+
+// probeWithin is how long a check of a dispatcher's health may take.
+const probeWithin = 2 * time.Second
+
+func (r *run) healthy(number int) bool {
+	status, err := r.ask(number, "GET", "/healthz")
+	return err == nil && status == 200
+}
+
+// ask makes a call of no client's.
+func (r *run) ask(number int, method, target string) (int, error) {
+	var untold hollow.Traffic // the tool's own calls are no traffic of the fleet's
+	c, err := hollow.Dial(r.network.Dispatcher(number), &untold, hollow.RoleClient)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.Close() }()
+	m, err := c.Do(time.Now().Add(probeWithin), method, target, nil, nil)
+	if err != nil {
+		return 0, err
+	}
+	return m.Status, nil
+}
+
+// ended names a dispatcher that has ended by itself.
+func (r *run) ended() error {
+	for _, x := range r.dispatchers {
+		p := x.current()
+		if p == nil {
+			continue
+		}
+		select {
+		case <-p.Ended():
+			if x.current() == p {
+				return fmt.Errorf("dispatcher %s: %w by itself", p.Name, process.ErrEnded)
+			}
+		default:
+		}
+	}
+	return nil
+}
+
+// stopDispatchers ends those that still run.
+func (r *run) stopDispatchers() {
+	for _, x := range r.dispatchers {
+		if p := x.current(); p != nil {
+			p.Kill()
+		}
+	}
+}
+
+// kill ends one outright.
+func (r *run) kill(x *dispatcher) {
+	// What breaks with it is seen from the moment of the signal on.
+	r.record.Add(verdict.Event{Kind: verdict.DispatcherDied, Dispatcher: int16(x.number)})
+	if p := x.current(); p != nil {
+		x.set(nil)
+		p.Kill()
+	}
+}
