--- a/cmd/gatetack/job.go
+++ b/cmd/gatetack/job.go
@@ -36,7 +36,7 @@
 	r.flags(cmd)
 	cmd.AddCommand(r.submit(), r.bulk(), r.list(), r.show(), r.wait(), r.watch(), r.doubt())
 	for _, x := range []struct{ name, help string }{{"hold", "keep jobs back that wait at the node"},
-		{"release", "let held jobs go"}, {"terminate", "end jobs of which nothing was sent to a box; one that was is not stopped"},
+		{"release", "let held jobs go"}, {"terminate", "end jobs of which nothing was sent to an executor; one that was is not stopped"},
 		{"reap", "forget jobs that have ended"}} {
 		array := false
 		c := &cobra.Command{Use: x.name + " ID...", Short: x.help, Args: someIDs,
--- a/cmd/gatetack/job_submit.go
+++ b/cmd/gatetack/job_submit.go
@@ -30,7 +30,7 @@
 	f.IntVar(&t.Priority, "priority", 0, "order among this session's jobs that wait; higher goes first")
 	f.StringVar(start, "start", "", "not before: a time (RFC 3339), or a span from now such as 5m")
 	f.StringVar(deadline, "deadline", "", "when to give up, likewise")
-	f.IntVar(&t.MinSlots, "slots", 0, "slots on one box")
+	f.IntVar(&t.MinSlots, "slots", 0, "slots on one executor")
 	f.StringVar(&t.IdempotencyKey, "key", "", "a submission under a key that was used gives the first job back")
 }
 
--- a/cmd/gatetack/machine.go
+++ b/cmd/gatetack/machine.go
@@ -11,10 +11,10 @@
 
 func machineCommand() *cobra.Command {
 	r := &remote{}
-	cmd := &cobra.Command{Use: "machine", Short: "render boxes as the node sees them"}
+	cmd := &cobra.Command{Use: "machine", Short: "executors as the node sees them"}
 	r.flags(cmd)
 	var filter string
-	list := &cobra.Command{Use: "list", Short: "list render boxes", Args: noArgs,
+	list := &cobra.Command{Use: "list", Short: "list executors", Args: noArgs,
 		RunE: r.run(func(ctx context.Context, c *drmaa2.Client, cmd *cobra.Command, _ []string) error {
 			all, err := c.Machines(ctx, filter)
 			if err != nil {
@@ -26,7 +26,7 @@
 			}
 			return r.print(cmd.OutOrStdout(), all, []string{"NAME", "STATUS", "ZONE", "TYPE", "RACK", "OUT", "ADDRESS"}, rows)
 		})}
-	list.Flags().StringVar(&filter, "filter", "", "which boxes, such as: status = ready and out > 2")
+	list.Flags().StringVar(&filter, "filter", "", "which executors, such as: status = ready and out > 2")
 	cmd.AddCommand(list)
 	return cmd
 }
--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -50,8 +50,8 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "gatetack",
-		Short: "gatetack brings tile jobs to render boxes",
-		Long: "gatetack brings tile jobs to render boxes: serve runs a node; the other commands speak to one's batch front.\n" +
+		Short: "gatetack brings jobs to executors",
+		Long: "gatetack brings jobs to executors: serve runs a node; the other commands speak to one's batch front.\n" +
 			"Each flag has a twin among the environment's variables: --addr is GATETACK_ADDR, --log-level GATETACK_LOG_LEVEL.",
 		SilenceUsage: true, SilenceErrors: true,
 		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error { return fromEnvironment(cmd.Flags()) },
--- a/cmd/slowpeers/main.go
+++ b/cmd/slowpeers/main.go
@@ -1,4 +1,4 @@
-// Command slowpeers measures what slow peers cost the others: it starts a built node with stand-ins for boxes and the
+// Command slowpeers measures what slow peers cost the others: it starts a built node with stand-ins for executors and the
 // list, plays clients against it, and adds slow peers of each kind. It is a tool of the project's developers; the
 // operators' page (docs/slow-peers.md) shows its tables.
 package main
@@ -20,7 +20,7 @@
 
 type options struct {
 	program, log            string
-	boxes, clients          int
+	executors, clients      int
 	memory, sockets, result int
 	run, span               time.Duration
 	rounds                  int
@@ -33,7 +33,7 @@
 	f := pflag.CommandLine
 	f.StringVar(&o.program, "program", "bin/gatetack", "the node's program")
 	f.StringVar(&o.log, "log", "", "keep the node's log here")
-	f.IntVar(&o.boxes, "boxes", 6, "stand-ins for render boxes; each tells of 4 free slots")
+	f.IntVar(&o.executors, "boxes", 6, "stand-ins for executors; each tells of 4 free slots")
 	f.IntVar(&o.clients, "clients", 10, "clients that hand in one job after another")
 	f.IntVar(&o.memory, "memory-mb", 32, "memory the node is told to keep to")
 	f.IntVar(&o.sockets, "sockets", 256, "descriptors it may have")
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	for i := range o.boxes {
+	for i := range o.executors {
 		b, err := standin.NewBox(ctx, g, fmt.Sprintf("s-%08x", i+1), ports[0], o.run)
 		if err != nil {
 			return err
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,4 +1,4 @@
-// Package inventory reads the render boxes from a file as configuration tools keep it, CSV or YAML, and gives
+// Package inventory reads the executors from a file as configuration tools keep it, CSV or YAML, and gives
 // the same list events as discovery.
 package inventory
 
@@ -47,7 +47,7 @@
 var columns = []string{"name", "address", "zone", "type", "group", "status"}
 
 // Parse reads an inventory; the file's name tells its form. One bad row refuses the whole, so that a list that
-// was half written takes no box away.
+// was half written takes no executor away.
 func Parse(name string, data []byte, names node.Names, lim limits.Limits) ([]node.Entry, error) {
 	if len(data) > lim.InventoryBytes {
 		return nil, fmt.Errorf("longer than %d bytes", lim.InventoryBytes)
--- a/internal/pace/acks.go
+++ b/internal/pace/acks.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// AckRule says from when on a box is late to say that it has taken a job.
+// AckRule says from when on an executor is late to say that it has taken a job.
 type AckRule struct {
 	Least  time.Duration `yaml:"least"`  // nothing is late before it
 	Most   time.Duration `yaml:"most"`   // whatever is usual, a box is late after it
@@ -14,22 +14,22 @@
 	Crowd  float64       `yaml:"crowd"`  // with more than this part of the boxes late, lateness says nothing of one of them
 }
 
-// Acks learns how long boxes take to acknowledge a job, and finds the one that is late: against its own usual, or it
+// Acks learns how long executors take to acknowledge a job, and finds the one that is late: against its own usual, or it
 // would be called slow for being far; and against its peers', or one that has always been slow would never be.
 //
-// The usual upper bound of a box, and of all together, is that of TCP's retransmission timer (RFC 6298, section 2): a
-// smoothed mean and four times a smoothed deviation. What was late counts as no more than its box's own bound, and not among the peers' at all, so that a
-// box does not become used to being slow within a few jobs (as Karn's rule, section 3, keeps retransmitted samples out).
+// The usual upper bound of an executor, and of all together, is that of TCP's retransmission timer (RFC 6298, section 2): a
+// smoothed mean and four times a smoothed deviation. What was late counts as no more than its executor's own bound, and not among the peers' at all, so that a
+// executor does not become used to being slow within a few jobs (as Karn's rule, section 3, keeps retransmitted samples out).
 //
-// All slow at once are no reason to shun any: while more than Crowd of the boxes that work are late, none is called so.
+// All slow at once are no reason to shun any: while more than Crowd of the executors that work are late, none is called so.
 // Then it is the network, or this node itself that has no time to read, and shunning some only crowds the others.
 type Acks struct {
-	rule  AckRule
-	boxes map[string]*ackBox
-	all   estimate
+	rule      AckRule
+	executors map[string]*ackHistory
+	all       estimate
 }
 
-type ackBox struct {
+type ackHistory struct {
 	own      estimate
 	out      int       // jobs it has not acknowledged
 	late     int       // of them, those that are past their time
@@ -53,35 +53,35 @@
 
 func (e *estimate) bound() float64 { return e.mean + 4*e.dev }
 
-// NewAcks makes an Acks that knows no box.
-func NewAcks(r AckRule) *Acks { return &Acks{rule: r, boxes: map[string]*ackBox{}} }
+// NewAcks makes an Acks that knows no executor.
+func NewAcks(r AckRule) *Acks { return &Acks{rule: r, executors: map[string]*ackHistory{}} }
 
-// Sent takes in that a job's last byte went to a box.
-func (a *Acks) Sent(box string, now time.Time) {
-	b := a.boxes[box]
+// Sent takes in that a job's last byte went to an executor.
+func (a *Acks) Sent(executor string, now time.Time) {
+	b := a.executors[executor]
 	if b == nil {
-		b = &ackBox{}
-		a.boxes[box] = b
+		b = &ackHistory{}
+		a.executors[executor] = b
 	}
 	b.out++
 	b.lastSeen = now
 }
 
-// Due is how long a box may take before it is late.
-func (a *Acks) Due(box string) time.Duration {
+// Due is how long an executor may take before it is late.
+func (a *Acks) Due(executor string) time.Duration {
 	bound := a.all.bound()
-	if b := a.boxes[box]; b != nil {
+	if b := a.executors[executor]; b != nil {
 		bound = max(bound, b.own.bound())
 	}
 	due := time.Duration(a.rule.Times * bound * float64(time.Second))
 	return min(max(due, a.rule.Least), a.rule.Most)
 }
 
-// Overdue takes in that a job was not acknowledged when it was due, and says what that makes of the box: HoldBack for
+// Overdue takes in that a job was not acknowledged when it was due, and says what that makes of the executor: HoldBack for
 // one that is late where its peers are not, Keep while it says nothing, and the carrier asks again after another Due.
 // Counted says whether this job was told overdue before.
-func (a *Acks) Overdue(box string, counted bool, now time.Time) Verdict {
-	b := a.boxes[box]
+func (a *Acks) Overdue(executor string, counted bool, now time.Time) Verdict {
+	b := a.executors[executor]
 	if b == nil {
 		return Keep
 	}
@@ -89,7 +89,7 @@
 		b.late++
 	}
 	late, active := 0, 0
-	for name, x := range a.boxes {
+	for name, x := range a.executors {
 		switch {
 		case x.late > 0:
 			late++
@@ -97,7 +97,7 @@
 		case x.out > 0 || now.Sub(x.lastSeen) <= a.rule.Memory:
 			active++
 		default:
-			delete(a.boxes, name)
+			delete(a.executors, name)
 		}
 	}
 	// One alone can be late to a node that sends to few: there is nobody to hold it against but its own usual.
@@ -107,11 +107,11 @@
 	return HoldBack
 }
 
-// Acked takes in that a box acknowledged a job, by its answer or by a call, so long after the send. Late says whether
+// Acked takes in that an executor acknowledged a job, by its answer or by a call, so long after the send. Late says whether
 // it was told overdue.
-func (a *Acks) Acked(box string, took time.Duration, late bool, now time.Time) {
-	a.done(box, late)
-	b := a.boxes[box]
+func (a *Acks) Acked(executor string, took time.Duration, late bool, now time.Time) {
+	a.done(executor, late)
+	b := a.executors[executor]
 	if b == nil {
 		return
 	}
@@ -125,10 +125,10 @@
 }
 
 // Ended takes in that a job ended unacknowledged: its connection broke, or it was given up.
-func (a *Acks) Ended(box string, late bool) { a.done(box, late) }
+func (a *Acks) Ended(executor string, late bool) { a.done(executor, late) }
 
-func (a *Acks) done(box string, late bool) {
-	b := a.boxes[box]
+func (a *Acks) done(executor string, late bool) {
+	b := a.executors[executor]
 	if b == nil {
 		return
 	}
@@ -138,9 +138,9 @@
 	}
 }
 
-// Late is how many jobs a box owes an acknowledgement past its time.
-func (a *Acks) Late(box string) int {
-	if b := a.boxes[box]; b != nil {
+// Late is how many jobs an executor owes an acknowledgement past its time.
+func (a *Acks) Late(executor string) int {
+	if b := a.executors[executor]; b != nil {
 		return b.late
 	}
 	return 0
--- a/internal/pace/ledger.go
+++ b/internal/pace/ledger.go
@@ -5,7 +5,7 @@
 // Ledger shares one budget - connections, bytes, or requests that wait - between peers. A peer may hold what is free
 // times Alpha, or Least if that is more: dynamic thresholds (Choudhury and Hahne, "Dynamic queue length thresholds for
 // shared-memory packet switches", IEEE/ACM ToN 6(2), 1998). Alone it gets Alpha/(1+Alpha) of the budget, n greedy ones
-// get Alpha/(1+n*Alpha) each, and what is left over is for those that come later. Who a peer is the carrier says: a box
+// get Alpha/(1+n*Alpha) each, and what is left over is for those that come later. Who a peer is the carrier says: an executor
 // by its name, a client by its address or customer - not by its connection, or its share would grow by opening more.
 type Ledger[K comparable] struct {
 	budget, least int
--- a/internal/pace/meter.go
+++ b/internal/pace/meter.go
@@ -1,13 +1,13 @@
 // Package pace decides about slow peers: whether one that is waited for is kept, held back or let go. It does no I/O,
 // reads no clock and starts no goroutine; who asks gives it the time. Its carriers are http1 (both directions of every
-// connection) and executor (what boxes owe); what it finds out about boxes goes to the decision module, which alone
+// connection) and executor (what executors owe); what it finds out about executors goes to the decision module, which alone
 // decides what follows for jobs.
 //
 // Three things are decided, each by a type of its own:
 //
 //   - Meter: does one direction of one connection move at its least rate?
 //   - Ledger: may one peer take more of a budget that all peers share?
-//   - Acks: is a box late to acknowledge, against its own usual and its peers'?
+//   - Acks: is an executor late to acknowledge, against its own usual and its peers'?
 package pace
 
 import "time"
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -170,17 +170,17 @@
 
 var ackRule = AckRule{Least: 400 * time.Millisecond, Most: 2 * time.Second, Times: 3, Memory: time.Minute, Crowd: 0.5}
 
-// usual lets boxes acknowledge as they do.
-func usual(a *Acks, now time.Time, took time.Duration, boxes ...string) {
+// usual lets executors acknowledge as they do.
+func usual(a *Acks, now time.Time, took time.Duration, executors ...string) {
 	for range 30 {
-		for _, b := range boxes {
+		for _, b := range executors {
 			a.Sent(b, now)
 			a.Acked(b, took, false, now)
 		}
 	}
 }
 
-// One late box is told of, though it owes but one sign; once most are late it is nobody's fault; and those that are well
+// One late executor is told of, though it owes but one sign; once most are late it is nobody's fault; and those that are well
 // again take the crowd away.
 func TestAcksOneAndAll(t *testing.T) {
 	a, now := NewAcks(ackRule), epoch
@@ -193,7 +193,7 @@
 	}
 	for i, want := range []Verdict{HoldBack, HoldBack, Keep} {
 		if v := a.Overdue([]string{"a", "b", "c"}[i], false, now); v != want {
-			t.Errorf("box %d late: %d, want %d", i, v, want)
+			t.Errorf("executor %d late: %d, want %d", i, v, want)
 		}
 	}
 	a.Acked("b", time.Second, true, now)
@@ -202,11 +202,11 @@
 		t.Errorf("alone again: %d, %d late", v, a.Late("a"))
 	}
 	if v := a.Overdue("nobody", false, now); v != Keep {
-		t.Error("a box that was sent nothing is late")
+		t.Error("an executor that was sent nothing is late")
 	}
 }
 
-// A far box is not late for being far, and one that has become slow does not make slowness usual within a few jobs.
+// A far executor is not late for being far, and one that has become slow does not make slowness usual within a few jobs.
 func TestAcksUsual(t *testing.T) {
 	a, now := NewAcks(ackRule), epoch
 	usual(a, now, 5*time.Millisecond, "near")
@@ -235,19 +235,19 @@
 		a, now := NewAcks(ackRule), epoch
 		for range rapid.IntRange(0, 80).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
-			box, late := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "box")), rapid.Bool().Draw(t, "late")
+			executor, late := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "box")), rapid.Bool().Draw(t, "late")
 			switch rapid.IntRange(0, 3).Draw(t, "call") {
 			case 0:
-				a.Sent(box, now)
+				a.Sent(executor, now)
 			case 1:
-				a.Acked(box, time.Duration(rapid.IntRange(0, 9000).Draw(t, "took"))*time.Millisecond, late, now)
+				a.Acked(executor, time.Duration(rapid.IntRange(0, 9000).Draw(t, "took"))*time.Millisecond, late, now)
 			case 2:
-				a.Ended(box, late)
+				a.Ended(executor, late)
 			case 3:
-				a.Overdue(box, late, now)
+				a.Overdue(executor, late, now)
 			}
-			if due := a.Due(box); due < ackRule.Least || due > ackRule.Most || a.Late(box) < 0 {
-				t.Fatalf("due %v, %d late", due, a.Late(box))
+			if due := a.Due(executor); due < ackRule.Least || due > ackRule.Most || a.Late(executor) < 0 {
+				t.Fatalf("due %v, %d late", due, a.Late(executor))
 			}
 		}
 	})
--- a/internal/pace/policy.go
+++ b/internal/pace/policy.go
@@ -10,7 +10,7 @@
 // Policy is all that bounds slow peers. It stands in the limits, filled at the start; the operators' file may change it
 // (section pace).
 type Policy struct {
-	// What clients send, and what they read of answers; what boxes answer with, once they have begun, and what they read
+	// What clients send, and what they read of answers; what executors answer with, once they have begun, and what they read
 	// of requests; a line of the list that has begun.
 	ClientIn  Rate `yaml:"client_in"`
 	ClientOut Rate `yaml:"client_out"`
@@ -32,7 +32,7 @@
 }
 
 // Default is the policy where nobody says otherwise. Its rates are far under what a working line moves: on the
-// platform none of its clients, boxes or lists comes near.
+// platform none of its clients, executors or lists comes near.
 func Default() Policy {
 	return Policy{
 		ClientIn:  Rate{Bytes: 64, Grace: 2500 * time.Millisecond, Window: 2500 * time.Millisecond, Tight: 4},
@@ -108,12 +108,12 @@
 	ClientReads             // an answer was read below it
 	ClientCut               // an answer that was not whole in the kernel went with its connection
 	ClientShare             // an address or a customer that holds its share already
-	BoxLate                 // no sign that a job was taken, while other boxes give theirs
-	BoxCrowd                // likewise, while most boxes owe one: told to nobody
+	BoxLate                 // no sign that a job was taken, while other executors give theirs
+	BoxCrowd                // likewise, while most executors owe one: told to nobody
 	BoxReads                // a request was read below the least rate, before its last byte
-	BoxUnacked              // a request's first bytes were not acknowledged by the box's machine
+	BoxUnacked              // a request's first bytes were not acknowledged by the executor's machine
 	BoxDrips                // an answer that had begun came below the rate
-	BoxShare                // a box that holds its share of connections already
+	BoxShare                // an executor that holds its share of connections already
 	ListDrips               // a line of the list, likewise
 	kinds
 )
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -1,6 +1,6 @@
 // Package site decides in which hall a job that names its inputs is best run: the time to bring there what is missing against
 // the wait for room, the run itself by the hall's machines, and the price of crossing. It does no I/O, reads no clock and starts
-// no goroutine; the box is still chosen by the decision module, for which a hall's cost is a price for each zone.
+// no goroutine; the executor is still chosen by the decision module, for which a hall's cost is a price for each zone.
 //
 // # What it goes by
 //
@@ -144,7 +144,7 @@
 
 // Hall is what is known of one.
 type Hall struct {
-	Slots   float64 // of boxes that take work
+	Slots   float64 // of executors that take work
 	Speed   float64 // of its machines, 1 for the standard
 	Wait    float64 // ms until a job that comes now begins, as reported
 	At      float64 // when, in ms
