Part the actor's Apply into short functions

It held eighty lines: repeated calls, the copy, the event as the function sees it, effects and remembered answers. Each is a method now.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -89,12 +89,7 @@
 // Apply returns the actor after an event, and the answer of a call. The receiver is unchanged; after an error there is no next actor.
 func (a *Actor) Apply(f *Function, e *Event) (next *Actor, answer json.RawMessage, err error) {
 	if e.Kind == Call && e.Number <= a.LastCall {
-		for _, remembered := range a.Answers {
-			if remembered.Number == e.Number {
-				return a, remembered.Body, nil
-			}
-		}
-		return nil, nil, &OrderError{e.Number, a.LastCall + 1}
+		return a.repeatAnswer(e.Number)
 	}
 	if e.Kind == Call && e.Number != a.LastCall+1 {
 		return nil, nil, &OrderError{e.Number, a.LastCall + 1}
@@ -102,14 +97,8 @@
 	if !a.Accepts(e) {
 		return a, nil, nil
 	}
-	n := &Actor{ID: a.ID, Function: a.Function, AppliedEvents: a.AppliedEvents + 1, LastCall: a.LastCall, State: a.State, Answers: slices.Clone(a.Answers),
-		Timers: maps.Clone(a.Timers), Jobs: maps.Clone(a.Jobs)}
-	if n.Timers == nil {
-		n.Timers = map[string]int64{}
-	}
-	if n.Jobs == nil {
-		n.Jobs = map[string]OpenJob{}
-	}
+	n := a.clone()
+	n.AppliedEvents++
 	if e.Kind == Upgrade {
 		n.Function = e.Hash
 		return n, nil, nil
@@ -117,57 +106,103 @@
 	if f.Hash != a.Function {
 		return nil, nil, &FunctionError{"hash", fmt.Sprintf("the desk runs %s, this is %s", a.Function, f.Hash)}
 	}
-	eventFields := map[string]any{"at": float64(e.At), "desk": a.ID}
+	eventFields, err := n.consume(e)
+	if err != nil {
+		return nil, nil, err
+	}
+	var fx Effects
+	if n.State, answer, fx, err = f.run(e.Kind, a.State, eventFields); err != nil {
+		return nil, nil, err
+	}
+	if err := n.addEffects(&fx, e.At); err != nil {
+		return nil, nil, err
+	}
+	if e.Kind == Call {
+		if answer == nil {
+			answer = json.RawMessage("null")
+		}
+		n.rememberAnswer(CallAnswer{e.Number, answer})
+	}
+	return n, answer, nil
+}
+
+// repeatAnswer returns the remembered answer of an earlier call.
+func (a *Actor) repeatAnswer(number uint64) (*Actor, json.RawMessage, error) {
+	for _, remembered := range a.Answers {
+		if remembered.Number == number {
+			return a, remembered.Body, nil
+		}
+	}
+	return nil, nil, &OrderError{number, a.LastCall + 1}
+}
+
+// clone returns a copy that shares nothing which an event changes.
+func (a *Actor) clone() *Actor {
+	n := *a
+	n.Answers = slices.Clone(a.Answers)
+	n.Timers, n.Jobs = maps.Clone(a.Timers), maps.Clone(a.Jobs)
+	if n.Timers == nil {
+		n.Timers = map[string]int64{}
+	}
+	if n.Jobs == nil {
+		n.Jobs = map[string]OpenJob{}
+	}
+	return &n
+}
+
+// consume records that an event has happened, and returns it as the function sees it.
+func (a *Actor) consume(e *Event) (map[string]any, error) {
+	fields := map[string]any{"at": float64(e.At), "desk": a.ID}
 	switch e.Kind {
 	case Call:
 		var body any
 		if len(e.Body) > 0 {
 			if err := json.Unmarshal(e.Body, &body); err != nil {
-				return nil, nil, &CallError{"the call's body is not JSON: " + err.Error()}
+				return nil, &CallError{"the call's body is not JSON: " + err.Error()}
 			}
 		}
-		eventFields["number"], eventFields["body"] = float64(e.Number), body
-		n.LastCall = e.Number
+		fields["number"], fields["body"] = float64(e.Number), body
+		a.LastCall = e.Number
 	case JobEnded:
-		eventFields["job"], eventFields["served"], eventFields["result"] = e.Job, e.Served, e.Result
-		delete(n.Jobs, e.Job)
+		fields["job"], fields["served"], fields["result"] = e.Job, e.Served, e.Result
+		delete(a.Jobs, e.Job)
 	case TimerFired:
-		eventFields["name"] = e.Name
-		delete(n.Timers, e.Name)
-	}
-	var fx Effects
-	if n.State, answer, fx, err = f.run(e.Kind, a.State, eventFields); err != nil {
-		return nil, nil, err
+		fields["name"] = e.Name
+		delete(a.Timers, e.Name)
 	}
+	return fields, nil
+}
+
+// addEffects opens the jobs and sets the timers that an event at a time asked for.
+func (a *Actor) addEffects(fx *Effects, at int64) error {
 	for _, j := range fx.Jobs {
-		if _, ok := n.Jobs[j.Name]; ok {
-			return nil, nil, &CallError{fmt.Sprintf("job %q has not ended yet", j.Name)}
+		if _, ok := a.Jobs[j.Name]; ok {
+			return &CallError{fmt.Sprintf("job %q has not ended yet", j.Name)}
 		}
-		n.Jobs[j.Name] = OpenJob{j, fmt.Sprintf("desk/%s/%d/%s", a.ID, n.AppliedEvents, j.Name)}
+		a.Jobs[j.Name] = OpenJob{j, fmt.Sprintf("desk/%s/%d/%s", a.ID, a.AppliedEvents, j.Name)}
 	}
-	if len(n.Jobs) > maxEffects || len(n.Timers)+len(fx.Timers) > 4*maxEffects {
-		return nil, nil, &CallError{fmt.Sprintf("%d jobs are open and %d timers set", len(n.Jobs), len(n.Timers))}
+	if len(a.Jobs) > maxEffects || len(a.Timers)+len(fx.Timers) > 4*maxEffects {
+		return &CallError{fmt.Sprintf("%d jobs are open and %d timers set", len(a.Jobs), len(a.Timers))}
 	}
 	for name, ms := range fx.Timers {
-		if delete(n.Timers, name); ms > 0 {
-			n.Timers[name] = e.At + int64(ms)
+		if delete(a.Timers, name); ms > 0 {
+			a.Timers[name] = at + int64(ms)
 		}
 	}
-	if e.Kind == Call {
-		if answer == nil {
-			answer = json.RawMessage("null")
-		}
-		n.Answers = append(n.Answers, CallAnswer{e.Number, answer})
-		n.Answers = n.Answers[max(0, len(n.Answers)-maxAnswers):]
-		size := 0
-		for i := len(n.Answers) - 1; i >= 0; i-- {
-			if size += len(n.Answers[i].Body); size > maxStateBytes && i < len(n.Answers)-1 {
-				n.Answers = n.Answers[i+1:]
-				break
-			}
+	return nil
+}
+
+// rememberAnswer keeps an answer and the latest before it, within maxAnswers and maxStateBytes.
+func (a *Actor) rememberAnswer(answer CallAnswer) {
+	a.Answers = append(a.Answers, answer)
+	a.Answers = a.Answers[max(0, len(a.Answers)-maxAnswers):]
+	size := 0
+	for i := len(a.Answers) - 1; i >= 0; i-- {
+		if size += len(a.Answers[i].Body); size > maxStateBytes && i < len(a.Answers)-1 {
+			a.Answers = a.Answers[i+1:]
+			return
 		}
 	}
-	return n, answer, nil
 }
 
 // NextTimer returns the timer that is due first, if one is set.
