Say zone for hall in package site, name its figures, and split it by concern

Hall is Zone, Bring is Transfer, Part is FleetShare, the catalogue's methods are Add, AddCopy, MarkMissing, RemoveCopies, Locate; the constants say what they bound. Catalogue, choice and decision have a file each. Texts for operators and keys of their file keep the word hall.

--- a/internal/locality/placer.go
+++ b/internal/locality/placer.go
@@ -58,11 +58,11 @@
 	for _, c := range s.Classes {
 		p.meanRun = append(p.meanRun, max(1, c.Aim))
 	}
-	p.site.Here, p.site.Period = int(s.Zone), float64(refreshInterval.Milliseconds())
-	p.site.Part = 1 / float64(max(s.Balancers, 1))
-	for i := range p.site.Halls {
+	p.site.Here, p.site.ReportPeriod = int(s.Zone), float64(refreshInterval.Milliseconds())
+	p.site.FleetShare = 1 / float64(max(s.Balancers, 1))
+	for i := range p.site.Zones {
 		if i != p.site.Here {
-			p.site.Halls[i].Far = s.Fees.CrossZone
+			p.site.Zones[i].CrossingPrice = s.Fees.CrossZone
 		}
 	}
 	at := func(name string) int { return slices.Index(names.Zones, name) }
@@ -71,11 +71,11 @@
 		p.site.Links.Rate[at(l.From)][at(l.To)], p.site.Links.Rate[at(l.To)][at(l.From)] = rate, rate
 	}
 	for _, x := range f.Sets {
-		var halls []int
+		var zones []int
 		for _, h := range x.Zones {
-			halls = append(halls, at(h))
+			zones = append(zones, at(h))
 		}
-		p.site.Catalogue.List(site.Name(x.Name), x.Bytes, halls...)
+		p.site.Catalogue.Add(site.Name(x.Name), x.Bytes, zones...)
 	}
 	return p
 }
@@ -103,7 +103,7 @@
 func (p *Placer) refresh(all []node.Machine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ready, out := make([]float64, len(p.site.Halls)), make([]float64, len(p.site.Halls))
+	ready, out := make([]float64, len(p.site.Zones)), make([]float64, len(p.site.Zones))
 	clear(p.executorZone)
 	for _, m := range all {
 		z := slices.Index(p.names.Zones, m.Zone)
@@ -122,9 +122,9 @@
 	}
 	for z := range ready {
 		slots := ready[z] * p.slotsPerExecutor
-		over := max(0, out[z]/p.site.Part-slots)
-		p.site.Halls[z].Cut = ready[z] == 0
-		p.site.Report(z, slots, 1, over/max(slots, 1)*run, p.nowMillis())
+		over := max(0, out[z]/p.site.FleetShare-slots)
+		p.site.Zones[z].Unreachable = ready[z] == 0
+		p.site.UpdateZone(z, slots, 1, over/max(slots, 1)*run, p.nowMillis())
 	}
 }
 
@@ -141,20 +141,20 @@
 	choice, err := p.site.Choose(j, began)
 	if err != nil {
 		p.log.Debug("no hall has a job done in time", "err", err)
-		if choice.Hall < 0 {
+		if choice.Zone < 0 {
 			return nil, err.Error(), nil
 		}
-		return choice.Prices(len(p.site.Halls)), "data: " + choice.Why() + " (late in any hall)", nil
+		return choice.Prices(len(p.site.Zones)), "data: " + choice.Why() + " (late in any hall)", nil
 	}
-	return choice.Prices(len(p.site.Halls)), "data: " + p.describe(choice), func(executor string, served bool) {
+	return choice.Prices(len(p.site.Zones)), "data: " + p.describe(choice), func(executor string, served bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		now := p.nowMillis()
 		z, known := p.executorZone[executor]
-		p.site.Ended(j, choice, served && known && z == choice.Hall, now)
-		if served && known && z != choice.Hall { // the module chose an executor elsewhere: its zone has the data now
+		p.site.Ended(j, choice, served && known && z == choice.Zone, now)
+		if served && known && z != choice.Zone { // the module chose an executor elsewhere: its zone has the data now
 			for _, in := range j.Inputs {
-				p.site.Catalogue.Brought(in.ID, 0, z, now)
+				p.site.Catalogue.AddCopy(in.ID, 0, z, now)
 			}
 		}
 		if i := min(class, len(p.meanRun)-1); served {
@@ -166,11 +166,11 @@
 // describe returns the reason of a choice, with the zone by its name.
 func (p *Placer) describe(c site.Choice) string {
 	t := c.Terms[0]
-	name := fmt.Sprint(t.Hall)
-	if t.Hall < len(p.names.Zones) {
-		name = p.names.Zones[t.Hall]
+	name := fmt.Sprint(t.Zone)
+	if t.Zone < len(p.names.Zones) {
+		name = p.names.Zones[t.Zone]
 	}
-	return fmt.Sprintf("%s: data %.0f ms, wait %.0f ms, run %.0f ms", name, t.Bring, t.Wait, t.Run)
+	return fmt.Sprintf("%s: data %.0f ms, wait %.0f ms, run %.0f ms", name, t.Transfer, t.Wait, t.Run)
 }
 
 // Reserved returns how many choices have not ended.
--- a/internal/site/emulator_test.go
+++ b/internal/site/emulator_test.go
@@ -12,15 +12,15 @@
 
 var emulate = flag.Bool("figures", false, "TestAgainstBaselines says what each policy gave")
 
-// world is halls with slots, links that carry one transfer after the other, and data, on virtual time.
+// world is zones with slots, links that carry one transfer after the other, and data, on virtual time.
 type world struct {
 	rng      *rand.Rand
-	free     [][]float64 // by hall and slot: when it is free
+	free     [][]float64 // by zone and slot: when it is free
 	speed    []float64
-	down     []float64 // until when a hall takes nothing
-	rate     [mostHalls][mostHalls]float64
-	busy     [mostHalls][mostHalls]float64
-	where    map[ID]map[int]float64 // from when on a hall has it
+	down     []float64 // until when a zone takes nothing
+	rate     [maxZones][maxZones]float64
+	busy     [maxZones][maxZones]float64
+	where    map[ID]map[int]float64 // from when on a zone has it
 	size     map[ID]float64
 	moved    float64
 	inFlight doneHeap // jobs that run, by when they are done
@@ -43,20 +43,20 @@
 func (d *doneHeap) Push(x any)        { *d = append(*d, x.(ending)) }
 func (d *doneHeap) Pop() any          { old := *d; x := old[len(old)-1]; *d = old[:len(old)-1]; return x }
 
-// wait is how long a job that comes now waits in a hall in truth.
-func (w *world) wait(hall int, now float64) float64 {
-	return max(0, slices.Min(w.free[hall])-now, w.down[hall]-now)
+// wait is how long a job that comes now waits in a zone in truth.
+func (w *world) wait(zone int, now float64) float64 {
+	return max(0, slices.Min(w.free[zone])-now, w.down[zone]-now)
 }
 
-// bring is how long it takes in truth until a data set is in a hall, and from where it comes.
-func (w *world) bring(id ID, hall int, now float64) (ms float64, from int) {
-	if t, ok := w.where[id][hall]; ok {
+// bring is how long it takes in truth until a data set is in a zone, and from where it comes.
+func (w *world) bring(id ID, zone int, now float64) (ms float64, from int) {
+	if t, ok := w.where[id][zone]; ok {
 		return max(0, t-now), -1
 	}
 	ms, from = math.Inf(1), -1
 	for f, t := range w.where[id] {
-		if r := w.rate[f][hall]; r > 0 {
-			if x := max(now, t, w.busy[f][hall]) + w.size[id]/r - now; x < ms || x == ms && f < from {
+		if r := w.rate[f][zone]; r > 0 {
+			if x := max(now, t, w.busy[f][zone]) + w.size[id]/r - now; x < ms || x == ms && f < from {
 				ms, from = x, f
 			}
 		}
@@ -64,19 +64,19 @@
 	return ms, from
 }
 
-// stage has the inputs of a job brought to a hall.
-func (w *world) stage(e ending, hall int, now float64) {
+// stage has the inputs of a job brought to a zone.
+func (w *world) stage(e ending, zone int, now float64) {
 	ready := now
 	for _, in := range e.j.Inputs {
-		ms, from := w.bring(in.ID, hall, now)
+		ms, from := w.bring(in.ID, zone, now)
 		if from >= 0 {
-			w.busy[from][hall] = now + ms
-			w.where[in.ID][hall] = now + ms
+			w.busy[from][zone] = now + ms
+			w.where[in.ID][zone] = now + ms
 			w.moved += w.size[in.ID]
 		}
 		ready = max(ready, now+ms)
 	}
-	e.c.Hall, e.at, e.began = hall, ready, now
+	e.c.Zone, e.at, e.began = zone, ready, now
 	heap.Push(&w.staged, e)
 }
 
@@ -86,14 +86,14 @@
 		switch {
 		case w.staged.Len() > 0 && w.staged[0].at <= now && (w.inFlight.Len() == 0 || w.staged[0].at <= w.inFlight[0].at):
 			e := heap.Pop(&w.staged).(ending)
-			free := w.free[e.c.Hall]
+			free := w.free[e.c.Zone]
 			slot := 0
 			for i, t := range free {
 				if t < free[slot] {
 					slot = i
 				}
 			}
-			e.at = max(e.at, free[slot], w.down[e.c.Hall]) + e.j.Work/w.speed[e.c.Hall]
+			e.at = max(e.at, free[slot], w.down[e.c.Zone]) + e.j.Work/w.speed[e.c.Zone]
 			free[slot] = e.at
 			heap.Push(&w.inFlight, e)
 		case w.inFlight.Len() > 0 && w.inFlight[0].at <= now:
@@ -106,7 +106,7 @@
 
 type scenario struct {
 	name       string
-	boxes      []int // slots by hall
+	boxes      []int // slots by zone
 	rate       float64
 	load       float64 // of all slots
 	scenes     int
@@ -114,11 +114,11 @@
 	most       float64
 	late       float64 // ms that reports are old
 	jump       float64 // times the usual, in the middle fifth
-	lost       int     // hall lost for the middle fifth, -1 for none
+	lost       int     // zone lost for the middle fifth, -1 for none
 	wrong      float64 // part of the catalogue that is not so
 	hot        bool    // one data set that a third of the jobs want
 	nodes      int
-	both       bool // jobs have inputs in two halls
+	both       bool // jobs have inputs in two zones
 	oneArrival float64
 }
 
@@ -127,14 +127,14 @@
 // emulated runs a scenario under a policy.
 func emulated(sc scenario, policy string, seed uint64) result {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	halls := len(sc.boxes)
-	w := &world{rng: rng, where: map[ID]map[int]float64{}, size: map[ID]float64{}, down: make([]float64, halls)}
+	zones := len(sc.boxes)
+	w := &world{rng: rng, where: map[ID]map[int]float64{}, size: map[ID]float64{}, down: make([]float64, zones)}
 	slots := 0
 	for h, n := range sc.boxes {
 		w.free = append(w.free, make([]float64, n))
 		w.speed = append(w.speed, 0.8+0.4*rng.Float64())
 		slots += n
-		for k := range halls {
+		for k := range zones {
 			if k != h {
 				w.rate[h][k] = sc.rate
 			}
@@ -142,25 +142,25 @@
 	}
 	nodes := make([]*Site, sc.nodes)
 	for i := range nodes {
-		s := New(halls, 1<<16)
-		s.Period, s.Part, s.Here, s.Links.Rate = 1000, 1/float64(sc.nodes), i%halls, w.rate
-		for h := range halls {
+		s := New(zones, 1<<16)
+		s.ReportPeriod, s.FleetShare, s.Here, s.Links.Rate = 1000, 1/float64(sc.nodes), i%zones, w.rate
+		for h := range zones {
 			if h != s.Here {
-				s.Halls[h].Far = 0.03
+				s.Zones[h].CrossingPrice = 0.03
 			}
 		}
 		nodes[i] = s
 	}
 	for i := range sc.scenes {
 		id, size := Name(fmt.Sprint("scene ", i)), sc.least*math.Pow(sc.most/sc.least, rng.Float64())
-		at := rng.IntN(halls)
+		at := rng.IntN(zones)
 		w.size[id], w.where[id] = size, map[int]float64{at: 0}
 		listed := at
 		if rng.Float64() < sc.wrong {
-			listed = (at + 1) % halls
+			listed = (at + 1) % zones
 		}
 		for _, s := range nodes {
-			s.Catalogue.List(id, size, listed)
+			s.Catalogue.Add(id, size, listed)
 		}
 	}
 	var took, worths []float64
@@ -176,15 +176,15 @@
 				continue
 			}
 			for _, in := range e.j.Inputs {
-				s.Catalogue.Brought(in.ID, 0, e.c.Hall, e.at)
+				s.Catalogue.AddCopy(in.ID, 0, e.c.Zone, e.at)
 			}
 		}
 	}
-	perHall := make([]float64, halls)
+	perZone := make([]float64, zones)
 	var swings []float64
 	reportAt, swingAt := 0.0, 0.0
 	type snap struct{ wait, at float64 }
-	history := make([][]snap, halls)
+	history := make([][]snap, zones)
 	for now := 0.0; now < span; {
 		middle := now > span*0.4 && now < span*0.6
 		rate := sc.load * float64(slots) / work
@@ -197,13 +197,13 @@
 			w.down[sc.lost] = span * 0.6
 		}
 		for ; reportAt <= now; reportAt += 1000 {
-			for h := range halls {
+			for h := range zones {
 				history[h] = append(history[h], snap{w.wait(h, reportAt), reportAt})
 				for k := len(history[h]) - 1; k >= 0; k-- {
 					if x := history[h][k]; x.at <= reportAt-sc.late {
 						for _, s := range nodes {
-							s.Report(h, float64(sc.boxes[h]), w.speed[h], x.wait, x.at)
-							s.Halls[h].Cut = w.down[h] > reportAt && reportAt-sc.late > span*0.4
+							s.UpdateZone(h, float64(sc.boxes[h]), w.speed[h], x.wait, x.at)
+							s.Zones[h].Unreachable = w.down[h] > reportAt && reportAt-sc.late > span*0.4
 						}
 						break
 					}
@@ -211,10 +211,10 @@
 			}
 		}
 		if now-swingAt > 1000 {
-			if total := sum(perHall); total > 0 {
-				swings = append(swings, perHall[0]/total)
+			if total := sum(perZone); total > 0 {
+				swings = append(swings, perZone[0]/total)
 			}
-			clear(perHall)
+			clear(perZone)
 			swingAt = now
 		}
 		j := Job{Work: work * math.Exp(rng.NormFloat64()*0.5-0.125), Slots: 1, Aim: 10e3, Left: 0, Pinned: -1}
@@ -233,20 +233,20 @@
 			node = 0
 		}
 		s := nodes[node]
-		c, hall := Choice{Hall: -1}, -1
+		c, zone := Choice{Zone: -1}, -1
 		least := func(cost func(h int) float64) int {
 			best, at := math.Inf(1), 0
-			for h := range halls {
-				if x := cost(h); x < best && !s.Halls[h].Cut {
+			for h := range zones {
+				if x := cost(h); x < best && !s.Zones[h].Unreachable {
 					best, at = x, h
 				}
 			}
 			return at
 		}
-		believedIn := func(h int) float64 { // how much of the inputs a hall is believed to lack
+		believedIn := func(h int) float64 { // how much of the inputs a zone is believed to lack
 			lacks := 0.0
 			for _, in := range j.Inputs {
-				if size, at := s.Catalogue.At(in.ID, now); at&(1<<h) == 0 {
+				if size, at := s.Catalogue.Locate(in.ID, now); at&(1<<h) == 0 {
 					lacks += size
 				}
 			}
@@ -255,27 +255,27 @@
 		switch policy {
 		case "ours":
 			c, _ = s.Choose(j, now)
-			hall = c.Hall
+			zone = c.Zone
 		case "where the data are":
-			hall = least(believedIn)
+			zone = least(believedIn)
 		case "shortest wait", "today's":
-			hall = least(func(h int) float64 {
-				x := s.Halls[h].Wait / 1000
+			zone = least(func(h int) float64 {
+				x := s.Zones[h].Wait / 1000
 				if policy == "today's" && h != s.Here {
 					x += 0.03 // the price of crossing, and nobody's data
 				}
 				return x + rng.Float64()*1e-3
 			})
 		case "better of two":
-			a, b := rng.IntN(halls), rng.IntN(halls)
-			hall = least(func(h int) float64 {
+			a, b := rng.IntN(zones), rng.IntN(zones)
+			zone = least(func(h int) float64 {
 				if h != a && h != b {
 					return math.Inf(1)
 				}
-				return s.Halls[h].Wait + believedIn(h)/sc.rate
+				return s.Zones[h].Wait + believedIn(h)/sc.rate
 			})
 		case "sees all":
-			hall = least(func(h int) float64 {
+			zone = least(func(h int) float64 {
 				ready := 0.0
 				for _, in := range j.Inputs {
 					ms, _ := w.bring(in.ID, h, now)
@@ -284,18 +284,18 @@
 				return max(ready, w.wait(h, now)) + j.Work/w.speed[h]
 			})
 		}
-		if hall < 0 {
-			hall = 0
+		if zone < 0 {
+			zone = 0
 		}
 		for _, in := range j.Inputs { // what the catalogue had wrong is found out there
-			if _, at := s.Catalogue.At(in.ID, now); at&(1<<hall) != 0 {
-				if _, ok := w.where[in.ID][hall]; !ok {
-					s.Catalogue.NotThere(in.ID, hall, now)
+			if _, at := s.Catalogue.Locate(in.ID, now); at&(1<<zone) != 0 {
+				if _, ok := w.where[in.ID][zone]; !ok {
+					s.Catalogue.MarkMissing(in.ID, zone, now)
 				}
 			}
 		}
-		perHall[hall]++
-		w.stage(ending{node: node, j: j, c: c}, hall, now)
+		perZone[zone]++
+		w.stage(ending{node: node, j: j, c: c}, zone, now)
 	}
 	w.upTo(math.Inf(1))
 	slices.Sort(took)
@@ -352,7 +352,7 @@
 				t.Errorf("%s: %.0f ms in the mean, %s %.0f", sc.name, ours.mean, b, x.mean)
 			}
 		}
-		// The uneven halls are the one in which what others have on its way, and is not told before it is there, costs most.
+		// The uneven zones are the one in which what others have on its way, and is not told before it is there, costs most.
 		if most := map[bool]float64{true: 1.6, false: 1.15}[sc.most > 10e9]; ours.mean > most*all.mean {
 			t.Errorf("%s: %.0f ms in the mean, one that sees all %.0f", sc.name, ours.mean, all.mean)
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -1,185 +1,73 @@
-// Package site decides in which hall a job that names its inputs is best run: the time to bring there what is missing against
-// the wait for room, the run itself by the hall's machines, and the price of crossing. It does no I/O, reads no clock and starts
-// no goroutine; the executor is still chosen by the decision module, for which a hall's cost is a price for each zone.
+// Package site decides in which zone a job with input data sets is best run: the time to transfer what is missing against the wait for
+// free slots, the run time on the zone's machines, and the price of crossing zones. It does no I/O, reads no clock and starts no
+// goroutine. The executor is still chosen by the decision module, which takes a price for each zone.
 //
 // # What it goes by
 //
-// A catalogue of which data stand where, links with what is on its way over them, waits by hall as they were last reported, and
-// this node's own choices that no report shows yet. Many nodes see one report of one empty hall at one moment: each takes it
-// that all of them do what it does itself, by its part of the fleet's jobs, so that the hall fills in its books before the
-// next report comes. No node asks another; a stale report, a cut hall or a wrong entry costs time and never a rule.
+// A catalogue of which zones have which data, links with the transfers in progress, the wait in each zone as last reported, and this
+// node's own choices that no report shows yet. Many nodes see the same report of the same empty zone at the same moment: each assumes
+// that all others decide as it does, in proportion to its share of the fleet's jobs, so that the zone fills up in its accounts before
+// the next report comes. Nodes do not ask one another; a stale report, an unreachable zone or a wrong entry costs time and breaks no
+// rule.
+//
+// Texts for operators call a zone a hall, as the operators' file does.
 package site
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
-	"gatetack/internal/fault"
 )
 
 // Figures of what is kept and believed.
 const (
-	mostHalls  = 16
-	keepFor    = 3600e3 // ms that a copy which a job brought is believed in, unless it is used again
-	fadeOver   = 3      // report periods over which an old wait is drawn to the fleet's mean
-	priceSpan  = 1.0    // of the loss when all the time that the aim leaves is used up: prices are on the module's scale
-	wrongFor   = 60e3   // ms that a hall is not believed to have what was not there
-	moveCost   = 0.5    // of the time that a transfer takes a link, which others then wait for
-	leastShare = 0.05   // of a link, that a transfer is taken to get at least
+	maxZones         = 16
+	copyLifetime     = 3600e3 // ms that a copy which a job made is trusted, unless it is used again
+	waitDecayPeriods = 3      // report periods over which an old wait decays to the fleet's mean
+	priceAtAim       = 1.0    // the price when all the time that the aim leaves is used up, on the module's scale
+	missingLifetime  = 60e3   // ms that a zone is taken not to have what was missing there
+	transferCost     = 0.5    // for each ms that a transfer occupies a link, for which others wait
+	minLinkShare     = 0.05   // of a link that a transfer is assumed to get at least
 )
 
-// ID names data in the catalogue.
-type ID uint64
-
-// Name gives a data set's.
-func Name(text string) ID { return ID(xxhash.Sum64String(text)) }
-
-// entry is what is kept of a data set: 24 bytes, beside its key and the map's own.
-type entry struct {
-	size   float32 // bytes
-	halls  uint16  // that have it for good, by the operators' word
-	copies uint16  // that have a copy which a job brought
-	wrong  uint16  // that were found not to have it
-	used   float64 // ms: when a copy was last used or found wrong
-}
-
-// Catalogue says which data stand where. It holds a bounded number: the copies used longest ago go first, then what else was;
-// what an operator listed stays.
-type Catalogue struct {
-	most int
-	all  map[ID]entry
-}
-
-// NewCatalogue makes one for so many data sets.
-func NewCatalogue(most int) *Catalogue { return &Catalogue{most: most, all: map[ID]entry{}} }
-
-// Len is how many are known.
-func (c *Catalogue) Len() int { return len(c.all) }
-
-// List takes in an operator's word: a data set of so many bytes stands in these halls for good. It reports whether there was room.
-func (c *Catalogue) List(id ID, size float64, halls ...int) bool {
-	e, ok := c.all[id]
-	if !ok && len(c.all) >= c.most && !c.evict() {
-		return false
-	}
-	e.size, e.halls = float32(size), 0
-	for _, h := range halls {
-		e.halls |= 1 << h
-	}
-	e.wrong = 0
-	c.all[id] = e
-	return true
-}
-
-// evict makes room for one: of some that are looked at, the copies used longest ago.
-func (c *Catalogue) evict() bool {
-	var oldest ID
-	at, looked, found := math.Inf(1), 0, false
-	for id, e := range c.all {
-		if e.halls == 0 && e.used < at {
-			oldest, at, found = id, e.used, true
-		}
-		if looked++; looked >= 64 && found {
-			break
-		}
-	}
-	delete(c.all, oldest)
-	return found
-}
-
-// Brought takes in that a job that needed a data set ended in a hall: it has it now.
-func (c *Catalogue) Brought(id ID, size float64, hall int, now float64) {
-	e, ok := c.all[id]
-	if !ok && len(c.all) >= c.most && !c.evict() {
-		return
-	}
-	if size > 0 {
-		e.size = float32(size)
-	}
-	e.copies |= 1 << hall
-	e.wrong &^= 1 << hall
-	e.used = now
-	c.all[id] = e
-}
-
-// NotThere takes in that a hall does not have what it was believed to.
-func (c *Catalogue) NotThere(id ID, hall int, now float64) {
-	if e, ok := c.all[id]; ok {
-		e.copies &^= 1 << hall
-		e.wrong |= 1 << hall
-		e.used = now
-		c.all[id] = e
-	}
-}
-
-// LostDisks takes in that a hall lost all copies that jobs brought there.
-func (c *Catalogue) LostDisks(hall int) {
-	for id, e := range c.all {
-		if e.copies&(1<<hall) != 0 {
-			e.copies &^= 1 << hall
-			c.all[id] = e
-		}
-	}
-}
-
-// At gives a data set's size and the halls that are believed to have it now, as bits; not known is nowhere.
-func (c *Catalogue) At(id ID, now float64) (size float64, halls uint16) {
-	e, ok := c.all[id]
-	if !ok {
-		return 0, 0
-	}
-	halls = e.halls
-	if now-e.used <= keepFor {
-		halls |= e.copies
-	}
-	if now-e.used <= wrongFor {
-		halls &^= e.wrong
-	}
-	return float64(e.size), halls
-}
-
-// Hall is what is known of one.
-type Hall struct {
-	Slots   float64 // of executors that take work
-	Speed   float64 // of its machines, 1 for the standard
-	Wait    float64 // ms until a job that comes now begins, as reported
-	At      float64 // when, in ms
-	Cut     bool    // nothing reaches it, or it drains: no job goes there, and nothing comes from it
-	Far     float64 // price of crossing to it from here, on the module's scale
-	unseen  float64 // work in ms that this node chose it for since the report, by all nodes' reckoning
-	unseenN int
+// Zone is the known state of a zone.
+type Zone struct {
+	Slots         float64 // of executors that take work
+	Speed         float64 // of its machines, 1 for the standard
+	Wait          float64 // ms until a job that comes now begins, as reported
+	At            float64 // of the report, in ms
+	Unreachable   bool    // no link reaches it, or it drains: it takes no job, and no data come from it
+	CrossingPrice float64 // from this node's zone, on the module's scale
+	reservedWork  float64 // work in ms chosen since the report, extrapolated to all nodes
+	reservedJobs  int
 }
 
-// Links are between halls.
+// Links are the links between zones.
 type Links struct {
-	Rate [mostHalls][mostHalls]float64 // bytes a ms, zero for none
-	busy [mostHalls][mostHalls]float64 // until when what is on its way takes all of it
+	Rate [maxZones][maxZones]float64 // bytes a ms, zero for none
+	busy [maxZones][maxZones]float64 // until when transfers in progress occupy it
 }
 
-// coming is a data set on its way to a hall.
-type coming struct {
+// transfer is a data set on its way to a zone.
+type transfer struct {
 	id   ID
-	hall int
+	zone int
 }
 
 // Site decides for one node.
 type Site struct {
-	Catalogue *Catalogue
-	Halls     []Hall
-	Links     Links
-	Period    float64 // ms between reports
-	Part      float64 // of the fleet's jobs that come this way
-	Here      int     // the hall this node is in
-	arrives   map[coming]float64
+	Catalogue    *Catalogue
+	Zones        []Zone
+	Links        Links
+	ReportPeriod float64 // ms between reports
+	FleetShare   float64 // of the fleet's jobs that this node gets
+	Here         int     // this node's zone
+	arrivals     map[transfer]float64
 }
 
-// New makes one.
-func New(halls, most int) *Site {
-	return &Site{Catalogue: NewCatalogue(most), Halls: make([]Hall, halls), Period: 1000, Part: 1, arrives: map[coming]float64{}}
+// New returns a Site of some zones, with a catalogue of at most so many data sets.
+func New(zones, most int) *Site {
+	return &Site{Catalogue: NewCatalogue(most), Zones: make([]Zone, zones), ReportPeriod: 1000, FleetShare: 1, arrivals: map[transfer]float64{}}
 }
 
 // Input is a data set that a job needs.
@@ -188,87 +76,36 @@
 	Size float64 // bytes, if the job says; else the catalogue's
 }
 
-// Job is one that is to be placed.
+// Job is a job to be placed.
 type Job struct {
 	Inputs []Input
 	Work   float64 // ms on a standard machine
 	Slots  float64
 	Aim    float64 // ms from now until which it has its full worth
 	Left   float64 // until its deadline
-	Pinned int     // hall that it may only go to, -1 for any: what may have run is never sent on for a better hall
-}
-
-// Term is what a hall would cost a job.
-type Term struct {
-	Hall                   int
-	Bring, Wait, Run, Done float64 // ms
-	Bytes                  float64 // to be moved there
-	Price                  float64 // on the module's scale
-	Ok                     bool    // it can end there before its deadline
-	moves                  float64 // ms that links are taken for it
-}
-
-func (t Term) String() string {
-	return fmt.Sprintf("hall %d: data %.0f ms, wait %.0f ms, run %.0f ms", t.Hall, t.Bring, t.Wait, t.Run)
-}
-
-// Choice is what was decided.
-type Choice struct {
-	Hall  int
-	Terms []Term  // of all halls, the best first
-	Until float64 // ms, by the node's clock, until which it stands
-	Work  float64 // reserved
-}
-
-// Why says in one line what decided.
-func (c Choice) Why() string {
-	if len(c.Terms) == 0 {
-		return "no hall takes work"
-	}
-	text := c.Terms[0].String()
-	if len(c.Terms) > 1 {
-		text += "; next " + c.Terms[1].String()
-	}
-	return text
-}
-
-// NoHallError says that no hall can run a job in time.
-type NoHallError struct{ Best Term }
-
-func (e *NoHallError) Error() string {
-	return fmt.Sprintf("site: no hall has the job done before its deadline; the best is %v", e.Best)
-}
-
-// Code is its kind.
-func (*NoHallError) Code() string { return "site.no_hall" }
-
-// Do is what can be done.
-func (*NoHallError) Do() string {
-	return "submit it with a later deadline, or copy its inputs to a hall with room first"
+	Pinned int     // the only zone it may go to, -1 for any: a job that may have run is never sent to a better zone
 }
 
-var _ = fault.Kind(&NoHallError{})
-
-// Report takes in a hall's wait as of a time. What was chosen before it shows in it.
-func (s *Site) Report(hall int, slots, speed, wait, at float64) {
-	h := &s.Halls[hall]
+// UpdateZone takes in the report of a zone's wait as of a time. Choices made before that time are part of it.
+func (s *Site) UpdateZone(zone int, slots, speed, wait, at float64) {
+	h := &s.Zones[zone]
 	if at < h.At {
 		return
 	}
-	// What was chosen while the report was on its way is not in it: of what is reserved the part since its time stays.
+	// Choices made while the report was on its way are not part of it: of the reserved work the part since its time stays.
 	keep := 0.0
-	if at > h.At && s.Period > 0 {
-		keep = math.Exp(-(at - h.At) / s.Period)
+	if at > h.At && s.ReportPeriod > 0 {
+		keep = math.Exp(-(at - h.At) / s.ReportPeriod)
 	}
-	h.unseen *= keep
+	h.reservedWork *= keep
 	h.Slots, h.Speed, h.Wait, h.At = slots, speed, wait, at
 }
 
-// meanWait is the fleet's, of the halls that take work.
+// meanWait returns the mean wait of the zones that take work.
 func (s *Site) meanWait() float64 {
 	mean, n := 0.0, 0.0
-	for i := range s.Halls {
-		if x := &s.Halls[i]; !x.Cut && x.Slots > 0 {
+	for i := range s.Zones {
+		if x := &s.Zones[i]; !x.Unreachable && x.Slots > 0 {
 			mean += x.Wait
 			n++
 		}
@@ -276,62 +113,62 @@
 	return mean / max(n, 1)
 }
 
-// wait is how long a job waits for room in a hall by now.
-func (s *Site) wait(h *Hall, mean, now float64) float64 {
+// wait returns how long a job waits for a free slot in a zone.
+func (s *Site) wait(h *Zone, mean, now float64) float64 {
 	age := max(0, now-h.At)
-	fade := math.Exp(-age / (fadeOver * max(s.Period, 1)))
-	told := max(0, h.Wait-age*fade*0.5) // what waited then is being worked off
-	ahead := h.unseen / max(h.Slots*h.Speed, 1e-3)
+	fade := math.Exp(-age / (waitDecayPeriods * max(s.ReportPeriod, 1)))
+	told := max(0, h.Wait-age*fade*0.5) // the backlog of then is being worked off
+	ahead := h.reservedWork / max(h.Slots*h.Speed, 1e-3)
 	return told*fade + mean*(1-fade) + ahead
 }
 
-// lacks is what a hall does not have of an input: its size and the halls that have it. Nothing is lacking of what is there; of what
-// is on its way arrives says how much later it will be.
-func (s *Site) lacks(in Input, hall int, now float64) (size float64, at uint16, arrives float64, lacks bool) {
-	size, at = s.Catalogue.At(in.ID, now)
+// missing returns an input's size and the zones that have it, and whether a zone lacks it. If it is on its way there, it is not missing,
+// and arrives says in how many ms it will be there.
+func (s *Site) missing(in Input, zone int, now float64) (size float64, at uint16, arrives float64, lacks bool) {
+	size, at = s.Catalogue.Locate(in.ID, now)
 	if in.Size > 0 {
 		size = in.Size
 	}
-	if at&(1<<hall) != 0 {
+	if at&(1<<zone) != 0 {
 		return size, at, 0, false
 	}
-	if t, ok := s.arrives[coming{in.ID, hall}]; ok && t > now {
+	if t, ok := s.arrivals[transfer{in.ID, zone}]; ok && t > now {
 		return size, at, t - now, false
 	}
 	return size, at, 0, true
 }
 
-// source is the hall from which data are brought soonest, and how much later they are there; -1 where none is known to have them.
-// Load is what the same job brings over the links from each hall besides.
-func (s *Site) source(size float64, at uint16, hall int, load *[mostHalls]float64, now float64) (ms float64, from int) {
+// source returns the zone from which data arrive soonest and how long that takes; -1 if none is known to have them. Load is what the
+// same job transfers over the links from each zone besides.
+func (s *Site) source(size float64, at uint16, zone int, load *[maxZones]float64, now float64) (ms float64, from int) {
 	ms, from = math.Inf(1), -1
-	for f := range s.Halls {
-		rate := s.Links.Rate[f][hall]
-		if at&(1<<f) == 0 || rate <= 0 || s.Halls[f].Cut {
+	for f := range s.Zones {
+		rate := s.Links.Rate[f][zone]
+		if at&(1<<f) == 0 || rate <= 0 || s.Zones[f].Unreachable {
 			continue
 		}
-		if t := max(0, s.Links.busy[f][hall]-now) + load[f] + size/rate; t < ms {
+		if t := max(0, s.Links.busy[f][zone]-now) + load[f] + size/rate; t < ms {
 			ms, from = t, f
 		}
 	}
 	return ms, from
 }
 
-// bring is how long it takes until all inputs are in a hall, and what has to be moved.
-func (s *Site) bring(j *Job, hall int, now float64) (ms, bytes, moves float64) {
-	var load [mostHalls]float64
+// transferTime returns how long it takes until all inputs are in a zone, and what has to be transferred.
+func (s *Site) transferTime(j *Job, zone int, now float64) (ms, bytes, moves float64) {
+	var load [maxZones]float64
 	for _, in := range j.Inputs {
-		size, at, arrives, lacks := s.lacks(in, hall, now)
+		size, at, arrives, lacks := s.missing(in, zone, now)
 		if !lacks {
 			ms = max(ms, arrives)
 			continue
 		}
-		best, from := s.source(size, at, hall, &load, now)
-		if from < 0 { // nobody has it, as far as is known: it is brought from wherever it was made, at the worst link's rate
-			best = size / max(s.slowest(hall), 1e-9)
+		best, from := s.source(size, at, zone, &load, now)
+		if from < 0 { // no zone is known to have it: it comes from wherever it was made, at the rate of the worst link
+			best = size / max(s.slowest(zone), 1e-9)
 		} else {
-			load[from] += size / s.Links.Rate[from][hall]
-			moves += size / s.Links.Rate[from][hall]
+			load[from] += size / s.Links.Rate[from][zone]
+			moves += size / s.Links.Rate[from][zone]
 		}
 		ms = max(ms, best)
 		bytes += size
@@ -339,127 +176,112 @@
 	return ms, bytes, moves
 }
 
-func (s *Site) slowest(hall int) float64 {
+// slowest returns the rate of the slowest link to a zone, as a single transfer gets it.
+func (s *Site) slowest(zone int) float64 {
 	rate := math.Inf(1)
-	for f := range s.Halls {
-		if r := s.Links.Rate[f][hall]; r > 0 {
+	for f := range s.Zones {
+		if r := s.Links.Rate[f][zone]; r > 0 {
 			rate = min(rate, r)
 		}
 	}
 	if math.IsInf(rate, 1) {
 		return 0
 	}
-	return rate * leastShare * 4
+	return rate * minLinkShare * 4
 }
 
-// terms are all halls' for a job.
-func (s *Site) terms(j *Job, now float64) []Term {
-	out, mean := make([]Term, 0, len(s.Halls)), s.meanWait()
-	for i := range s.Halls {
-		h := &s.Halls[i]
-		if h.Cut || h.Slots < max(j.Slots, 1) || j.Pinned >= 0 && j.Pinned != i {
+// rank returns the terms of all zones for a job, the best first.
+func (s *Site) rank(j *Job, now float64) []Term {
+	out, mean := make([]Term, 0, len(s.Zones)), s.meanWait()
+	for i := range s.Zones {
+		h := &s.Zones[i]
+		if h.Unreachable || h.Slots < max(j.Slots, 1) || j.Pinned >= 0 && j.Pinned != i {
 			continue
 		}
-		t := Term{Hall: i, Wait: s.wait(h, mean, now), Run: j.Work / max(h.Speed, 1e-3)}
-		t.Bring, t.Bytes, t.moves = s.bring(j, i, now)
-		t.Done = max(t.Bring, t.Wait) + t.Run // data come while it waits for room
-		t.Ok = j.Left <= 0 || t.Done <= j.Left
+		t := Term{Zone: i, Wait: s.wait(h, mean, now), Run: j.Work / max(h.Speed, 1e-3)}
+		t.Transfer, t.Bytes, t.moves = s.transferTime(j, i, now)
+		t.Done = max(t.Transfer, t.Wait) + t.Run // data come while it waits for room
+		t.Feasible = j.Left <= 0 || t.Done <= j.Left
 		slack := max(j.Aim-j.Work, 100)
-		t.Price = priceSpan*(t.Done-j.Work+moveCost*t.moves)/slack + h.Far
+		t.Price = priceAtAim*(t.Done-j.Work+transferCost*t.moves)/slack + h.CrossingPrice
 		out = append(out, t)
 	}
 	slices.SortStableFunc(out, func(a, b Term) int {
-		if a.Ok != b.Ok {
-			if a.Ok {
+		if a.Feasible != b.Feasible {
+			if a.Feasible {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Hall, b.Hall))
+		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Zone, b.Zone))
 	})
 	return out
 }
 
-// Choose says where a job is best run, and reserves it. A job that no hall has done in time is an error, with the best there is.
+// Choose decides in which zone a job runs, and reserves the work there. If no zone has it done in time the error is a *NoZoneError with
+// the best there is.
 func (s *Site) Choose(j Job, now float64) (Choice, error) {
-	terms := s.terms(&j, now)
+	terms := s.rank(&j, now)
 	if len(terms) == 0 {
-		return Choice{Hall: -1}, &NoHallError{Term{Hall: -1, Done: math.Inf(1)}}
+		return Choice{Zone: -1}, &NoZoneError{Term{Zone: -1, Done: math.Inf(1)}}
 	}
-	c := Choice{Hall: terms[0].Hall, Terms: terms, Until: now + s.Period, Work: j.Work * max(j.Slots, 1)}
-	if !terms[0].Ok {
-		return c, &NoHallError{terms[0]}
+	c := Choice{Zone: terms[0].Zone, Terms: terms, Until: now + s.ReportPeriod, Work: j.Work * max(j.Slots, 1)}
+	if !terms[0].Feasible {
+		return c, &NoZoneError{terms[0]}
 	}
 	s.reserve(&j, c, now)
 	return c, nil
 }
 
-// reserve books a choice: this node's part of what all nodes choose alike, and what is on its way for it.
+// reserve accounts for a choice: this node's share of what all nodes choose alike, and the transfers for it.
 func (s *Site) reserve(j *Job, c Choice, now float64) {
-	h := &s.Halls[c.Hall]
-	h.unseen += c.Work / max(s.Part, 0.01)
-	h.unseenN++
-	var alone [mostHalls]float64
+	h := &s.Zones[c.Zone]
+	h.reservedWork += c.Work / max(s.FleetShare, 0.01)
+	h.reservedJobs++
+	var alone [maxZones]float64
 	for _, in := range j.Inputs {
-		size, at, _, lacks := s.lacks(in, c.Hall, now)
+		size, at, _, lacks := s.missing(in, c.Zone, now)
 		if !lacks {
 			continue
 		}
-		if ms, from := s.source(size, at, c.Hall, &alone, now); from >= 0 {
-			// The others send over it as this one does.
-			s.Links.busy[from][c.Hall] = max(now, s.Links.busy[from][c.Hall]) + size/s.Links.Rate[from][c.Hall]/max(s.Part, 0.01)
-			s.arrives[coming{in.ID, c.Hall}] = now + ms
+		if ms, from := s.source(size, at, c.Zone, &alone, now); from >= 0 {
+			// The other nodes use the link as this one does.
+			s.Links.busy[from][c.Zone] = max(now, s.Links.busy[from][c.Zone]) + size/s.Links.Rate[from][c.Zone]/max(s.FleetShare, 0.01)
+			s.arrivals[transfer{in.ID, c.Zone}] = now + ms
 		}
 	}
-	if len(s.arrives) > 4096 {
-		for k, t := range s.arrives {
+	if len(s.arrivals) > 4096 {
+		for k, t := range s.arrivals {
 			if t <= now {
-				delete(s.arrives, k)
+				delete(s.arrivals, k)
 			}
 		}
 	}
 }
 
-// Ended returns a choice, in whatever way its job ended; there says whether it ran where it was to, with its inputs there.
+// Ended releases a choice, however its job ended; there says whether it ran in the chosen zone, with its inputs there.
 func (s *Site) Ended(j Job, c Choice, there bool, now float64) {
-	if c.Hall < 0 {
+	if c.Zone < 0 {
 		return
 	}
-	h := &s.Halls[c.Hall]
-	h.unseenN = max(0, h.unseenN-1)
-	if h.unseenN == 0 {
-		h.unseen = 0
+	h := &s.Zones[c.Zone]
+	h.reservedJobs = max(0, h.reservedJobs-1)
+	if h.reservedJobs == 0 {
+		h.reservedWork = 0
 	}
 	for _, in := range j.Inputs {
-		delete(s.arrives, coming{in.ID, c.Hall})
+		delete(s.arrivals, transfer{in.ID, c.Zone})
 		if there {
-			size, _ := s.Catalogue.At(in.ID, now)
-			s.Catalogue.Brought(in.ID, max(size, in.Size), c.Hall, now)
+			size, _ := s.Catalogue.Locate(in.ID, now)
+			s.Catalogue.AddCopy(in.ID, max(size, in.Size), c.Zone, now)
 		}
 	}
 }
 
-// Reserved is how many choices have not been returned.
+// Reserved returns the number of choices that have not ended.
 func (s *Site) Reserved() (n int) {
-	for i := range s.Halls {
-		n += s.Halls[i].unseenN
+	for i := range s.Zones {
+		n += s.Zones[i].reservedJobs
 	}
 	return n
 }
-
-// Prices are a choice's for the decision module: one for each hall, on the scale of its price for crossing. A hall that takes no
-// work has the worst.
-func (c Choice) Prices(halls int) []float64 {
-	out := make([]float64, halls)
-	worst := 0.0
-	for _, t := range c.Terms {
-		worst = max(worst, t.Price)
-	}
-	for i := range out {
-		out[i] = worst + 1
-	}
-	for _, t := range c.Terms {
-		out[t.Hall] = t.Price - c.Terms[0].Price
-	}
-	return out
-}
