End no second attempt by a repeated 'returned', and call off a job whose 202 crossed its cancel

Cause: callbacks name a request and not an attempt. An executor that drained handed a request back, was ready again and was sent it again; its first call repeated, since the answer to that was lost, ended the second attempt as never run while it ran: a single-shot request could run twice. And an attempt that was given up had its connection closed over a 202 that was on this machine already; the executor kept the job, and nothing told it.

Change: a second word of one executor that it handed a request back ends nothing (internal/executor/returns.go). Giving up aborts what is under way on the connection and leaves it open for a last look at what has come; a 202 there, or one that is noted later, makes a DELETE, once (giveup.go). A test for the time told to executors.

--- a/internal/executor/callback.go
+++ b/internal/executor/callback.go
@@ -85,7 +85,9 @@
 	case "failed":
 		c.end(t, brain.Errored, report, nil)
 	case "returned":
-		c.end(t, brain.Full, report, nil)
+		if c.handedBack(t) {
+			c.end(t, brain.Full, report, nil)
+		}
 	case "lost":
 		c.end(t, brain.Reset, report, nil)
 	default:
--- /dev/null
+++ b/internal/executor/crossing_test.go
@@ -0,0 +1,208 @@
+package executor
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/gate"
+	"gatetack/internal/node"
+	"gatetack/internal/sock"
+	"gatetack/internal/standin"
+)
+
+// pausing is a sink that stands still while it is told that a sign of an attempt is owed: whoever reads the answer stands with it.
+type pausing struct {
+	*sink
+	told, on chan bool
+}
+
+func (p *pausing) Result(r node.Result) {
+	if r.Topic == brain.NoteLate && r.Outcome == 0 {
+		p.told <- true
+		<-p.on
+	}
+	p.sink.Result(r)
+}
+
+// executorThatTakesLate reads a request, takes it once it is told to, and hands on whatever request comes next on any connection.
+func executorThatTakesLate(t *testing.T, c *Client, accept <-chan bool) (taken <-chan bool, next <-chan string) {
+	t.Helper()
+	told, came := make(chan bool, 1), make(chan string, 4)
+	box(t, c, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		_, _ = request(r)
+		<-accept
+		_, _ = io.WriteString(conn, accepted)
+		standin.Until(t, "the other side has the 202", func() bool { return sock.Queued(conn) == 0 })
+		told <- true
+		_, _ = r.ReadByte() // until it is closed
+	}, func(conn net.Conn) {
+		text, _ := request(bufio.NewReader(conn))
+		came <- text
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	return told, came
+}
+
+// A 202 that crosses the giving up of its attempt: the executor has the job, and a close of the connection is no sign to it any
+// more. It is told by DELETE. The 202 is on this machine, unread, in the moment of the giving up.
+func TestCancelCrossesA202(t *testing.T) {
+	c, s := setup(t, hasty())
+	sink := &pausing{s, make(chan bool), make(chan bool)}
+	c.sink = sink
+	accept := make(chan bool)
+	taken, next := executorThatTakesLate(t, c, accept)
+	c.Send(attempt(1))
+	<-sink.told // nothing is read from here on
+	accept <- true
+	<-taken
+	c.GiveUp(1)
+	sink.on <- true
+	expectDelete(t, next)
+	if got := s.outcomes(1); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+}
+
+// The same where the 202 has been read and is noted only after the giving up; noted once more, it makes no second DELETE.
+func TestCancelCrossesTheNoteOfA202(t *testing.T) {
+	c, _ := setup(t, standin.Lim)
+	asked := make(chan bool, 1)
+	next := make(chan string, 4)
+	box(t, c, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		_, _ = request(r)
+		asked <- true
+		_, _ = r.ReadByte()
+	}, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for {
+			text, err := request(r)
+			if err != nil {
+				return
+			}
+			next <- text
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	c.Send(attempt(1))
+	<-asked
+	c.mu.Lock()
+	given := c.live[1]
+	c.mu.Unlock()
+	c.GiveUp(1)
+	c.take(given)
+	c.take(given)
+	expectDelete(t, next)
+	standin.Until(t, "all is told", func() bool { return len(c.slots) == 0 })
+	if len(next) != 0 {
+		t.Errorf("%d further calls", len(next))
+	}
+}
+
+func expectDelete(t *testing.T, next <-chan string) {
+	t.Helper()
+	select {
+	case text := <-next:
+		if !strings.HasPrefix(text, "DELETE /jobs/00000000000000aa HTTP/1.1\r\n") {
+			t.Errorf("%q", text)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the executor is not told that the job was given up")
+	}
+}
+
+// An executor handed a request back, was sent it again, and says once more that it handed it back, since the answer to its first
+// call was lost: the second attempt goes on, to its result. Another executor's word is its own.
+func TestRepeatedReturnEndsNothing(t *testing.T) {
+	c, s := setup(t, standin.Lim)
+	box(t, c, says(accepted))
+	word := func(from, rest string) {
+		t.Helper()
+		if err := c.Callback([]byte(`{"id":"00000000000000aa","from":"` + from + `",` + rest + `}`)); err != nil {
+			t.Error(err)
+		}
+	}
+	send := func(a node.Attempt) {
+		t.Helper()
+		c.Send(a)
+		standin.Until(t, "its last byte is out", func() bool {
+			c.mu.Lock()
+			x := c.live[a.ID]
+			c.mu.Unlock()
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return x.taken
+		})
+	}
+	const returned = `"state":"returned"`
+	send(attempt(1))
+	word("s-7", returned)
+	if got := s.outcomes(1); len(got) != 1 || got[0] != brain.Full {
+		t.Fatalf("handed back: %v", got)
+	}
+	send(attempt(2))
+	word("s-7", returned)
+	word("s-7", returned)
+	if got := s.outcomes(2); len(got) != 0 {
+		t.Fatalf("the second attempt ended with %v by a word on the first", got)
+	}
+	c.Told(8, node.Entry{Name: "s-8", Address: c.address(7), Status: "ready"}, time.Now())
+	third := attempt(3)
+	third.Worker = 8
+	send(third)
+	word("s-8", returned)
+	if got := s.outcomes(3); len(got) != 1 || got[0] != brain.Full {
+		t.Errorf("another executor hands it back: %v", got)
+	}
+	word("s-7", `"state":"done","result":"tile"`)
+	if got := s.outcomes(2); len(got) != 1 || got[0] != brain.Served {
+		t.Errorf("the second attempt: %v", got)
+	}
+}
+
+// What is kept of requests that were handed back is let go of once no attempt of theirs can be out.
+func TestReturnsAreForgotten(t *testing.T) {
+	r, now := returns{}, time.Now()
+	for i := range 100 {
+		if key := (liveKey{fmt.Sprint(i), "s-7"}); !r.first(key, now, now.Add(time.Second)) || r.first(key, now, now.Add(time.Second)) {
+			t.Fatal(i)
+		}
+	}
+	if r.first(liveKey{"next", "s-7"}, now.Add(time.Second), now.Add(2*time.Second)); len(r) != 1 {
+		t.Errorf("%d are kept", len(r))
+	}
+}
+
+// An attempt tells its executor no more time than is left when its bytes are made, however long it waited before: here in the
+// look before its first byte.
+func TestToldTimeIsWhatIsLeft(t *testing.T) {
+	c, _ := setup(t, standin.Lim)
+	came := make(chan string, 1)
+	box(t, c, func(conn net.Conn) {
+		text, _ := request(bufio.NewReader(conn))
+		came <- text
+	})
+	a := attempt(1)
+	looks, left := 0, time.Duration(0)
+	a.Job.Still = func() gate.Reason {
+		if looks++; looks == 2 { // before its first byte
+			time.Sleep(20 * time.Millisecond)
+			left = time.Until(a.Deadline)
+		}
+		return gate.May
+	}
+	c.Send(a)
+	_, rest, _ := strings.Cut(<-came, "\r\nX-Expires-In-Ms: ")
+	text, _, _ := strings.Cut(rest, "\r\n")
+	if told, err := strconv.Atoi(text); err != nil || told < 1 || time.Duration(told)*time.Millisecond > left {
+		t.Errorf("%q ms are told, %v were left: %v", text, left, err)
+	}
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,10 +46,14 @@
 	workers map[uint32]*worker
 	live    map[uint64]*try
 	byName  map[liveKey]*try
+	returns returns
 }
 
 type liveKey struct{ trace, from string }
 
+// statusAccepted is the status by which an executor takes a job.
+const statusAccepted = 202
+
 type worker struct {
 	name, addr string
 	stopAt     time.Time // nothing new is written after it; zero while the worker takes work
@@ -65,6 +69,7 @@
 	written bool      // its last byte is being written or was
 	taken   bool      // 202 came
 	wrote   time.Time // its last byte, zero before
+	dropped bool      // it was given up before a 202 was seen
 	late    bool      // the box owed a sign of it for too long
 	signed  bool      // it gave one, or the attempt ended without
 	over    bool
@@ -76,7 +81,8 @@
 	log *slog.Logger) *Client {
 	return &Client{lim: lim, names: names, sink: sink, log: log, g: g, ctx: ctx, pool: newPool(lim, slow), tally: slow,
 		owed:  &owed{acks: pace.NewAcks(lim.Pace.Acks)},
-		slots: make(chan struct{}, lim.GiveUps), workers: map[uint32]*worker{}, live: map[uint64]*try{}, byName: map[liveKey]*try{}}
+		slots: make(chan struct{}, lim.GiveUps), workers: map[uint32]*worker{}, live: map[uint64]*try{}, byName: map[liveKey]*try{},
+		returns: returns{}}
 }
 
 // Told keeps an executor's address and, from its drain or end on, when sends to it stop.
@@ -262,8 +268,8 @@
 
 // postOn is post over one connection.
 func (c *Client) postOn(ctx context.Context, t *try, conn *conn) (brain.Outcome, []float32) {
-	// From here on, giving the attempt up closes the connection under it.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	// From here on, giving the attempt up ends what is under way on the connection, which is closed then.
+	stop := context.AfterFunc(ctx, conn.Abort)
 	keep := false
 	defer func() {
 		if stop() && keep {
@@ -316,12 +322,12 @@
 	}
 	failpoint.At(failpoint.Byte)
 	wrote := time.Now()
-	m, err := c.answer(t, conn)
+	m, err := c.answer(ctx, t, conn)
 	// A connection that was forgotten breaks as soon as the request gets there; one that breaks later was in use.
 	c.saw(ctx, conn, err != nil && !conn.parse.Begun() && time.Since(wrote) < conn.settle(c.lim))
 	te := net.Error(nil)
 	switch {
-	case errors.As(err, &te) && te.Timeout() && conn.parse.Status() == 202:
+	case errors.As(err, &te) && te.Timeout() && conn.parse.Status() == statusAccepted:
 		return 0, nil // it has taken the job, however slowly it says the rest
 	case err != nil && conn.parse.Status() == 500:
 		return brain.Errored, nil
@@ -330,7 +336,7 @@
 	}
 	keep = !m.Close
 	switch {
-	case m.Status == 202:
+	case m.Status == statusAccepted:
 		return 0, nil
 	case (m.Status == 503 || m.Status == 504) && m.Get("X-Never-Ran") == "1":
 		return brain.Full, c.header(m)
@@ -348,47 +354,6 @@
 	}
 }
 
-// GiveUp ends an attempt without a result: before the 202 by closing its connection, later by DELETE.
-func (c *Client) GiveUp(id uint64) {
-	c.mu.Lock()
-	t := c.live[id]
-	c.mu.Unlock()
-	if t == nil || !c.takeOff(t) {
-		return
-	}
-	t.mu.Lock()
-	taken := t.taken
-	t.mu.Unlock()
-	t.cancel()
-	if !taken {
-		return
-	}
-	select {
-	case c.slots <- struct{}{}:
-	default:
-		return // giving up is a courtesy: what runs goes on in any case
-	}
-	c.g.Go(func() error {
-		defer func() { <-c.slots }()
-		c.delete(t)
-		return nil
-	})
-}
-
-func (c *Client) delete(t *try) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.lim.Probe)
-	defer cancel()
-	c.mu.Lock()
-	w := c.workers[t.Worker]
-	c.mu.Unlock()
-	if w == nil {
-		return
-	}
-	if _, err := c.ask(ctx, w.addr, "DELETE", "/jobs/"+t.Job.Trace); err != nil {
-		c.log.Debug("giving up", "job", t.Job.Trace, "err", err)
-	}
-}
-
 // ask makes a short call that may fail.
 func (c *Client) ask(ctx context.Context, addr, method, target string) (*http1.Message, error) {
 	conn, err := c.pool.get(ctx, addr)
--- a/internal/executor/slow.go
+++ b/internal/executor/slow.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -88,13 +89,13 @@
 // it all the same. Until then a box that drips is waited for like one that is silent, to the attempt's end: to close
 // would give the attempt up, and with it a result that may come by callback whatever becomes of this connection. What
 // the module hears, once, is that the box owes a sign of the job for longer than it and its peers usually do.
-func (c *Client) answer(t *try, conn *conn) (*http1.Message, error) {
+func (c *Client) answer(ctx context.Context, t *try, conn *conn) (*http1.Message, error) {
 	last := t.Deadline.Add(c.lim.Write)
 	ask := t.wrote.Add(c.owed.due(t))
 	told := false
 	for {
 		m, err := conn.parse.Feed(conn.in)
-		if status := conn.parse.Status(); m != nil && m.Status == 202 || m == nil && status == 202 {
+		if status := conn.parse.Status(); m != nil && m.Status == statusAccepted || m == nil && status == statusAccepted {
 			c.take(t)
 			if m == nil && err == nil {
 				conn.Await() // the rest holds only a connection: below the least rate it is let go
@@ -112,6 +113,10 @@
 		}
 		conn.ReadBy(by)
 		_, err = conn.in.Fill(conn.Paced)
+		if err != nil && ctx.Err() != nil {
+			c.lastLook(t, conn)
+			return nil, err
+		}
 		switch slow, te := (*pace.Slow)(nil), net.Error(nil); {
 		case err == nil:
 		case errors.As(err, &slow):
@@ -139,10 +144,14 @@
 	}
 }
 
-// take notes that a box has taken a job.
+// take notes that a box has taken a job. Where the job was given up a moment before, the box is told so.
 func (c *Client) take(t *try) {
 	t.mu.Lock()
+	crossed := t.dropped && !t.taken
 	t.taken = true
 	t.mu.Unlock()
 	c.owed.signed(t, time.Now())
+	if crossed {
+		c.callOff(t)
+	}
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -133,7 +133,7 @@
 	came, over := c.came, c.over
 	c.mu.Unlock()
 	if came {
-		c.ReadBy(time.Unix(1, 0)) // calls off the read for more
+		c.ReadBy(longAgo) // calls off the read for more
 		<-c.got
 		c.asked = false
 		if timeout(c.err) {
--- a/internal/http1/paced.go
+++ b/internal/http1/paced.go
@@ -30,6 +30,7 @@
 	blocked    time.Time // since when a write waits, zero while none does
 	inRate     pace.Rate
 	outRate    pace.Rate
+	aborted    bool
 }
 
 // NewPaced makes a connection paced.
@@ -82,7 +83,22 @@
 	}
 }
 
-func (p *Paced) armRead() { _ = p.Conn.SetReadDeadline(sooner(p.inBy, &p.in)) }
+// Abort ends reads and writes, those under way too, and leaves the connection open: what has come on it can still be taken.
+func (p *Paced) Abort() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.aborted = true
+	_ = p.Conn.SetDeadline(longAgo)
+}
+
+// longAgo as a deadline ends what is under way at once.
+var longAgo = time.Unix(1, 0)
+
+func (p *Paced) armRead() {
+	if !p.aborted {
+		_ = p.Conn.SetReadDeadline(sooner(p.inBy, &p.in))
+	}
+}
 
 // sooner is the earlier of a bound and of when a meter would let go, zero for neither.
 func sooner(by time.Time, m *pace.Meter) time.Time {
@@ -144,6 +160,9 @@
 func (p *Paced) late(err error) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.aborted {
+		return err
+	}
 	if err = settled(p.inBy, &p.in, "in", p.inRate.Bytes, 0, time.Now(), err); err == nil {
 		p.armRead()
 	}
@@ -172,6 +191,10 @@
 	done := 0
 	for {
 		p.mu.Lock()
+		if p.aborted {
+			p.mu.Unlock()
+			return done, os.ErrDeadlineExceeded
+		}
 		now := time.Now()
 		// What was written before may have been acknowledged long ago, with nobody looking: what is asked begins anew then,
 		// or the time that a kept connection stood idle would count as debt, and its next answer be cut off.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -78,6 +78,13 @@
 	return err != unix.EAGAIN
 }
 
+// Take reads into b what has come on a connection, without waiting and whatever its deadlines are, and tells how much that was.
+func Take(c net.Conn, b []byte) int {
+	n := 0
+	control(c, func(fd int) { n, _, _ = unix.Recvfrom(fd, b, unix.MSG_DONTWAIT) })
+	return max(n, 0)
+}
+
 func control(c net.Conn, f func(fd int)) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
