Answer what waits in the listener's queue at the end, and count a job's time from its last byte

Cause: a node that had decided to end closed its listener over connections that stood in its queue, and reset what was asked on them. A job behind another on its connection had its time counted from its turn. A node told to leave before it listened listened all the same.

Change: http1.Server.Finish takes what waits, then closes the listener, then waits for what is open; what comes by then is refused at once. A server notes when bytes came, and a message tells when its last one did.

--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -164,6 +164,12 @@
 	if f.Inventory.File == "" {
 		core.AwaitList(len(c.Known.Entries))
 	}
+	failpoint.At(failpoint.Listen)
+	if ctx.Err() != nil { // told to leave before a client could have come
+		log.Info("leaving", "before", "listening")
+		cancel()
+		return g.Wait()
+	}
 	ln, err := listen(c, log)
 	if err != nil {
 		return err
@@ -270,12 +276,15 @@
 			fronts[1].Drain()
 		}
 		quiet(hard, core, fronts, jobs, c, &stay)
+		failpoint.At(failpoint.Leave)
 		if duties != nil {
 			last, end := context.WithTimeout(hard, c.Limits.StoreBeat)
 			defer end()
 			held.Deregister(last)
 			duties.Release(last)
 		}
+		core.Leave(time.Now()) // what comes from here on is refused at once
+		finish(hard, fronts, c.Limits.Stay)
 		return nil
 	})
 	err = g.Wait()
@@ -367,6 +376,15 @@
 		Marks: f.StoreMarks(), Trust: f.Store.Trust}, c.Limits, slow, log)
 }
 
+// finish ends the fronts within a bound: what came in the moment in which the node decided to end still gets its answer.
+func finish(ctx context.Context, fronts []*http1.Server, most time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for _, s := range fronts {
+		s.Finish(ctx)
+	}
+}
+
 // quiet returns once nothing is open and nothing new has come for a while. Clients go on using the connections they
 // have for as long as those stand, and new ones go elsewhere or nowhere: so the platform's front serves on until the
 // node may be killed, and only then are answers given early and connections closed between requests. (Closing them
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -10,6 +10,9 @@
 	Hand   = "hand"   // a job's turn has come, and the record that it is handed over is next
 	Intent = "intent" // the intent to send is on record, and the first byte is next
 	Byte   = "byte"   // the last byte is out, and nothing of it is on record
+	Ended  = "ended"  // a job has ended, and the record of its end is next
+	Listen = "listen" // the node is about to listen to its clients
+	Leave  = "leave"  // the node that was told to leave has nothing open any more, and is about to end
 )
 
 // Without names a guard that a test's own build is made without, by the linker (-X): so tests show that they see what it is
--- a/internal/failpoint/faults.go
+++ b/internal/failpoint/faults.go
@@ -4,20 +4,27 @@
 
 import (
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// GATETACK_STOP_AT names the point, GATETACK_CLOCK says how far the clock is ahead ("1h") or behind ("-1h"), and GATETACK_LINKS
+// GATETACK_STOP_AT names the point at which the process stops, once, and GATETACK_HOLD_AT one past which nobody gets while the
+// process goes on; GATETACK_CLOCK says how far the clock is ahead ("1h") or behind ("-1h"), and GATETACK_LINKS
 // has "address=proxy,...".
 func init() {
 	var done atomic.Bool
-	if stop := os.Getenv("GATETACK_STOP_AT"); stop != "" {
+	last, hold := os.Getenv("GATETACK_STOP_AT"), os.Getenv("GATETACK_HOLD_AT")
+	if last != "" || hold != "" {
 		at = func(point string) {
-			if stop == point && !done.Swap(true) {
-				_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+			if point == last && !done.Swap(true) {
+				stop()
+			}
+			if point == hold {
+				select {}
 			}
 		}
 	}
@@ -36,3 +43,10 @@
 		return addr
 	}
 }
+
+// stop stops the process, this goroutine at this very point: a signal to the process would let it run on until its thread is told.
+func stop() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	_ = unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGSTOP)
+}
--- /dev/null
+++ b/internal/http1/arrivals.go
@@ -0,0 +1,50 @@
+package http1
+
+import "time"
+
+// arrivals keeps when the bytes of a ring came.
+type arrivals struct {
+	marks []arrival // the oldest first
+	in    int64     // bytes that came so far
+	out   int64     // and of them, those taken
+}
+
+// arrival is that of the bytes up to a number.
+type arrival struct {
+	upTo int64
+	at   time.Time
+}
+
+// arrivalGrain is how much time may lie between bytes that count as come together: so the marks of a dripping client stay few.
+const arrivalGrain = time.Millisecond
+
+// came notes that n bytes came.
+func (a *arrivals) came(n int, now time.Time) {
+	if n <= 0 {
+		return
+	}
+	a.in += int64(n)
+	if last := len(a.marks) - 1; last >= 0 && now.Sub(a.marks[last].at) < arrivalGrain {
+		a.marks[last].upTo = a.in
+		return
+	}
+	a.marks = append(a.marks, arrival{a.in, now})
+}
+
+// take notes that the next n bytes were taken, and tells when the last of them came; zero for none.
+func (a *arrivals) take(n int) time.Time {
+	if n <= 0 {
+		return time.Time{}
+	}
+	a.out += int64(n)
+	for len(a.marks) > 0 {
+		first := a.marks[0]
+		if first.upTo <= a.out {
+			a.marks = append(a.marks[:0], a.marks[1:]...)
+		}
+		if first.upTo >= a.out {
+			return first.at
+		}
+	}
+	return time.Time{}
+}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -17,7 +17,8 @@
 	want  chan struct{}
 	got   chan struct{}
 	err   error // of the read that got told of
-	asked bool  // a read is under way, and the ring is the reader's
+	asked bool  // a read is under way, and the ring and its arrivals are the reader's
+	times arrivals
 
 	// What the reader does while a request is handled.
 	mu      sync.Mutex
@@ -79,7 +80,9 @@
 	for {
 		var err error
 		if c.in.Free() > 0 {
-			_, err = c.in.Fill(c.Paced)
+			var n int
+			n, err = c.in.Fill(c.Paced)
+			c.times.came(n, time.Now())
 		} else {
 			err = c.drop()
 		}
@@ -89,6 +92,18 @@
 	}
 }
 
+// parse takes what has come to the parser. A request that is whole then knows when its last byte came: it can have stood behind
+// another that was handled.
+func (c *conn) parse(p *Parser) (*Message, error) {
+	before := c.in.Len()
+	m, err := p.Feed(c.in)
+	at := c.times.take(before - c.in.Len())
+	if m != nil {
+		m.Came = at
+	}
+	return m, err
+}
+
 // drop takes in bytes for which there is no place, not faster than a flood may cost.
 func (c *conn) drop() error {
 	b := buffers.Get().(*[]byte)
--- /dev/null
+++ b/internal/http1/ending.go
@@ -0,0 +1,115 @@
+package http1
+
+import (
+	"context"
+	"time"
+
+	"gatetack/internal/sock"
+)
+
+// This file is how connections end: when clients are to go elsewhere, between requests, after a last answer, and with the server.
+
+// Drain asks clients to go elsewhere: from now on each answer ends its connection. New connections are still
+// served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// StopTaking closes the listener and takes no more connections; those it has are served on. Where the listening socket
+// is shared with a process that follows this one, that process takes what comes from now on.
+func (s *Server) StopTaking() {
+	if s.stopped.Swap(true) {
+		return
+	}
+	if ln := s.ln.Load(); ln != nil {
+		_ = (*ln).Close()
+	}
+}
+
+// Resume undoes Drain: answers keep their connections again.
+func (s *Server) Resume() { s.draining.Store(false) }
+
+// CloseIdle closes the connections that stand between requests.
+func (s *Server) CloseIdle() { s.closeIdle(true) }
+
+// closeIdle closes them, and those on which nothing has come yet only after a moment, or if all says so: what was asked on one a
+// moment later would be lost with it.
+func (s *Server) closeIdle(all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
+		if c.phase == idle && (all || c.served || time.Since(c.since) >= s.lim.DoorWait) && sock.Quiet(c.Conn) {
+			s.shut(c)
+		}
+	}
+}
+
+// shut closes a connection under which no request is handled.
+func (s *Server) shut(c *conn) {
+	c.phase = closed
+	s.standing--
+	s.read(c)
+	_ = c.Paced.Close()
+}
+
+// read marks that a connection's last answer is no longer followed.
+func (s *Server) read(c *conn) {
+	c.unread = false
+}
+
+// linger ends a connection after its last answer: it says so, and takes in unread what the client still sends until that has
+// seen the end, or for a bounded time. To close over unread bytes would reset the connection, and an answer that is on its way
+// goes with a reset. What is read here was not taken: its client sends it once more elsewhere.
+func (s *Server) linger(c *conn) {
+	if !s.enter(c, lingering) || c.closeWrite() != nil {
+		return
+	}
+	c.Rest()
+	for by := time.Now().Add(s.lim.Linger); time.Now().Before(by); {
+		c.ReadBy(by)
+		if !c.asked {
+			c.in.Drop(c.in.Len())
+		}
+		c.ask()
+		<-c.got
+		if c.asked = false; c.err != nil { // the reader's until it has told
+			return
+		}
+	}
+}
+
+// Finish ends the server: what waits in the listener's queue is taken, then nothing more is, and all that was taken is answered.
+// It returns once no connection is open, or the context ends. A request that came in the moment in which a node had decided to
+// end would else be reset with its connection, or with the queue.
+func (s *Server) Finish(ctx context.Context) {
+	for s.queued() && pause(ctx) {
+	}
+	s.StopTaking()
+	select {
+	case <-s.taken:
+	case <-ctx.Done():
+		return
+	}
+	s.Drain()
+	for s.Conns() > 0 && pause(ctx) {
+		s.closeIdle(false)
+	}
+}
+
+// queued says whether connections wait to be taken.
+func (s *Server) queued() bool {
+	ln := s.ln.Load()
+	return !s.stopped.Load() && ln != nil && sock.Waiting(*ln)
+}
+
+// finishLook is between looks at what is still open at the end.
+const finishLook = time.Millisecond
+
+// pause waits for the next look, and says whether there is one.
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(finishLook):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -19,7 +19,8 @@
 	Minor          int    // of HTTP/1.x
 	Fields         []Field
 	Body           []byte
-	Close          bool // the connection ends with this message
+	Close          bool      // the connection ends with this message
+	Came           time.Time // of a request that a server took: when its last byte came
 }
 
 // Get gives the first header of a name, or "".
--- a/internal/http1/races_test.go
+++ b/internal/http1/races_test.go
@@ -64,17 +64,7 @@
 	_, _ = io.WriteString(c, get)
 	<-began
 	_, _ = io.WriteString(c, get+get+get[:7])
-	waitFor(t, "the server has the bytes", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for x := range s.conns {
-			x.mu.Lock()
-			came := x.came
-			x.mu.Unlock()
-			return came && sock.Quiet(x.Conn)
-		}
-		return false
-	})
+	waitFor(t, "the server has the bytes", func() bool { return takenIn(s) })
 	for range 3 {
 		on <- true
 		answered()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -35,8 +35,9 @@
 	draining atomic.Bool
 	stopped  atomic.Bool // no connection is taken any more
 	ln       atomic.Pointer[net.Listener]
-	busy     atomic.Int64 // requests being handled
-	bodies   atomic.Int64 // bytes of bodies that are held
+	taken    chan struct{} // closed once the last connection was taken
+	busy     atomic.Int64  // requests being handled
+	bodies   atomic.Int64  // bytes of bodies that are held
 	tally    *pace.Tally
 
 	mu       sync.Mutex
@@ -49,7 +50,7 @@
 
 // NewServer makes a server.
 func NewServer(lim limits.Limits, h Handler, tally *pace.Tally, log *slog.Logger) *Server {
-	return &Server{lim: lim, h: h, tally: tally, log: log, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1),
+	return &Server{lim: lim, h: h, tally: tally, log: log, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1), taken: make(chan struct{}),
 		shares: pace.NewLedger[string](lim.ClientConns, lim.Pace.Least, lim.Pace.Alpha)}
 }
 
@@ -59,53 +60,6 @@
 	s.log.Info("slow peer", "kind", k.String(), "peer", c.RemoteAddr().String(), "why", err)
 }
 
-// Drain asks clients to go elsewhere: from now on each answer ends its connection. New connections are still
-// served.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// StopTaking closes the listener and takes no more connections; those it has are served on. Where the listening socket
-// is shared with a process that follows this one, that process takes what comes from now on.
-func (s *Server) StopTaking() {
-	if s.stopped.Swap(true) {
-		return
-	}
-	if ln := s.ln.Load(); ln != nil {
-		_ = (*ln).Close()
-	}
-}
-
-// Resume undoes Drain: answers keep their connections again.
-func (s *Server) Resume() { s.draining.Store(false) }
-
-// CloseIdle closes the connections that stand between requests.
-func (s *Server) CloseIdle() { s.closeIdle(true) }
-
-// closeIdle closes them, and those on which nothing has come yet only after a moment, or if all says so: what was asked on one a
-// moment later would be lost with it.
-func (s *Server) closeIdle(all bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
-		if c.phase == idle && (all || c.served || time.Since(c.since) >= s.lim.DoorWait) && sock.Quiet(c.Conn) {
-			s.shut(c)
-		}
-	}
-}
-
-// shut closes a connection under which no request is handled.
-func (s *Server) shut(c *conn) {
-	c.phase = closed
-	s.standing--
-	s.read(c)
-	_ = c.Paced.Close()
-}
-
-// read marks that a connection's last answer is no longer followed.
-func (s *Server) read(c *conn) {
-	c.unread = false
-}
-
 // follow looks after answers that are finished here and not read there. They hold no job, no request's place and no
 // buffer of the node's, but the kernel holds their bytes: a client that reads below the least rate is let go. Its
 // connection is closed, and what the kernel holds still goes out for a while, should the client come to read it.
@@ -165,47 +119,6 @@
 	return true
 }
 
-// admit counts a new connection in and settles how it is served: as usual within the budget, and within its peer's share where shares
-// are kept; else once, or at the door. Over the budget another makes place, if one can.
-func (s *Server) admit(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.standing >= s.lim.ClientConns {
-		var least *conn
-		for x := range s.conns {
-			if x.worth() < kept && (least == nil || x.worth() < least.worth() || x.worth() == least.worth() && x.since.Before(least.since)) {
-				least = x
-			}
-		}
-		if least != nil {
-			if least.phase == answering {
-				s.tally.Add(pace.ClientCut)
-			}
-			s.shut(least)
-		}
-	}
-	s.conns[c] = struct{}{}
-	s.standing++
-	c.since = time.Now()
-	s.last = c.since
-	switch {
-	case s.standing > s.lim.ClientConns+s.lim.SpareConns:
-		c.how = refused
-	case s.standing > s.lim.ClientConns:
-		c.how = once
-	}
-	if s.lim.Pace.PerPeer {
-		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-		// One past its share gets one answer, as all do past the budget, and its connections stay countable.
-		if v := s.shares.Take(host, 1); v == pace.Keep {
-			c.share = host
-		} else {
-			s.tally.Add(pace.ClientShare)
-			c.how = max(c.how, once)
-		}
-	}
-}
-
 // free tells the accept loop, should it wait for it, that a connection has ended or become idle.
 func (s *Server) free() {
 	select {
@@ -257,6 +170,7 @@
 	})
 	g.Go(func() error { s.follow(ctx); return nil })
 	g.Go(func() error {
+		defer close(s.taken)
 		for {
 			c, err := ln.Accept()
 			if ctx.Err() != nil || err != nil && s.stopped.Load() {
@@ -386,27 +300,6 @@
 	}
 }
 
-// linger ends a connection after its last answer: it says so, and takes in unread what the client still sends until that has
-// seen the end, or for a bounded time. To close over unread bytes would reset the connection, and an answer that is on its way
-// goes with a reset. What is read here was not taken: its client sends it once more elsewhere.
-func (s *Server) linger(c *conn) {
-	if !s.enter(c, lingering) || c.closeWrite() != nil {
-		return
-	}
-	c.Rest()
-	for by := time.Now().Add(s.lim.Linger); time.Now().Before(by); {
-		c.ReadBy(by)
-		if !c.asked {
-			c.in.Drop(c.in.Len())
-		}
-		c.ask()
-		<-c.got
-		if c.asked = false; c.err != nil { // the reader's until it has told
-			return
-		}
-	}
-}
-
 // room takes n bytes for bodies, or gives them back, and says whether they were to be had. Beyond it a body is turned
 // away: hundreds of connections with a large one each would take the memory of all.
 func (s *Server) room(n int) bool {
@@ -453,7 +346,7 @@
 	c.ReadBy(from.Add(wait))
 	for {
 		if !c.asked {
-			m, err := p.Feed(c.in)
+			m, err := c.parse(p)
 			if m != nil || err != nil {
 				return m, err
 			}
@@ -485,7 +378,7 @@
 		<-c.got
 		c.asked = false
 		if c.err != nil {
-			m, err := p.Feed(c.in) // what came with the end
+			m, err := c.parse(p) // what came with the end
 			if m != nil || err != nil || errors.Is(c.err, net.ErrClosed) {
 				return m, err
 			}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -131,6 +131,9 @@
 		return j, errors.New("X-Expires-In-Ms is not a whole number of milliseconds")
 	}
 	j.Left = time.Duration(ms) * time.Millisecond
+	if !m.Came.IsZero() { // it can have stood behind another request of its client
+		j.Left = max(0, j.Left-time.Since(m.Came))
+	}
 	if len(names.Tenants) > 0 {
 		var ok bool
 		if j.Tenant, ok = names.Tenant(m.Get("X-Customer")); !ok {
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, name := range []string{"GATETACK_STOP_AT", "GATETACK_CLOCK", "GATETACK_LINKS"} {
+		for _, name := range []string{"GATETACK_STOP_AT", "GATETACK_HOLD_AT", "GATETACK_CLOCK", "GATETACK_LINKS"} {
 			if bytes.Contains(b, []byte(name)) != has {
 				t.Errorf("%s: %s is in it: %v", path, name, !has)
 			}
