--- a/brain/script_test.go
+++ b/brain/script_test.go
@@ -136,6 +136,9 @@
 		x.failf("sent to worker %d %v ms after its drain was told", a.Worker, x.now-w.told)
 	}
 	for _, at := range j.attempts {
+		if !at.over && at.worker == a.Worker {
+			x.failf("a second attempt of request %d at worker %d beside the first", a.Job, a.Worker)
+		}
 		if !at.over && !x.s.MayDuplicate {
 			x.failf("two attempts of request %d out", a.Job)
 		}
