Make discovery's tests begin with the call that a new process makes by itself

Tests no longer ask for what is made unasked; TestFailures asks after the failure and wants that call too.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -121,6 +121,7 @@
 	}
 	now := time.Now()
 	c.clock.Begin(now)
+	c.calling.Store(true) // the first call is made at once, and answers what the module asks for meanwhile
 	begin(now)
 	for {
 		select {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -19,28 +19,29 @@
 	"gatetack/internal/standin"
 )
 
-func start(t *testing.T, lim limits.Limits) (*Client, *standin.Lists, *standin.List, *standin.Box) {
+// prepare makes a client of a list that names nobody yet. Run has it make its first call.
+func prepare(t *testing.T, lim limits.Limits) (c *Client, s *standin.Lists, list *standin.List, box *standin.Box, run func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	g, s := &errgroup.Group{}, &standin.Lists{}
+	g := &errgroup.Group{}
+	t.Cleanup(func() { cancel(); _ = g.Wait() })
 	list, err := standin.NewList(ctx, g)
 	if err != nil {
 		t.Fatal(err)
 	}
-	box, err := standin.NewBox(ctx, g, "s-1", "127.0.0.1:1", 0)
-	if err != nil {
+	if box, err = standin.NewBox(ctx, g, "s-1", "127.0.0.1:1", 0); err != nil {
 		t.Fatal(err)
 	}
-	c := New(list.Addr, 7, false, lim, s, nil, standin.Quiet)
-	g.Go(func() error { return c.Run(ctx) })
-	t.Cleanup(func() { cancel(); _ = g.Wait() })
-	return c, s, list, box
+	s = &standin.Lists{}
+	c = New(list.Addr, 7, false, lim, s, nil, standin.Quiet)
+	return c, s, list, box, func() { g.Go(func() error { return c.Run(ctx) }) }
 }
 
 // A watch brings the list and then its changes.
 func TestWatch(t *testing.T) {
-	c, s, list, box := start(t, standin.Lim)
+	c, s, list, box, run := prepare(t, standin.Lim)
 	list.Put(box, "ready")
-	c.Watch(true)
+	run()
 	standin.Until(t, "the list", func() bool { return len(s.All()) == 1 })
 	list.Put(box, "draining")
 	standin.Until(t, "a change", func() bool { return len(s.All()) == 2 })
@@ -53,9 +54,9 @@
 	standin.Until(t, "the list once", func() bool { return len(s.All()) == 3 })
 }
 
-// served is a list whose calls a test answers by itself: serve has each with its number, and ends once ctx does. Unasked says
-// that the module asks for no watch.
-func served(t *testing.T, unasked bool, serve func(ctx context.Context, n int, conn net.Conn)) (s *standin.Lists, run func(limits.Limits)) {
+// served is a list whose calls a test answers by itself: serve has each with its number, and ends once ctx does. The module asks
+// for nothing.
+func served(t *testing.T, serve func(ctx context.Context, n int, conn net.Conn)) (s *standin.Lists, run func(limits.Limits)) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -82,9 +83,6 @@
 	return s, func(lim limits.Limits) {
 		c := New(ln.Addr().String(), 0, false, lim, s, nil, standin.Quiet)
 		g.Go(func() error { return c.Run(ctx) })
-		if !unasked {
-			c.Watch(true)
-		}
 	}
 }
 
@@ -95,7 +93,7 @@
 	lim := standin.Lim
 	lim.Staleness.Silence, lim.Staleness.Wait, lim.Staleness.Slow = 60*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond
 	line := `{"index":3,"snapshot":false,"endpoints":[]}`
-	s, run := served(t, true, func(ctx context.Context, n int, conn net.Conn) {
+	s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
 		switch n {
 		case 0:
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy")
@@ -164,7 +162,7 @@
 		t.Run(name, func(t *testing.T) {
 			lim := standin.Lim
 			lim.Staleness.Beat, lim.Staleness.Late, lim.Staleness.Wait, lim.Staleness.Slow, lim.Staleness.Least = 20*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond, 20*time.Millisecond, time.Millisecond
-			s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
+			s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
 				switch {
 				case n == 0:
 					_, _ = io.WriteString(conn, x.says)
@@ -198,7 +196,7 @@
 	lim := standin.Lim
 	lim.Staleness.Stood = 0
 	var s *standin.Lists
-	s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
+	s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
 		text := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, n+1)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(text)+1, text)
 		if n < 2 { // and then no line break
@@ -224,7 +222,7 @@
 	lim := standin.Lim
 	lim.Staleness.Silence = time.Hour // no call is made but those that are asked for, and at moves
 	for _, old := range []string{"serves", "mute", "deaf", "gone"} {
-		c, s, list, box := start(t, lim)
+		c, s, list, box, run := prepare(t, lim)
 		ctx, cancel := context.WithCancel(context.Background())
 		var g errgroup.Group
 		next, err := standin.NewList(ctx, &g)
@@ -236,7 +234,7 @@
 		switch old {
 		case "deaf", "gone": // takes connections and says nothing, or takes none; a watch that stood moves there by itself
 			list.Mute(true)
-			c.Watch(true)
+			run()
 			standin.Until(t, "the watch", func() bool { return list.Watches() == 1 })
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -257,7 +255,7 @@
 		default:
 			list.Mute(old == "mute")
 			list.Put(box, "ready")
-			c.Watch(true)
+			run()
 		}
 		switch old {
 		case "serves":
@@ -313,11 +311,12 @@
 		s := &standin.Lists{}
 		c := New(ln.Addr().String(), 0, false, standin.Lim, s, nil, standin.Quiet)
 		g.Go(func() error { return c.Run(ctx) })
-		c.Watch(true)
 		standin.Until(t, name, func() bool { return len(s.All()) > 0 })
+		c.Watch(true) // nobody is there any more
+		standin.Until(t, name+", and the call that is asked for", func() bool { return len(s.All()) > 1 })
 		cancel()
 		_ = g.Wait()
-		if l := s.All(); len(l) != 1 || l[0].Form != brain.ListFailed {
+		if l := s.All(); len(l) != 2 || l[0].Form != brain.ListFailed || l[1].Form != brain.ListFailed {
 			t.Errorf("%s: %+v", name, l)
 		}
 	}
@@ -351,10 +350,9 @@
 	s := &standin.Lists{}
 	c := New(ln.Addr().String(), 0, false, lim, s, nil, standin.Quiet)
 	g.Go(func() error { return c.Run(ctx) })
-	c.Watch(true)
 	standin.Until(t, "the failure", func() bool { return len(s.All()) == 1 && s.All()[0].Form == brain.ListFailed })
 	if n := len(calls); n != 1 {
-		t.Errorf("%d calls, want the one that was asked for", n)
+		t.Errorf("%d calls, want the one that a new process makes", n)
 	}
 }
 
@@ -450,7 +448,7 @@
 	list := func(index int, status string) string {
 		return fmt.Sprintf("{\n  \"index\": %d,\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n      \"status\": %q\n    }\n  ]\n}\n", index, status)
 	}
-	s, run := served(t, false, func(ctx context.Context, n int, conn net.Conn) {
+	s, run := served(t, func(ctx context.Context, n int, conn net.Conn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(list(1, "ready"))+chunk("\n"))
 		text := list(2, "draining")
 		_, _ = io.WriteString(conn, chunk(text[:30])+chunk(text[30:]))
