Change only the rows of a list that changed, in place of sorting and hashing all workers

Cause: applyRows in brain/state.go put all workers in order anew, hashed them and rebuilt names and rows for each change, also of one row. Now a change of fewer than 16 rows puts each row in its place; whole lists, larger changes and lists with live weights (whose mean is taken over all rows in order) are rebuilt as before.

TestListChangesAsIfSortedAnew drives two modules with the same events, one rebuilt after each change, and wants the same actions, workers, rows, hashes and names (12 bits, shared by some); it fails if a name is not handed on when its worker leaves.

--- /dev/null
+++ b/brain/list_test.go
@@ -0,0 +1,151 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// A change of a few rows leaves the same workers, rows, hashes and names as sorting all anew, and leads to the same actions: drains,
+// starts anew, workers that leave with jobs out and come back, and names that two workers share.
+func TestListChangesAsIfSortedAnew(t *testing.T) {
+	for seed := int64(1); seed <= 6; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		s := base()
+		s.Balancers, s.MayTell = 60, true
+		first := fleet(300)
+		changes, sorted := newRig(t, s, first...), newRig(t, s, first...)
+		if changes.d.telling != tellHub {
+			t.Fatal("names of 16 bits: few workers share one")
+		}
+		rows := map[uint32]Row{}
+		for _, r := range first {
+			rows[r.Worker] = r
+		}
+		var out []Action
+		for job := uint32(1); job <= 250; job++ {
+			events := []Event{request(job, uint8(rng.Intn(3)), 0, 1)}
+			for len(out) > 40 || len(out) > 0 && rng.Intn(3) == 0 {
+				events = append(events, outcome(out[0].Job, 0, out[0].Worker, Served))
+				out = out[1:]
+			}
+			serial := sorted.d.listSerial
+			if rng.Intn(2) == 0 {
+				events = append(events, Event{Kind: EvList, Form: ListDelta, Rows: randomChange(rng, rows, changes.now)})
+			}
+			a, b := changes.after(20, events...), sorted.after(20, events...)
+			if !reflect.DeepEqual(a, b) {
+				t.Fatalf("seed %d, job %d: actions %v, and with all sorted anew %v", seed, job, a, b)
+			}
+			if sorted.d.listSerial != serial {
+				sorted.d.rebuild()
+			}
+			if diff := listDiffers(changes.d, sorted.d); diff != "" {
+				t.Fatalf("seed %d, job %d: %s", seed, job, diff)
+			}
+			for _, x := range a {
+				if x.Kind == ActSend && len(changes.d.jobs[x.Job].attempts) == 1 {
+					out = append(out, x)
+				}
+			}
+		}
+	}
+}
+
+// randomChange draws a few rows that change: their condition, start or cell, or a new worker.
+func randomChange(rng *rand.Rand, rows map[uint32]Row, now float64) (changed []Row) {
+	for range 1 + rng.Intn(4) {
+		id := uint32(90 + rng.Intn(320))
+		r, ok := rows[id]
+		if !ok {
+			r = ready(id, 0)
+		}
+		switch rng.Intn(5) {
+		case 0:
+			r.Condition = Gone
+		case 1:
+			r.Condition = Draining
+		case 2:
+			r.Condition, r.Born = Ready, now
+		case 3:
+			r.Condition, r.Cell = Ready, uint16(rng.Intn(3))
+		default:
+			r.Condition = Ready
+		}
+		rows[id] = r
+		changed = append(changed, r)
+	}
+	return changed
+}
+
+// listDiffers says in what two dispatchers hold different lists, "" if in nothing.
+func listDiffers(a, b *Dispatcher) string {
+	ids := func(d *Dispatcher) (ids []uint32) {
+		for _, w := range d.workers {
+			ids = append(ids, w.id)
+		}
+		return ids
+	}
+	known := func(d *Dispatcher) (ids []uint32) {
+		for id := range d.byID {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	names := func(d *Dispatcher) map[uint16]uint32 {
+		names := map[uint16]uint32{}
+		for tag, w := range d.byTag {
+			names[tag] = w.id
+		}
+		return names
+	}
+	switch {
+	case !slices.Equal(ids(a), ids(b)):
+		return fmt.Sprintf("workers %v, want %v", ids(a), ids(b))
+	case !slices.Equal(known(a), known(b)):
+		return fmt.Sprintf("known workers %v, want %v", known(a), known(b))
+	case !slices.Equal(a.rows, b.rows):
+		return fmt.Sprintf("rows %v, want %v", a.rows, b.rows)
+	case !slices.Equal(a.hashes, b.hashes):
+		return fmt.Sprintf("hashes %v, want %v", a.hashes, b.hashes)
+	case !reflect.DeepEqual(names(a), names(b)):
+		return fmt.Sprintf("names %v, want %v", names(a), names(b))
+	}
+	return ""
+}
+
+// BenchmarkListChange compares a change of one row, a drain and its end or a worker that leaves and comes back, with sorting all anew.
+func BenchmarkListChange(b *testing.B) {
+	for _, n := range []int{200, 1000, 6200} {
+		for _, c := range []struct {
+			name string
+			to   Condition
+		}{{"drain", Draining}, {"leave", Gone}} {
+			for _, anew := range []bool{false, true} {
+				b.Run(fmt.Sprintf("executors=%d/%s/anew=%v", n, c.name, anew), func(b *testing.B) {
+					s := base()
+					s.Balancers = 300
+					d, err := New(s, 1)
+					if err != nil {
+						b.Fatal(err)
+					}
+					d.applyRows(&Event{Form: ListCached, Rows: fleet(n)})
+					row := ready(uint32(100+n/2), 0)
+					for i := range b.N {
+						row.Condition = Ready
+						if i%2 == 0 {
+							row.Condition = c.to
+						}
+						d.applyRows(&Event{Form: ListDelta, Rows: []Row{row}})
+						if anew {
+							d.rebuild()
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,11 +1,9 @@
 package brain
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
-	"sort"
 )
 
 // This file holds what a Dispatcher remembers and how it is kept; nothing is decided here.
@@ -97,7 +95,7 @@
 	probing   bool
 	zone      int
 	kind      int
-	at        int // its place in the list
+	at        int // its place in the list, where weights are live
 	linkFails int // new connections that failed since one was made
 	waits     int // attempts out that were not started
 	group     *group
@@ -196,6 +194,7 @@
 
 	byID    map[uint32]*worker
 	workers []*worker // listed, by id
+	left    []*worker // gone from the list, and kept while attempts of ours are out there
 	kinds   [256]kindStat
 	all     kindStat
 
@@ -256,6 +255,7 @@
 	best     []pull     // scratch of findHomes
 	rows     []listed   // of d.workers, in their order
 	hashes   []homeHash // likewise
+	changed  []*worker  // scratch of applyRows
 
 	tickAt  float64
 	lastTag uint32
@@ -334,20 +334,6 @@
 	}
 }
 
-// listed is what the list told of a worker, and what homes of keys are drawn by, kept apart from all else: lists
-// with live weights come often, and to touch each worker for each costs more CPU than all jobs do.
-type listed struct {
-	row  Row
-	load float64 // requests held per core, as the live weight told
-}
-
-// homeHash is what the homes of keys are drawn by.
-type homeHash struct {
-	hash  uint64
-	kind  uint8
-	ready bool
-}
-
 // pull is how strongly a key is drawn to the worker at a place in the list.
 type pull struct {
 	at   int
@@ -527,102 +513,3 @@
 	}
 	return d, nil
 }
-
-func (d *Dispatcher) groupOf(kind, zone uint8) *group {
-	for _, g := range d.groups {
-		if g.kind == int(kind) && g.zone == int(zone) {
-			return g
-		}
-	}
-	d.groups = append(d.groups, &group{kind: int(kind), zone: int(zone)})
-	return d.groups[len(d.groups)-1]
-}
-
-// weigh takes in a weight of the list.
-func (d *Dispatcher) weigh(x *listed, scale float64) {
-	x.row.Scale = scale
-	k := &d.kinds[x.row.Kind]
-	k.scale = max(k.scale, scale, 1e-6)
-	if d.s.LiveWeights && scale > 0 {
-		x.load = k.scale/scale - 1
-		d.load += (x.load - d.load) / float64(len(d.rows)+1)
-	}
-}
-
-// applyRows brings the workers up to date with a list.
-func (d *Dispatcher) applyRows(e *Event) {
-	if e.Form != ListDelta {
-		for _, w := range d.workers {
-			w.cond = Gone
-		}
-	}
-	changed, at := e.Form != ListDelta, 0
-	for i := range e.Rows {
-		r := &e.Rows[i]
-		if at >= len(d.rows) || d.rows[at].row.Worker != r.Worker {
-			at = sort.Search(len(d.rows), func(k int) bool { return d.rows[k].row.Worker >= r.Worker })
-		}
-		if at < len(d.rows) && d.rows[at].row.Worker == r.Worker {
-			x := &d.rows[at]
-			at++
-			same := *r
-			same.Scale = x.row.Scale
-			if same == x.row && e.Form == ListDelta {
-				d.weigh(x, r.Scale)
-				continue
-			}
-			x.row.Scale = r.Scale
-		}
-		w := d.byID[r.Worker]
-		if w == nil {
-			w = &worker{id: r.Worker, soft: softStart, heard: d.now, fails: make([]failing, len(d.classes))}
-			d.byID[r.Worker] = w
-			changed = true
-		} else if r.Born > w.born {
-			// A new process: what was known of the old one no longer holds.
-			w.free, w.reported, w.soft, w.errs, w.strikes, w.badUntil = 0, 0, softStart, 0, 0, 0
-			w.linkFails, w.linkUntil, w.lateAt, w.lateUntil, w.hidden = 0, 0, 0, 0, 0
-			clear(w.fails)
-			w.all = tally{}
-			for kind := uint16(firstMark); kind <= noConns; kind++ {
-				delete(d.hub.marks, w.tag|kind)
-			}
-			w.trial, w.silent, w.idle, w.keys, w.heard = false, false, w.idle[:0], [12]uint64{}, d.now
-		}
-		w.zone, w.kind, w.cell = int(r.Zone), int(r.Kind), r.Cell
-		w.group = d.groupOf(r.Kind, r.Zone)
-		w.cond, w.born, w.row = r.Condition, r.Born, *r
-		d.coldOpen(w, 0) // from now on, not from our next job
-		changed = true
-	}
-	if !changed {
-		return // weights alone are told often
-	}
-	d.listSerial++
-	clear(d.byTag)
-	d.workers = d.workers[:0]
-	for id, w := range d.byID {
-		if w.cond != Gone {
-			d.workers = append(d.workers, w)
-			w.tag = d.tagOf(w.id)
-		} else if len(w.outs) == 0 {
-			delete(d.byID, id)
-		}
-	}
-	slices.SortFunc(d.workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
-	for i := range d.rows {
-		if w := d.byID[d.rows[i].row.Worker]; w != nil {
-			w.row.Scale = d.rows[i].row.Scale // as last told
-		}
-	}
-	d.rows, d.hashes = d.rows[:0], d.hashes[:0]
-	for i, w := range d.workers {
-		w.at, d.byTag[w.tag] = i, w
-		d.rows = append(d.rows, listed{row: w.row})
-		d.hashes = append(d.hashes, homeHash{mix(uint64(w.id) + 0x9e3779b97f4a7c15), w.row.Kind, w.cond == Ready})
-		d.weigh(&d.rows[i], w.row.Scale)
-	}
-	if d.peersFresh > 0 {
-		d.sumPeers()
-	}
-}
