Split the module's largest test file by what its tests are about

brain_test.go held 48 tests of all parts in 1,241 lines. They stand unchanged in admission, placement, rules, health and report tests; what all tests share is in rig_test.go. 88 test functions in the package before and after.

--- /dev/null
+++ b/brain/admission_test.go
@@ -0,0 +1,299 @@
+package brain
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+// Tests of admission: tokens, shares, aims and settings.
+
+func TestAdmissionSteps(t *testing.T) {
+	// Capacity is set by hand: 100 slots with half of them again allowed to wait would blur the bounds, so
+	// the aim is made short against the work and the wait allowance goes to nothing.
+	s := base()
+	s.Classes[0].Aim = 1e-9
+	tests := []struct {
+		name     string
+		inflight [3]float64
+		tenant   int
+		slots    float64
+		admit    bool
+		borrowed bool
+	}{
+		{"within the reservation", [3]float64{0, 0, 0}, 0, 1, true, false},
+		{"up to the reservation", [3]float64{34, 0, 0}, 0, 1, true, false},
+		{"past the reservation", [3]float64{35, 0, 0}, 0, 1, true, true},
+		{"reservation before a full remainder", [3]float64{65, 0, 0}, 1, 21, true, false},
+		{"remainder used up", [3]float64{65, 1, 0}, 1, 21, false, true},
+		{"a first job past the reservation", [3]float64{65, 0, 0}, 1, 22, true, false},
+		{"unused reservations lend nothing", [3]float64{65, 0, 0}, 0, 1, false, true},
+		{"others' unused reservations do not hide borrowing", [3]float64{35, 51, 0}, 0, 1, false, true},
+		{"limit of the smallest tenant", [3]float64{0, 0, 84}, 2, 1, false, false},
+		{"a job over the limit", [3]float64{0, 0, 0}, 2, 85, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, err := New(s, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.capacity, d.now = 100, 100000
+			for i := range d.tenants {
+				d.tenants[i].inflight, d.tenants[i].lastSeen = tt.inflight[i], d.now
+			}
+			j := &job{tenant: tt.tenant, slots: tt.slots, work: 200}
+			if got := d.admit(j); got != tt.admit {
+				t.Fatalf("admit = %v, want %v", got, tt.admit)
+			}
+			if tt.admit && j.borrowed != tt.borrowed {
+				t.Errorf("borrowed = %v, want %v", j.borrowed, tt.borrowed)
+			}
+		})
+	}
+}
+
+func TestTokensReturnOnce(t *testing.T) {
+	ends := map[string]func(r *rig){
+		"served":  func(r *rig) { r.after(10, outcome(1, 0, 7, Served)) },
+		"gone":    func(r *rig) { r.after(10, Event{Kind: EvGone, Job: 1}); r.after(10, outcome(1, 0, 7, Cancelled)) },
+		"errored": func(r *rig) { r.after(10, outcome(1, 0, 7, Errored)) },
+		"twice":   func(r *rig) { r.after(10, outcome(1, 0, 7, Served), outcome(1, 0, 7, Served)) },
+		"timeout": func(r *rig) { r.after(6000, outcome(1, 0, 7, TimedOut)) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, base(), ready(7, 0))
+			if len(find(r.step(request(1, 2, 0, 1)), ActSend, 1)) != 1 {
+				t.Fatal("not sent")
+			}
+			if got := r.d.tenants[0].inflight; got != 1 {
+				t.Fatalf("in flight %v, want 1", got)
+			}
+			end(r)
+			if got := r.d.tenants[0].inflight; got != 0 {
+				t.Errorf("in flight %v after the end, want 0", got)
+			}
+			if len(r.d.jobs) != 0 || r.d.workers[0].own != 0 {
+				t.Errorf("left behind: %d jobs, %v slots", len(r.d.jobs), r.d.workers[0].own)
+			}
+		})
+	}
+}
+
+func TestNewNamesTheKey(t *testing.T) {
+	tests := map[string]func(*Settings){
+		"requestClasses.count":    func(s *Settings) { s.Classes = nil },
+		"balancers":               func(s *Settings) { s.Balancers = 0 },
+		"limits.maxAttempts":      func(s *Settings) { s.MaxAttempts = 0 },
+		"invariants.fallMultiple": func(s *Settings) { s.FallMultiple = 0 },
+		"requestClasses.1.aim":    func(s *Settings) { s.Classes[1].Aim = math.NaN() },
+		"tenants.2.portion":       func(s *Settings) { s.Tenants[2].Portion = -1 },
+		"tenants.0.quotaRps":      func(s *Settings) { s.Tenants[0].Quota = math.NaN() },
+		"overShareWorth":          func(s *Settings) { s.OverShareWorth = -0.5 },
+		"invariants.fall":         func(s *Settings) { s.Fall = math.Inf(1) },
+	}
+	for key, spoil := range tests {
+		s := base()
+		spoil(&s)
+		_, err := New(s, 1)
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("New: %v, want an error that names %s", err, key)
+		}
+	}
+}
+
+// A flooding tenant's requests beyond its share make place for those within a share (recife rough-2).
+func TestOverShareGoesFirst(t *testing.T) {
+	s := base()
+	for i := range s.Tenants {
+		s.Tenants[i].Quota = 1
+	}
+	r := newRig(t, s, ready(7, 0))
+	r.d.workers[0].free, r.d.workers[0].reported, r.d.workers[0].slots = 0, r.now, 4
+	var flood []Event
+	for id := uint32(1); id <= 60; id++ {
+		flood = append(flood, request(id, 0, 0, 1))
+	}
+	r.step(flood...)
+	over := 0
+	for _, j := range r.d.waiting {
+		if j.over {
+			over++
+		}
+	}
+	if over == 0 {
+		t.Fatal("no waiting request of the flood counts as beyond its share")
+	}
+	before := len(r.d.waiting)
+	got := r.after(1, request(100, 0, 0, 1), request(101, 0, 1, 1))
+	if len(find(got, ActRefuse, 101)) != 0 {
+		t.Error("a request within its share was refused in a flood of another tenant")
+	}
+	if len(r.d.waiting) > before+2 {
+		t.Errorf("%d wait, want the flood's to make place", len(r.d.waiting))
+	}
+}
+
+// Without a hint the aim is that of a short job: heavy tails put the mean far over most jobs (i6b19c9).
+func TestUnhintedAimIsThatOfAShortJob(t *testing.T) {
+	r := newRig(t, base(), ready(7, 0))
+	e := request(1, 0, 0, 1)
+	e.Flags, e.Work = 0, 0
+	r.step(e)
+	j := r.d.jobs[1]
+	mean := r.d.classes[0].work
+	latest := j.aimAt - j.work/r.d.meanSpeed() - r.now // how long it may be held
+	if short := 400 + 2*unhintedWork*mean; latest >= short {
+		t.Errorf("held for up to %v ms, want less than a short job's aim of %v", latest, short)
+	}
+}
+
+// Where worth goes by work, a job without a hint may wait for as long as one of those that carry the worth could:
+// else half of a burst's worth is put out of the queue as too late while it would still be in time.
+func TestUnhintedAimFollowsTheWorthByWork(t *testing.T) {
+	held := func(byWork bool) float64 {
+		s := base()
+		s.WorthByWork = byWork
+		r := newRig(t, s, ready(7, 0))
+		e := request(1, 0, 0, 1)
+		e.Flags, e.Work = 0, 0
+		r.step(e)
+		j := r.d.jobs[1]
+		return j.aimAt - j.work/r.d.meanSpeed() - r.now
+	}
+	if each, work := held(false), held(true); work <= each {
+		t.Errorf("held for up to %v ms with worth by work, %v with worth by request: want longer", work, each)
+	}
+}
+
+// A wide job worth more gets the tokens of several waiting ones that borrow and are worth less (recife rough-2).
+func TestWorthyJobEvictsBorrowers(t *testing.T) {
+	s := base()
+	s.Classes[2].Worth = 3
+	r := newRig(t, s, ready(7, 0))
+	r.d.workers[0].free, r.d.workers[0].reported, r.d.workers[0].slots = 0, r.now, 4
+	var small []Event
+	for id := uint32(1); id <= 30; id++ {
+		small = append(small, request(id, 0, 0, 1))
+	}
+	r.step(small...)
+	if got := r.after(1, request(100, 0, 0, 2)); len(find(got, ActRefuse, 100)) != 1 {
+		t.Fatal("a job worth no more than the others was let in although tokens lack")
+	}
+	got := r.after(1, request(101, 2, 0, 2))
+	if len(find(got, ActRefuse, 101)) != 0 {
+		t.Error("the worthier job was refused")
+	}
+	refused := 0
+	for _, a := range got {
+		if a.Kind == ActRefuse {
+			refused++
+		}
+	}
+	if refused != 2 {
+		t.Errorf("%d waiting jobs made place, want 2", refused)
+	}
+}
+
+// The last tokens are for work worth more than the mean (i260aa7).
+func TestTrunkReservation(t *testing.T) {
+	s := base()
+	s.Tenants, s.Classes[2].Worth = nil, 3
+	r := newRig(t, s, ready(7, 0))
+	r.d.capacity, r.d.value = 10, 2
+	r.d.tenants[0].inflight = 19 // of 20 tokens
+	if r.d.admit(&job{class: 0, slots: 1, value: 1}) {
+		t.Error("work under the mean worth took the last tokens")
+	}
+	if !r.d.admit(&job{class: 2, slots: 1, value: 3}) {
+		t.Error("work over the mean worth was refused although a token is left")
+	}
+}
+
+// Settings that are odd but usable: no division by zero, no panic, and jobs are answered.
+func TestOddSettings(t *testing.T) {
+	tests := map[string]func(*Settings){
+		"no tenants":      func(s *Settings) { s.Tenants = nil },
+		"zero portions":   func(s *Settings) { s.Tenants = []Tenant{{}, {}} },
+		"one zero":        func(s *Settings) { s.Tenants[0].Portion = 0 },
+		"zero aims":       func(s *Settings) { s.Classes[0].Aim, s.Classes[0].Stretch = 0, 0 },
+		"zero step":       func(s *Settings) { s.Step, s.Progress, s.ConnectTimeout, s.ConnIdle = 0, 0, 0, 0 },
+		"no rules' times": func(s *Settings) { s.Fall, s.WarmWithin, s.ColdFrom, s.AskWithin, s.DrainGrace = 0, 0, 0, 0, 0 },
+		"zero worth":      func(s *Settings) { s.Classes[0].Worth = 0 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := base()
+			change(&s)
+			r := newRig(t, s, ready(7, 0))
+			got := r.step(request(1, 0, 0, 1))
+			if len(find(got, ActSend, 1)) != 1 {
+				t.Fatalf("not sent: %v", got)
+			}
+			for range 20 {
+				r.after(100, Event{Kind: EvTimer})
+			}
+			got = r.after(10, outcome(1, 0, 7, Served))
+			if len(r.d.jobs) != 0 {
+				t.Errorf("job left: %v", got)
+			}
+			if c := r.d.capacity; math.IsNaN(c) || math.IsInf(c, 0) {
+				t.Errorf("capacity %v", c)
+			}
+		})
+	}
+}
+
+// A small tenant's reservation may be less than one wide job: its first is admitted all the same (id86762).
+func TestFirstJobOfASmallTenant(t *testing.T) {
+	r := newRig(t, base(), ready(7, 0))
+	r.d.capacity = 4
+	for i := range r.d.tenants {
+		r.d.tenants[i].lastSeen = r.now
+	}
+	r.d.tenants[0].inflight = 8 // all there is, and more than its reservation
+	if !r.d.admit(&job{tenant: 2, slots: 2, value: 1}) {
+		t.Error("the first job was refused")
+	}
+	r.d.tenants[2].inflight = 2
+	if r.d.admit(&job{tenant: 2, slots: 2, value: 1}) {
+		t.Error("the second was admitted past the reservation while others hold the remainder")
+	}
+	r.d.tenants[2].inflight = 0
+	if r.d.admit(&job{tenant: 2, slots: 2, value: 1, over: true}) {
+		t.Error("a first job beyond the share was admitted past the reservation")
+	}
+}
+
+// A node says what it goes by when it begins to refuse and when it has not for a while, and no more often.
+func TestLogsStateAtChanges(t *testing.T) {
+	r := newRig(t, base(), ready(7, 0))
+	w := r.d.byID[7]
+	lines := []string{}
+	for i := range 3000 {
+		w.free, w.reported, w.slots = 0, r.now, 2
+		var got []Action
+		if i < 1000 {
+			got = r.after(10, request(uint32(i+1), 0, 0, 1))
+		} else {
+			got = r.after(10, Event{Kind: EvTimer})
+		}
+		for _, a := range got {
+			if a.Kind == ActLog && strings.HasPrefix(a.Text, "refusing") {
+				lines = append(lines, a.Text)
+			}
+		}
+	}
+	if len(lines) < 2 || len(lines) > 4 || !strings.HasPrefix(lines[0], "refusing true: capacity ") ||
+		!strings.HasPrefix(lines[1], "refusing false: capacity ") || !strings.Contains(lines[1], "no tokens") {
+		t.Errorf("lines %q", lines)
+	}
+	r.d.logLeft, r.d.loggedAt = 0, r.now
+	for range 100 {
+		r.d.refusing = true // as if it had changed at every tick
+		if got := find(r.after(20, Event{Kind: EvTimer}), ActLog, 0); len(got) != 0 {
+			t.Fatal("a line past the bound")
+		}
+	}
+}
--- /dev/null
+++ b/brain/rig_test.go
@@ -0,0 +1,78 @@
+package brain
+
+import "testing"
+
+// This file holds what the tests of the package share.
+
+// base gives settings of a small site: three tenants, one class of each effect, reports in answers.
+func base() Settings {
+	return Settings{
+		Balancers: 1, Step: 1,
+		Classes: []Class{
+			{Aim: 400, Stretch: 2, Deadline: 6000, Worth: 1, Effect: Safe, Kind: -1},
+			{Aim: 400, Stretch: 2, Deadline: 6000, Worth: 1, Effect: Keyed, Scope: ScopeCell, Window: 2000, Kind: -1},
+			{Aim: 400, Stretch: 2, Deadline: 6000, Worth: 1, Effect: Unsafe, Kind: -1},
+		},
+		Tenants:   []Tenant{{Portion: 0.5}, {Portion: 0.3}, {Portion: 0.2}},
+		Telemetry: ReportAnswers, Fields: []Field{FieldFree},
+		Progress: 1000, TellsStart: true,
+		MaxAttempts: 4, MayDuplicate: true, MayCancel: true, Multiplex: 1,
+		ConnIdle: 5000, ConnectTimeout: 250,
+		AnswerSlack: 16, AskWithin: 10000, DrainGrace: 500,
+		FallMultiple: 4, Fall: 1500, ColdFrom: 0.3, WarmWithin: 9000,
+	}
+}
+
+// rig drives a Dispatcher and keeps what it answered.
+type rig struct {
+	t    *testing.T
+	d    *Dispatcher
+	now  float64
+	last []Action
+}
+
+func newRig(t *testing.T, s Settings, rows ...Row) *rig {
+	t.Helper()
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, d: d, now: 100000}
+	r.step(Event{Kind: EvList, Form: ListCached, Rows: rows})
+	return r
+}
+
+func (r *rig) step(events ...Event) []Action {
+	r.last = r.d.Step(r.now, events, nil)
+	return r.last
+}
+
+func (r *rig) after(ms float64, events ...Event) []Action {
+	r.now += ms
+	return r.step(events...)
+}
+
+func ready(id uint32, cell uint16) Row {
+	return Row{Worker: id, Cell: cell, Condition: Ready, Scale: 1}
+}
+
+func request(id uint32, class uint8, tenant uint16, slots float64) Event {
+	return Event{Kind: EvRequest, Job: id, Class: class, Tenant: tenant, TimeLeft: 6000,
+		Work: 200, Flags: FlagWork, Slots: slots}
+}
+
+func outcome(job uint32, attempt uint16, worker uint32, o Outcome, report ...float32) Event {
+	return Event{Kind: EvOutcome, Job: job, Attempt: attempt, Worker: worker, Outcome: o,
+		Final: o == Served, Report: report}
+}
+
+// find gives the actions of a kind for a job.
+func find(actions []Action, kind ActionKind, job uint32) []Action {
+	var got []Action
+	for _, a := range actions {
+		if a.Kind == kind && a.Job == job {
+			got = append(got, a)
+		}
+	}
+	return got
+}
