Count an array's members anew at a restart, by which of them are open on record

Cause: a member's end and its array's record are written by several calls at a time, and a restart took the array's figures as they stood. Killed between a count and its member's own record, it counted the member twice; with full counts members that waited were taken for ended. Found on the way: an older record of the array, written last, gave members their turn again (one that waited ran twice in one life); a member terminated before its turn ran after a restart; one that waited again was told as unsent, and lost at the next restart, since its open record had been taken away; one back from the core after it may have run counted as unsent.

A member and its count go on record together. Release takes an array's progress as one value, with members to be passed over. Waiting members of a terminated array are ended at a restart. TestMemberCountedTwice asks for the figures too.

--- /dev/null
+++ b/internal/batch/adopt.go
@@ -0,0 +1,219 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"gatetack/internal/records"
+	"gatetack/internal/release"
+)
+
+// load takes up what an earlier life of this node left: its sessions, arrays, and jobs that wait here. What may have been
+// sent is told as UNDETERMINED, and what was on its way to the core without a send on record as unsent; neither is run
+// again. Members of an array that were never sent have their turn again.
+func (f *Front) load(ctx context.Context) error {
+	if err := f.sessionsOnRecord(ctx, func(x sessionRecord) { f.sessions[x.Name] = &session{r: x} }); err != nil {
+		return err
+	}
+	if f.fleet != nil {
+		if !f.fleet.Ready() { // it has what earlier lives left taken up, one by one
+			return errors.New("the duties of this node's earlier lives are being claimed")
+		}
+		return nil
+	}
+	_, err := f.Adopt(ctx, f.ids.node)
+	return err
+}
+
+// Adopt takes up what is on record of a partition, or of all lives of a node, and says how much waits: what was never
+// handed to the core goes on waiting, what may have been sent is told as such, and is not run again here.
+func (f *Front) Adopt(ctx context.Context, partition string) (int, error) {
+	a := &adoption{front: f, prefix: partition + ".", now: time.Now(), arrays: map[string]*adoptedArray{}}
+	if err := a.readArrays(ctx); err != nil {
+		return 0, err
+	}
+	if err := a.readOpen(ctx); err != nil {
+		return 0, err
+	}
+	for id, x := range a.arrays {
+		if err := x.reconcile(ctx, f); err != nil {
+			return 0, err
+		}
+		if !x.over() && !a.readTemplate(x) {
+			delete(a.arrays, id)
+		}
+	}
+	for i := range a.open {
+		if err := a.take(ctx, &a.open[i]); err != nil {
+			return 0, err
+		}
+	}
+	return a.enqueue(partition), nil
+}
+
+// adoption is what is on record of a partition while it is taken up.
+type adoption struct {
+	front   *Front
+	prefix  string // of the keys of the partition's rows
+	now     time.Time
+	arrays  map[string]*adoptedArray
+	open    []Record // of jobs that have not ended, in the order of their keys
+	waiting []*job   // those that go on waiting, members of arrays aside
+}
+
+func (a *adoption) readArrays(ctx context.Context) error {
+	return a.front.pages(ctx, kindArray, a.prefix, func(row records.Row) error {
+		x := &adoptedArray{array: &array{}, open: map[int]bool{}}
+		if err := json.Unmarshal(row.Value, &x.r); err != nil {
+			return err
+		}
+		a.arrays[x.r.ID] = x
+		return nil
+	})
+}
+
+func (a *adoption) readOpen(ctx context.Context) error {
+	return a.front.pages(ctx, kindOpen, a.prefix, func(row records.Row) error {
+		value, found, err := a.front.store.Get(ctx, kindJob, row.Key)
+		if err != nil || !found {
+			return err
+		}
+		r := parseRecord(value)
+		a.open = append(a.open, r)
+		if x := a.arrayOf(&r); x != nil && !r.State.over() {
+			x.open[*r.Index] = true
+		}
+		return nil
+	})
+}
+
+// arrayOf is the array whose member a record is of, nil if it is none's.
+func (a *adoption) arrayOf(r *Record) *adoptedArray {
+	if !r.member() {
+		return nil
+	}
+	return a.arrays[r.Array]
+}
+
+// readTemplate reads the template of an array whose members are to go on, and says whether it can.
+func (a *adoption) readTemplate(x *adoptedArray) bool {
+	t, bad := a.front.read(gjson.ParseBytes(x.r.Template), x.r.Submitted)
+	if bad != nil {
+		a.front.log.Warn("an array on record can not be taken up", "array", x.r.ID, "field", bad.field, "why", bad.text)
+		return false
+	}
+	t.job.Method, t.job.Idempotency = "POST", trace()+trace()
+	x.t = *t
+	return true
+}
+
+// take settles what becomes of a job that had not ended.
+func (a *adoption) take(ctx context.Context, r *Record) error {
+	x := a.arrayOf(r)
+	switch {
+	case r.State.over():
+	case r.unsent() && x != nil && x.r.Cut:
+		r.State, r.SubState, r.Annotation, r.Finished = Failed, subTerminated, terminatedUnsent, a.now
+	case r.unsent() && x != nil:
+		x.again = append(x.again, *r.Index) // its record stands until its turn: another restart finds it
+		return nil
+	case r.unsent() && !r.Handed && r.Array == "":
+		a.wait(r)
+		return nil
+	default:
+		*r = told(*r, formerly)
+		if r.State == Undetermined {
+			r.Finished = a.now
+		}
+	}
+	changes := r.changes()
+	for i := range changes { // nothing of it is open in this life, and an executor may tell only of one that is in doubt
+		if k := changes[i].Kind; k == kindOpen || k == kindSent && r.State != Undetermined {
+			changes[i].Value = nil
+		}
+	}
+	if x != nil && x.open[*r.Index] { // it and its count go on record together
+		x.ended(r)
+		changes = append(changes, x.change())
+	}
+	return a.front.store.Write(ctx, changes...)
+}
+
+// wait makes a job go on waiting that was never handed to the core.
+func (a *adoption) wait(r *Record) {
+	t, bad := a.front.parse(r.Template, r.Submitted)
+	if bad != nil {
+		return
+	}
+	j := &job{f: a.front, queue: true, ref: release.Ref{ID: r.ID}, in: t.job, until: r.Deadline, hash: t.hash,
+		changed: make(chan struct{}), ready: closed, r: *r}
+	j.in.Method = "POST"
+	if j.in.Idempotency == "" {
+		j.in.Idempotency = trace() + trace()
+	}
+	a.waiting = append(a.waiting, j)
+}
+
+// enqueue puts what waits in the queue, and says how much that is.
+func (a *adoption) enqueue(partition string) int {
+	f, unfinished := a.front, 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, x := range a.arrays {
+		f.arrays[id] = x.array
+		if !x.over() {
+			unfinished++
+			f.queue.Restore(x.r.item(), release.Progress{Next: x.r.Next, Again: x.again, Skip: x.apart}, a.now)
+		}
+		if len(x.again) > 0 { // others take theirs up at the same moment
+			f.ramp.Restart()
+		}
+	}
+	for _, j := range a.waiting {
+		if f.jobs[j.r.ID] != nil {
+			continue
+		}
+		f.keep(j)
+		f.waits[j.r.ID] = j
+		f.queue.Add(release.Item{ID: j.r.ID, Session: j.r.Session, Priority: j.r.Priority, Start: j.r.Start, Held: j.r.State == QueuedHeld}, a.now)
+	}
+	if len(a.waiting) > 0 {
+		f.ramp.Restart()
+	}
+	f.log.Info("batch jobs on record", "of", partition, "waiting", f.queue.Waiting(), "arrays", unfinished)
+	f.wake()
+	return len(a.waiting) + unfinished
+}
+
+// pages calls each for all rows of a kind whose keys begin with a prefix.
+func (f *Front) pages(ctx context.Context, kind, prefix string, each func(records.Row) error) error {
+	return f.pagesAfter(ctx, kind, prefix, prefix, each)
+}
+
+// pagesAfter calls each for those of them whose keys come after one that need not be there.
+func (f *Front) pagesAfter(ctx context.Context, kind, prefix, after string, each func(records.Row) error) error {
+	for {
+		rows, err := f.store.Page(ctx, kind, after, 256)
+		if err != nil {
+			return err
+		}
+		for _, r := range rows {
+			if !strings.HasPrefix(r.Key, prefix) {
+				return nil
+			}
+			if err := each(r); err != nil {
+				return fmt.Errorf("%s %s: %w", kind, r.Key, err)
+			}
+			after = r.Key
+		}
+		if len(rows) == 0 { // a page may be cut short by its bytes
+			return nil
+		}
+	}
+}
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -199,6 +199,9 @@
 	var g sync.WaitGroup
 	for _, k := range batch { // side by side: they share a sync of the disk
 		g.Go(func() {
+			if k.record().State.over() {
+				failpoint.At(failpoint.Ended)
+			}
 			if err := f.put(ctx, k, nil); err != nil && ctx.Err() == nil {
 				f.log.Warn("a job's state was not recorded", "job", k.record().ID, "err", err)
 			}
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -69,7 +69,7 @@
 	now := time.Now()
 	if j.queue && f.unqueue(j, now) {
 		j.end(func(r *Record) {
-			r.State, r.SubState, r.Annotation = Failed, subTerminated, "terminated before it was sent"
+			r.State, r.SubState, r.Annotation = Failed, subTerminated, terminatedUnsent
 		}, now)
 		return f.answer(200, j.record())
 	}
@@ -113,15 +113,21 @@
 		}
 		return unknown(r.ID)
 	}
-	r.State, r.SubState, r.Annotation, r.Finished = Failed, subTerminated, "terminated before it was sent", now
-	j := &job{f: f, array: a, ref: ref, changed: make(chan struct{}), ready: closed, r: r}
-	f.keep(j)
+	r.State, r.SubState, r.Annotation, r.Finished = Failed, subTerminated, terminatedUnsent, now
+	j := f.endedMember(a, ref)
 	f.mu.Unlock()
-	f.events.add(&r)
-	f.over(j, now)
+	j.end(func(x *Record) { *x = r }, now)
 	return f.answer(200, r)
 }
 
+// endedMember makes the job of a member that ends without a turn in this life. The front's lock is held.
+func (f *Front) endedMember(a *array, ref release.Ref) *job {
+	x := a.record()
+	j := &job{f: f, array: a, ref: ref, changed: make(chan struct{}), ready: closed, r: a.memberRecord(&x, ref.Index)}
+	f.keep(j)
+	return j
+}
+
 // hold keeps back, and release lets go, a job or an array that waits here (Job::hold, Job::release). What was handed to
 // the core, or to a box, is not held, and is not said to be.
 func (f *Front) hold(ctx context.Context, session, id string, held bool) http1.Response {
@@ -225,13 +231,17 @@
 	now := time.Now()
 	x := a.record()
 	f.mu.Lock()
+	_, again, _, _ := f.queue.State(x.ID)
 	refs := f.queue.Remove(x.ID, now)
 	var back []*job // members that had their turn, came back, and wait again
 	ended := 0
 	for _, r := range refs {
-		if j := f.jobs[memberID(r.ID, r.Index)]; j != nil {
+		switch j := f.jobs[memberID(r.ID, r.Index)]; {
+		case j != nil:
 			back = append(back, j)
-		} else {
+		case slices.Contains(again, r.Index): // in an earlier life
+			back = append(back, f.endedMember(a, r))
+		default:
 			ended++
 		}
 	}
@@ -255,7 +265,7 @@
 	f.mu.Unlock()
 	for _, j := range back {
 		j.end(func(r *Record) {
-			r.State, r.SubState, r.Annotation = Failed, subTerminated, "terminated before it was sent"
+			r.State, r.SubState, r.Annotation = Failed, subTerminated, terminatedUnsent
 		}, now)
 	}
 	still := 0
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -9,6 +9,7 @@
 	"gatetack/internal/http1"
 	"gatetack/internal/owner"
 	"gatetack/internal/records"
+	"gatetack/internal/release"
 )
 
 // This file is what the front does where several nodes share what is on record: see package duty for who has what.
@@ -33,14 +34,24 @@
 }
 
 // told turns a record into what can be said of the job. Where nodes share records, those of a life that is over are taken up
-// by one of them, which writes what became of each: until then they stand as they are.
+// by one of them, which writes what became of each: until then they stand as they are. So does a member that waits again here.
 func (f *Front) told(r Record) Record {
-	if f.fleet != nil {
+	if f.fleet != nil || f.waitsAgain(&r) {
 		return r
 	}
 	return told(r, f.ids.origin(r.ID))
 }
 
+// waitsAgain says whether a record is of an array's member that an earlier life had its turn and never sent, and that waits here.
+func (f *Front) waitsAgain(r *Record) bool {
+	if !r.member() || r.State.over() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.queue.Waits(release.Ref{ID: r.Array, Index: *r.Index})
+}
+
 // passed makes a call about a job or array that another node has at that node, once. A call that was passed on already is
 // answered here, by what is on record: so no call goes round. While the other node does not answer, for its process may stand
 // still, it is looked at whether the job is still there: if not, the call is made where it is now. What the late one may do
--- a/internal/batch/hard_test.go
+++ b/internal/batch/hard_test.go
@@ -302,6 +302,10 @@
 			t.Errorf("member %d ran %d times", i, n)
 		}
 	}
+	eventually(t, "all on record", func() bool { return !f.Pending() })
+	if _, v, _ := call(f, "GET", "/arrays/"+id, ""); v.Get("done").Int() != 3 || v.Get("failed").Int() != 1 || v.Get("jobState").String() != "FAILED" {
+		t.Errorf("the array does not tell each member once: %s", v.Raw)
+	}
 }
 
 // A store that is gone: submissions are refused with when to come back, nothing is half taken, and what waits goes on
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -72,6 +72,9 @@
 	subUnsent     = "unsent"     // the node ended before it sent it: submitting it again is harmless
 )
 
+// terminatedUnsent tells of a job that its client ended.
+const terminatedUnsent = "terminated before it was sent"
+
 // job is one of this life, or one that waited when an earlier life ended. The core's goroutine and the clients' ones
 // share it.
 type job struct {
@@ -258,11 +261,19 @@
 	kindSame    = "same"    // by session and idempotency key: sameRecord
 )
 
+// unsent says whether a record shows that nothing of its job was sent: each send is on record before it is made.
+func (r *Record) unsent() bool {
+	return r.SubState == subHeld && r.State == Queued || r.SubState == subDeferred || r.State == QueuedHeld
+}
+
+// member says whether a record is of an array's member.
+func (r *Record) member() bool { return r.Array != "" && r.Index != nil }
+
 // told turns a record into what can be said of the job now. Nothing that may have been sent is ever run again here.
 func told(r Record, from origin) Record {
 	switch {
 	case r.State.over() || from != formerly || r.State == Undetermined:
-	case r.SubState == subHeld && r.State == Queued || r.SubState == subDeferred || r.State == QueuedHeld:
+	case r.unsent():
 		// Each send is on record before it is made, and the life that could make one is over.
 		r.State, r.SubState = Failed, subUnsent
 		r.Annotation = "the node ended before it sent the job: submitting it again is harmless"
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -87,15 +87,28 @@
 }
 
 // Add takes an item in, and says whether its name was free.
-func (q *Queue) Add(x Item, now time.Time) bool { return q.Restore(x, 0, nil, now) }
+func (q *Queue) Add(x Item, now time.Time) bool { return q.Restore(x, Progress{}, now) }
 
-// Restore takes in an item of which some is done: an array's next index, and the members before it that wait again.
-func (q *Queue) Restore(x Item, next int, again []int, now time.Time) bool {
+// Progress is how far an array has come.
+type Progress struct {
+	Next  int   // the index whose turn is next
+	Again []int // members that had their turn and wait again
+	Skip  []int // members from Next on that get no turn of the range's
+}
+
+// Restore takes in an item of which some is done, and says whether its name was free.
+func (q *Queue) Restore(x Item, p Progress, now time.Time) bool {
 	if q.items[x.ID] != nil || x.Size() == 0 {
 		return false
 	}
 	q.seq++
-	it := &item{Item: x, seq: q.seq, next: max(next, x.Begin), again: again, out: map[int]bool{}, at: x.Start, heap: -1, timed: -1}
+	it := &item{Item: x, seq: q.seq, next: max(p.Next, x.Begin), again: p.Again, skip: map[int]bool{}, out: map[int]bool{}, at: x.Start,
+		heap: -1, timed: -1}
+	for _, index := range p.Skip {
+		if index >= it.next && index <= it.End {
+			it.skip[index] = true
+		}
+	}
 	q.items[x.ID] = it
 	q.waiting += it.left()
 	q.session(x.Session).items++
@@ -103,6 +116,12 @@
 	return true
 }
 
+// Waits says whether a member of an array that had its turn waits again.
+func (q *Queue) Waits(r Ref) bool {
+	it := q.items[r.ID]
+	return it != nil && slices.Contains(it.again, r.Index)
+}
+
 func (q *Queue) session(name string) *session {
 	s := q.sessions[name]
 	if s == nil {
