Keep the end of an array on record where a hold or termination of it was written late

Cause: a hold put a copy of the array on record that was made before its last members ended; written after their records, it stood, and the array, which is no longer in memory then, was told as running until the next restart. Change: whoever writes an array's record looks afterwards whether it has ended meanwhile, and writes its end. TestEndOfAnArrayStaysOnRecord fails without it (one run) and passes 10 of 10 with -race; go test -race ./internal/batch passes.

--- a/internal/batch/adopt_test.go
+++ b/internal/batch/adopt_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"gatetack/internal/node"
 	"gatetack/internal/records"
 )
@@ -151,3 +153,47 @@
 		t.Errorf("%d wait", f.queue.Waiting())
 	}
 }
+
+// slowHold is a store in which the record of an array that is put on hold is written late.
+type slowHold struct {
+	*memory
+	came, on chan bool
+}
+
+func (s *slowHold) Write(ctx context.Context, changes ...records.Change) error {
+	if c := changes[len(changes)-1]; c.Kind == kindArray && gjson.GetBytes(c.Value, "held").Bool() && gjson.GetBytes(c.Value, "done").Int() == 0 &&
+		len(changes) == 1 {
+		s.came <- true
+		<-s.on
+	}
+	return s.memory.Write(ctx, changes...)
+}
+
+// An array is put on hold, and ends before that is on record: what is on record in the end is its end, though it was written first.
+func TestEndOfAnArrayStaysOnRecord(t *testing.T) {
+	e := &engine{}
+	s := &slowHold{&memory{values: map[string][]byte{}}, make(chan bool), make(chan bool)}
+	f := front(e, s, time.Now())
+	run(t, f)
+	id := submitArray(t, f, `"endIndex":2,"maxParallel":1`)
+	var clients []node.Client
+	eventually(t, "the first is with the core", func() bool { clients, _ = e.take(); return len(clients) == 1 })
+	held := make(chan int)
+	go func() {
+		status, _, _ := call(f, "POST", "/arrays/"+id+"/hold", "")
+		held <- status
+	}()
+	<-s.came
+	if status, v, _ := call(f, "POST", "/jobs/"+memberID(id, 2)+"/terminate", ""); status != 200 {
+		t.Errorf("%d %s", status, v.Raw)
+	}
+	clients[0].Answer(node.Answer{End: node.Served})
+	eventually(t, "both are on record", func() bool { return !f.Pending() })
+	s.on <- true
+	if status := <-held; status != 200 {
+		t.Errorf("hold: %d", status)
+	}
+	if _, v, _ := call(f, "GET", "/arrays/"+id, ""); v.Get("done").Int() != 1 || v.Get("failed").Int() != 1 {
+		t.Errorf("on record: %s", v.Raw)
+	}
+}
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -66,6 +66,21 @@
 	return records.Change{Kind: kindArray, Key: key(r.ID), Value: v, Keep: r.Done+r.Failed < r.Jobs}
 }
 
+// recordArray puts an array on record as it is.
+func (f *Front) recordArray(ctx context.Context, a *array) error {
+	if f.store == nil {
+		return nil
+	}
+	c := a.change()
+	if err := f.store.Write(ctx, c); err != nil {
+		return err
+	}
+	if c.Keep && a.over() { // it ended meanwhile: its last record may have been written before this one, which is older
+		return f.store.Write(ctx, a.change())
+	}
+	return nil
+}
+
 // ended counts a member that has ended.
 func (a *array) ended(r *Record) {
 	a.set(func(x *arrayRecord) {
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -218,10 +218,8 @@
 		return reply(409, map[string]any{"error": "INVALID_STATE", "message": "no member of the array waits, or none is on hold", "jobArray": a.record().status()})
 	}
 	f.wake()
-	if f.store != nil {
-		if err := f.store.Write(ctx, a.change()); err != nil {
-			return tryLater("it is so, but could not be recorded: " + err.Error())
-		}
+	if err := f.recordArray(ctx, a); err != nil {
+		return tryLater("it is so, but could not be recorded: " + err.Error())
 	}
 	return reply(200, a.record().status())
 }
@@ -276,10 +274,8 @@
 			}
 		}
 	}
-	if f.store != nil {
-		if err := f.store.Write(ctx, a.change()); err != nil {
-			return tryLater("it is so, but could not be recorded: " + err.Error())
-		}
+	if err := f.recordArray(ctx, a); err != nil {
+		return tryLater("it is so, but could not be recorded: " + err.Error())
 	}
 	if still > 0 {
 		return reply(409, map[string]any{"error": "INVALID_STATE", "jobArray": a.record().status(), "stillOut": still,
