Let the accept loop itself empty the listener's queue at the end, without asking the kernel

Change: once the server ends, each wait for a connection is bounded by 5 ms, and the first one in vain closes the listener.

--- a/internal/batch/adopt_test.go
+++ b/internal/batch/adopt_test.go
@@ -82,6 +82,8 @@
 			}, nil, 4, 0},
 		{"cut off with one that waits again and one count too many",
 			func(s *shelf) { s.member(1, Done, sub); s.member(2, Queued, subHeld); s.counts(3, 2, 2, true) }, nil, 1, 3},
+		{"one handed back that may have run, held for another attempt",
+			func(s *shelf) { s.member(1, Requeued, subHeld); s.counts(2, 0, 0, false) }, []int{2, 3, 4}, 3, 1},
 		{"records of members gone, for the oldest go first",
 			func(s *shelf) { s.member(2, Queued, subSent); s.counts(3, 2, 0, false) }, []int{3, 4}, 3, 1},
 	} {
--- a/internal/http1/ending.go
+++ b/internal/http1/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"gatetack/internal/sock"
@@ -81,9 +82,10 @@
 // It returns once no connection is open, or the context ends. A request that came in the moment in which a node had decided to
 // end would else be reset with its connection, or with the queue.
 func (s *Server) Finish(ctx context.Context) {
-	for s.queued() && pause(ctx) {
+	s.finishing.Store(true)
+	if ln := s.ln.Load(); ln == nil || !boundAccept(*ln) {
+		s.StopTaking()
 	}
-	s.StopTaking()
 	select {
 	case <-s.taken:
 	case <-ctx.Done():
@@ -95,10 +97,17 @@
 	}
 }
 
-// queued says whether connections wait to be taken.
-func (s *Server) queued() bool {
-	ln := s.ln.Load()
-	return !s.stopped.Load() && ln != nil && sock.Waiting(*ln)
+// lastAccept bounds the wait for the next connection once the server ends, and says whether it did: if none comes then, none waits.
+func (s *Server) lastAccept(ln net.Listener) bool { return s.finishing.Load() && boundAccept(ln) }
+
+// acceptWait is for how long a server that ends waits for one more connection. It is not zero: whoever takes a connection looks
+// into the queue only if its time is not over yet.
+const acceptWait = 5 * time.Millisecond
+
+// boundAccept bounds the wait for a connection, and says whether the listener allows for that.
+func boundAccept(ln net.Listener) bool {
+	d, ok := ln.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(acceptWait)) == nil
 }
 
 // finishLook is between looks at what is still open at the end.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -85,17 +85,7 @@
 	return max(n, 0)
 }
 
-// Waiting says whether connections wait in a listener's queue. None are seen where the kernel is not asked about such a listener.
-func Waiting(ln net.Listener) bool {
-	ready := 0
-	control(ln, func(fd int) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return ready > 0
-}
-
-// control calls f with the descriptor of a connection or a listener, if it has one.
-func control(c any, f func(fd int)) {
+func control(c net.Conn, f func(fd int)) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return
