--- a/internal/scale/fleet/description.go
+++ b/internal/scale/fleet/description.go
@@ -121,6 +121,17 @@
 	return time.Duration(float64(d.Running) / max(d.Starts, d.StartsTo) * float64(time.Second))
 }
 
+// urgentRun is how much shorter urgent tasks are.
+const urgentRun = 0.25
+
+// ExpectedRun is how long a task of a class runs on the mean.
+func (d *Description) ExpectedRun(class int) time.Duration {
+	if class == ClassUrgent {
+		return time.Duration(urgentRun * float64(d.MeanRun()))
+	}
+	return d.MeanRun()
+}
+
 // Accelerators follow the operators' figures: 8,600 on 6,200 executors. Of each 31 executors 25 have one, three have two and
 // three have four, which makes 43.
 var acceleratorMix = func() (mix [31]int) {
--- a/internal/scale/hollow/executor.go
+++ b/internal/scale/hollow/executor.go
@@ -37,6 +37,7 @@
 	ProgressEvery    time.Duration // 0 for no reports
 	QueuePerSlot     int           // tasks that may wait at an executor, for each slot
 	StoreMembers     int           // the first dispatchers, which have addresses of their own at each executor
+	ExpectedRun      func(class int) time.Duration
 	DispatcherRegion func(dispatcher int) int
 }
 
@@ -266,7 +267,7 @@
 // take puts an attempt to work, or turns it away where too many wait.
 func (x *executor) take(l *life, a *attempt, firstByte time.Duration) http1.Response {
 	e := a.event(verdict.Taken)
-	e.FirstByte, e.Work = firstByte, a.task.Run*time.Duration(a.task.Slots)
+	e.FirstByte, e.Work = firstByte, x.settings.ExpectedRun(a.task.Class)*time.Duration(a.task.Slots)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if len(l.waiting) >= x.settings.QueuePerSlot*x.plan.Slots || a.task.Slots > x.plan.Slots {
--- a/internal/scale/hollow/executor_test.go
+++ b/internal/scale/hollow/executor_test.go
@@ -77,6 +77,7 @@
 	server := http1.NewServer(standin.Lim, w.dispatcher, nil, standin.Quiet)
 	g.Go(func() error { return server.Serve(ctx, ln) })
 	s.Rules, s.QueuePerSlot = testRules, max(s.QueuePerSlot, 1)
+	s.ExpectedRun = func(int) time.Duration { return time.Second }
 	if s.DispatcherRegion == nil {
 		s.DispatcherRegion = func(int) int { return 0 }
 	}
--- a/internal/scale/play/dispatchers.go
+++ b/internal/scale/play/dispatchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -51,6 +52,9 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
+	if r.Description.StoreMembers > 0 && r.untilLeader(ctx) == nil {
+		return errors.New("store: no member led in time")
+	}
 	for number, h := range r.hollow {
 		if err := r.untilReady(ctx, number, h); err != nil {
 			return err
--- a/internal/scale/play/play.go
+++ b/internal/scale/play/play.go
@@ -133,7 +133,7 @@
 // stand sets up what stands around the dispatchers.
 func (r *run) stand(ctx context.Context, g *errgroup.Group) error {
 	d := &r.Description
-	settings := hollow.ExecutorSettings{Rules: d.Rules(), ProgressEvery: d.ProgressEvery(), QueuePerSlot: queuePerSlot, StoreMembers: d.StoreMembers, DispatcherRegion: d.DispatcherRegion}
+	settings := hollow.ExecutorSettings{Rules: d.Rules(), ProgressEvery: d.ProgressEvery(), QueuePerSlot: queuePerSlot, StoreMembers: d.StoreMembers, ExpectedRun: d.ExpectedRun, DispatcherRegion: d.DispatcherRegion}
 	r.executors = hollow.NewExecutors(ctx, g, r.plan, settings, r.network, r.record, &r.traffic, r.cuts, d.AllDispatchers())
 	for i := range r.plan {
 		if err := r.executors.Boot(i, false); err != nil {
--- a/internal/scale/play/play_test.go
+++ b/internal/scale/play/play_test.go
@@ -163,3 +163,36 @@
 		t.Errorf("%+v %v", r, err)
 	}
 }
+
+// Each fault that goes over sockets is played with all rules kept, and each task has one end.
+func TestFaults(t *testing.T) {
+	t.Parallel()
+	for _, name := range []faults.Name{faults.Cut, faults.CutInward, faults.CutOutward, faults.Rack, faults.Machine, faults.Rolling} {
+		t.Run(string(name), func(t *testing.T) {
+			t.Parallel()
+			spec, err := faults.Parse(string(name))
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch name { // some of each in a short run of few executors
+			case faults.Machine:
+				spec.Value = 20000
+			case faults.Rolling:
+				spec.Value = 5
+			}
+			r, err := Run(context.Background(), options(t, small(), spec))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !r.Kept || r.Partial {
+				t.Errorf("partial %v %s; %+v", r.Partial, r.PartialWhy, r.Verdict.Violations)
+			}
+			for _, j := range r.Jobs {
+				if j.Served+j.Refused+j.Failed != j.Tasks {
+					t.Errorf("%s: %d tasks, and %d served, %d refused, %d failed", j.Kind, j.Tasks, j.Served, j.Refused, j.Failed)
+				}
+			}
+			t.Logf("%+v", r.Verdict.Counts)
+		})
+	}
+}
--- a/internal/scale/process/measure.go
+++ b/internal/scale/process/measure.go
@@ -51,6 +51,21 @@
 		ReadBytes: int64(io.RChar), WrittenBytes: int64(io.WChar), ReadCalls: int64(io.SyscR), WriteCalls: int64(io.SyscW)}, nil
 }
 
+// MachineBusy is the processor time that all processes of the machine have used, in the kernel's own count.
+func MachineBusy() (time.Duration, error) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, fmt.Errorf("processor time of the machine: %w", err)
+	}
+	stat, err := fs.Stat()
+	if err != nil {
+		return 0, fmt.Errorf("processor time of the machine: %w", err)
+	}
+	c := stat.CPUTotal
+	busy := c.User + c.Nice + c.System + c.IRQ + c.SoftIRQ + c.Steal
+	return time.Duration(busy * float64(time.Second)), nil
+}
+
 // Budget bounds a run.
 type Budget struct {
 	MemoryBytes int64
--- a/internal/scale/process/process_test.go
+++ b/internal/scale/process/process_test.go
@@ -93,6 +93,9 @@
 	if err != nil || own.CPU <= 0 || own.PrivateBytes < 1<<20 || own.PrivateBytes > 1<<30 {
 		t.Errorf("%+v %v", own, err)
 	}
+	if busy, err := MachineBusy(); err != nil || busy < own.CPU {
+		t.Errorf("the machine used %v, and this process %v of it: %v", busy, own.CPU, err)
+	}
 	p.Kill()
 	if err := p.Until(context.Background(), time.Second, func() bool { return false }); !errors.Is(err, ErrEnded) {
 		t.Errorf("waiting for one that has ended: %v", err)
--- a/internal/scale/verdict/cold.go
+++ b/internal/scale/verdict/cold.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// coldBudgets keeps what cold executors were sent by all dispatchers together. Over any window of the stated length that must stay
+// coldBudgets keeps what cold executors were sent by all dispatchers together, in work as it is expected of a class: how long one task
+// will run is known to nobody when it is sent. Over any window of the stated length that must stay
 // under a multiple of what the executor can do at the window's end. A budget can not be spent in parts of an attempt, so the
 // largest one in the window does not count. The rule holds where two thirds of the work came from dispatchers that were told of the
 // executor's start, or count as told.
--- a/internal/scale/verdict/event.go
+++ b/internal/scale/verdict/event.go
@@ -60,5 +60,5 @@
 	Request    uint64
 	Deadline   time.Duration // Submitted: until when its client waits
 	FirstByte  time.Duration // Taken, TurnedAway
-	Work       time.Duration // Taken, TurnedAway: slots times running time on a warm executor
+	Work       time.Duration // Taken, TurnedAway: slots times the running time that is expected of the class on a warm executor
 }
--- a/internal/scale/virtual/executor.go
+++ b/internal/scale/virtual/executor.go
@@ -68,7 +68,7 @@
 func (t *attempt) event(k verdict.Kind) verdict.Event {
 	return verdict.Event{Kind: k, Request: t.job.request, Task: int32(t.job.task.Number), Executor: int32(t.executor.plan.Number),
 		Dispatcher: int16(t.dispatcher.number), Class: uint8(t.job.task.Class), Tenant: int32(t.job.task.Tenant), Slots: int32(t.job.task.Slots),
-		FirstByte: t.dispatcher.world.now, Work: t.job.task.Run * time.Duration(t.job.task.Slots)}
+		FirstByte: t.dispatcher.world.now, Work: t.dispatcher.world.d.ExpectedRun(t.job.task.Class) * time.Duration(t.job.task.Slots)}
 }
 
 // arrive takes an attempt, or turns it away.
--- a/internal/scale/workload/workload.go
+++ b/internal/scale/workload/workload.go
@@ -155,30 +155,25 @@
 	}
 	tenant, first := g.random.IntN(d.Tenants), g.random.IntN(d.AllDispatchers())
 	batch := kind == Array && g.random.Float64() < d.BatchShare
-	run := g.run(kind)
+	run := g.run(class)
 	for member := range size {
 		g.tasks++
 		t := Task{Number: g.tasks, Due: at, Job: g.jobs, Size: size, Kind: kind, Batch: batch, Class: class, Tenant: tenant,
 			Dispatcher: (first + member) % d.AllDispatchers(), Slots: 1, Run: run}
 		if !batch { // the members of a batch array have one template
-			t.Run = g.run(kind)
+			t.Run = g.run(class)
 		}
 		g.pending = append(g.pending, t)
 	}
 	g.jobs++
 }
 
-// Bounds of a task's run, in parts of the mean; urgent tasks are shorter.
+// Bounds of a task's run, in parts of what is expected of its class.
 const (
 	shortestRun = 0.2
 	longestRun  = 3.0
-	urgentRun   = 0.25
 )
 
-func (g *Generator) run(kind Kind) time.Duration {
-	mean := float64(g.description.MeanRun())
-	if kind == Urgent {
-		mean *= urgentRun
-	}
-	return time.Duration(mean * min(longestRun, max(shortestRun, g.random.ExpFloat64())))
+func (g *Generator) run(class int) time.Duration {
+	return time.Duration(float64(g.description.ExpectedRun(class)) * min(longestRun, max(shortestRun, g.random.ExpFloat64())))
 }
