--- a/internal/scale/play/hollow_test.go
+++ b/internal/scale/play/hollow_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"gatetack/internal/scale/faults"
 	"gatetack/internal/scale/fleet"
 )
 
@@ -73,3 +75,41 @@
 	n := float64(len(x))
 	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
 }
+
+// The decision modules alone, on virtual time, come to what real dispatchers come to under the same load and zone outage: the same
+// tasks, and as many of them served to within a twentieth.
+func TestVirtualTimeAgainstRealDispatchers(t *testing.T) {
+	t.Parallel()
+	zone := faults.Spec{Name: faults.Zone}
+	real, err := Run(context.Background(), options(t, small(), zone))
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone, err := RunVirtual(options(t, small(), zone))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !real.Kept || !alone.Kept || !alone.Virtual {
+		t.Errorf("%+v %+v", real.Verdict.Violations, alone.Verdict.Violations)
+	}
+	for i := range real.Jobs {
+		if a, b := real.Jobs[i].Tasks, alone.Jobs[i].Tasks; a != b {
+			t.Errorf("%s: %d tasks, and %d on virtual time", real.Jobs[i].Kind, a, b)
+		}
+	}
+	a, b := real.Verdict.Counts, alone.Verdict.Counts
+	t.Logf("real %+v\nvirtual %+v", a, b)
+	if d := a.Served - b.Served; d > a.Served/20 || -d > a.Served/20 {
+		t.Errorf("served %d, and %d on virtual time", a.Served, b.Served)
+	}
+}
+
+// What is none of the decision module's can not be played on virtual time.
+func TestVirtualFaults(t *testing.T) {
+	t.Parallel()
+	for _, name := range []faults.Name{faults.Cut, faults.Leader, faults.Reconfigure} {
+		if _, err := RunVirtual(options(t, small(), faults.Spec{Name: name})); err == nil || !strings.Contains(err.Error(), "virtual time") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
