--- a/internal/scale/hollow/clients.go
+++ b/internal/scale/hollow/clients.go
@@ -229,7 +229,7 @@
 		return verdict.Unreached, 0
 	case err != nil:
 		_ = conn.Close()
-		c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: verdict.Broken, Request: request})
+		c.record.Add(verdict.Event{Kind: verdict.Answered, Answer: verdict.Broken, Request: request, Kept: kept})
 		return verdict.Broken, 0
 	}
 	answer, retry := read(m, id)
--- a/internal/scale/verdict/event.go
+++ b/internal/scale/verdict/event.go
@@ -52,6 +52,7 @@
 	Answer     Answer
 	Condition  Condition
 	Class      uint8
+	Kept       bool // Answered, Broken: the connection had carried a request before
 	Dispatcher int16
 	Tenant     int32
 	Executor   int32
--- a/internal/scale/verdict/judge.go
+++ b/internal/scale/verdict/judge.go
@@ -213,7 +213,11 @@
 		c.Unreached++
 	case Broken:
 		c.Broken++
-		j.unanswered(e, r, "the connection ended with no whole answer")
+		connection := "a new connection"
+		if e.Kept {
+			connection = "a kept connection"
+		}
+		j.unanswered(e, r, fmt.Sprintf("%s ended %v after the request with no whole answer", connection, (e.At-r.submitted).Round(time.Millisecond)))
 	}
 }
 
