--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -78,7 +78,24 @@
 	return err != unix.EAGAIN
 }
 
-func control(c net.Conn, f func(fd int)) {
+// Take reads into b what has come on a connection, without waiting and whatever its deadlines are, and tells how much that was.
+func Take(c net.Conn, b []byte) int {
+	n := 0
+	control(c, func(fd int) { n, _, _ = unix.Recvfrom(fd, b, unix.MSG_DONTWAIT) })
+	return max(n, 0)
+}
+
+// Waiting says whether connections wait in a listener's queue. None are seen where the kernel is not asked about such a listener.
+func Waiting(ln net.Listener) bool {
+	ready := 0
+	control(ln, func(fd int) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ready > 0
+}
+
+// control calls f with the descriptor of a connection or a listener, if it has one.
+func control(c any, f func(fd int)) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return
