--- a/internal/scale/play/play.go
+++ b/internal/scale/play/play.go
@@ -86,6 +86,7 @@
 	changes     *changes
 	lag         lag
 	clientLag   time.Duration // the worst of the clients' processes
+	load        float64       // of the machine, before the run
 	loadStart   time.Time
 }
 
@@ -110,6 +111,9 @@
 		return nil, err
 	}
 	defer func() { _ = r.network.Close() }()
+	if r.load, err = process.LoadAverage(); err != nil {
+		return nil, err
+	}
 	r.starter = process.NewStarter()
 	defer r.starter.Close()
 
--- a/internal/scale/play/report.go
+++ b/internal/scale/play/report.go
@@ -34,6 +34,7 @@
 	out := &result.Result{Tool: result.Tool, Format: result.Format, Commit: r.Commit, Command: r.Command, Machine: machine(), Began: r.loadStart.UTC().Truncate(time.Second),
 		Description: r.Description, Faults: faultNames(r.Faults), Seconds: played.Seconds(), Verdict: verdict.Run(verdict.For(&r.Description, max(r.lag.worst(), r.clientLag)), events, end),
 		Traffic: r.traffic.Sum(), Saturated: s.saturated, ToolLag: r.lag.sum(), MemoryMB: float64(s.peak) / (1 << 20), Changes: r.changes.sum(), Notes: r.notes()}
+	out.Machine.LoadAt = r.load
 	out.Kept = out.Verdict.Kept()
 	out.Jobs = r.jobs()
 	whole, part, none, spread := r.record.Gangs()
--- a/internal/scale/play/virtual.go
+++ b/internal/scale/play/virtual.go
@@ -11,6 +11,7 @@
 	"gatetack/internal/scale/faults"
 	"gatetack/internal/scale/fleet"
 	"gatetack/internal/scale/hollow"
+	"gatetack/internal/scale/process"
 	"gatetack/internal/scale/result"
 	"gatetack/internal/scale/verdict"
 	"gatetack/internal/scale/virtual"
@@ -58,6 +59,10 @@
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
+	load, err := process.LoadAverage()
+	if err != nil {
+		return nil, err
+	}
 	before := heapBytes()
 	m := &threadMeter{spent: make([]time.Duration, d.AllDispatchers())}
 	began := time.Now()
@@ -73,6 +78,7 @@
 		Description: *d, Faults: faultNames(o.Faults), Virtual: true, Seconds: d.Duration.Seconds(), Kept: found.Kept(), Verdict: found,
 		Traffic:  map[string]hollow.RoleTraffic{hollow.RolePeer.String(): {MessagesOut: int64(counts.Tells), BytesIn: int64(counts.TellBytes)}},
 		MemoryMB: float64(heapBytes()-before) / (1 << 20)}
+	out.Machine.LoadAt = load
 	for kind := range workload.Kinds {
 		out.Jobs = append(out.Jobs, virtualJobs(kind, &counts))
 	}
--- a/internal/scale/process/measure.go
+++ b/internal/scale/process/measure.go
@@ -66,6 +66,19 @@
 	return time.Duration(busy * float64(time.Second)), nil
 }
 
+// LoadAverage is the machine's over the last minute: others may use it too.
+func LoadAverage() (float64, error) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, fmt.Errorf("load average: %w", err)
+	}
+	load, err := fs.LoadAvg()
+	if err != nil {
+		return 0, fmt.Errorf("load average: %w", err)
+	}
+	return load.Load1, nil
+}
+
 // Budget bounds a run.
 type Budget struct {
 	MemoryBytes int64
--- a/internal/scale/process/process_test.go
+++ b/internal/scale/process/process_test.go
@@ -90,6 +90,10 @@
 		t.Errorf("%+v %v", u, err)
 	}
 	own, err := Measure(os.Getpid())
+	// The kernel counts in hundredths of a second: work until it has counted one.
+	for end := time.Now().Add(20 * time.Second); err == nil && own.CPU == 0 && time.Now().Before(end); {
+		own, err = Measure(os.Getpid())
+	}
 	if err != nil || own.CPU <= 0 || own.PrivateBytes < 1<<20 || own.PrivateBytes > 1<<30 {
 		t.Errorf("%+v %v", own, err)
 	}
--- a/internal/scale/result/table.go
+++ b/internal/scale/result/table.go
@@ -25,6 +25,7 @@
 	if r.Partial {
 		t.line("PARTIAL: %s", r.PartialWhy)
 	}
+	t.line("machine: %d cores, load average before the run %.1f", r.Machine.Cores, r.Machine.LoadAt)
 	t.line("asked %.0f starts a second (%d in the busiest), started %.0f (%d in the best), %d running at most; the tool's lag p99 %.1f ms, max %.0f ms",
 		r.Running.AskedPerS, r.Running.AskedPeakPS, r.Running.StartsPerS, r.Running.StartsPeakPS, r.Running.Peak, r.ToolLag.P99, r.ToolLag.Max)
 	t.line("\n| job | tasks | served | refused | failed | start told p50 ms | p90 | p99 | max | within 2.2 s |")
