--- a/internal/scale/process/process_test.go
+++ b/internal/scale/process/process_test.go
@@ -90,9 +90,16 @@
 		t.Errorf("%+v %v", u, err)
 	}
 	own, err := Measure(os.Getpid())
+	// The kernel counts in hundredths of a second: work until it has counted one.
+	for end := time.Now().Add(20 * time.Second); err == nil && own.CPU == 0 && time.Now().Before(end); {
+		own, err = Measure(os.Getpid())
+	}
 	if err != nil || own.CPU <= 0 || own.PrivateBytes < 1<<20 || own.PrivateBytes > 1<<30 {
 		t.Errorf("%+v %v", own, err)
 	}
+	if busy, err := MachineBusy(); err != nil || busy < own.CPU {
+		t.Errorf("the machine used %v, and this process %v of it: %v", busy, own.CPU, err)
+	}
 	p.Kill()
 	if err := p.Until(context.Background(), time.Second, func() bool { return false }); !errors.Is(err, ErrEnded) {
 		t.Errorf("waiting for one that has ended: %v", err)
--- a/internal/scale/verdict/event.go
+++ b/internal/scale/verdict/event.go
@@ -52,6 +52,7 @@
 	Answer     Answer
 	Condition  Condition
 	Class      uint8
+	Kept       bool // Answered, Broken: the connection had carried a request before
 	Dispatcher int16
 	Tenant     int32
 	Executor   int32
@@ -60,5 +61,5 @@
 	Request    uint64
 	Deadline   time.Duration // Submitted: until when its client waits
 	FirstByte  time.Duration // Taken, TurnedAway
-	Work       time.Duration // Taken, TurnedAway: slots times running time on a warm executor
+	Work       time.Duration // Taken, TurnedAway: slots times the running time that is expected of the class on a warm executor
 }
