Let 16 nodes and more tell a hub, also at a dozen executors

So it is one thing: each of 32 nodes sends by what the others told up to a run ago.

At fault: howToTell in brain/peers.go took whole messages to all as long as the bytes allow one in a mean run. A message older than a load report when it comes tells no more than the report; beyond that the hub is told now, which is asked for each job.

--- a/brain/hub_test.go
+++ b/brain/hub_test.go
@@ -516,3 +516,26 @@
 		out = d.Step(now+1, []Event{entry(hubChange, 2)}, out[:0])
 	}
 }
+
+// Some dozen nodes at a dozen workers told one another all that they had out, about once a run, for the bytes allowed no more: each of 32
+// saw the same free slots for a second, and jobs queued for seconds beside idle slots (tallinn-tiles throng+brink).
+func TestNodesTellAHubWhereWholeMessagesAreOlderThanReports(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		quota float64
+		want  telling
+	}{{4, 28, tellWhole}, {6, 28, tellWhole}, {9, 40, tellWhole}, {20, 26, tellHub}, {32, 26, tellHub}, {32, 40, tellHub}} {
+		s := base()
+		s.Balancers, s.MayTell = c.nodes, true
+		s.Classes = s.Classes[:2]
+		s.Classes[1].Aim = 1500
+		s.Tenants = []Tenant{{Portion: 1, Quota: c.quota}}
+		d, err := New(s, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.telling != c.want {
+			t.Errorf("%d nodes with %v requests a second tell in way %d, want %d", c.nodes, c.quota, d.telling, c.want)
+		}
+	}
+}
--- a/brain/peers.go
+++ b/brain/peers.go
@@ -111,15 +111,15 @@
 	strikes int
 }
 
-// howToTell says what the other nodes are told: all, now and then; or, where nodes are so many that the bytes
-// allow that only when it is long over, a hub, unless it would have too much to do; or nothing.
+// howToTell says what the other nodes are told: all, now and then; or, where nodes are so many that the bytes allow
+// that less often than a load report is old when it comes, a hub, unless it would have too much to do; or nothing.
 func (d *Dispatcher) howToTell() telling {
 	nodes := float64(d.s.Balancers)
 	each := max(d.quota/nodes, 1)
 	usual := 3 * (each*d.held/1000 + 1) * (nodes - 1)
 	switch {
 	case !d.s.MayTell || nodes < 2:
-	case 1000*usual/(tellBytes*each) <= d.held:
+	case 1000*usual/(tellBytes*each) <= d.age:
 		return tellWhole
 	case each*nodes <= hubMost:
 		return tellHub
