Measure what each role costs alone, and bind a capacity page to the result files and the limits

Cause: what an operator would have to buy for the coming size was known from throw-away benchmarks. Change: cmd/capacity measures roles alone at four sizes each (decision, list, hub, settings, owner of duties, state machine, store members as processes of their own) and writes result files; internal/capacity fits them (gonum, relative least squares), reads the limits in the code and writes the tables of docs/CAPACITY.md between marks; a test writes them anew in memory and names the line that differs and the command to run. No result file is in this commit: each row says not measured until its run is made.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,171 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	pagePath    = "../../docs/CAPACITY.md"
+	resultsPath = "../../docs/capacity"
+	rewriteWith = "go run ./cmd/capacity page"
+)
+
+// The page holds what the result files and the limits in the code say now.
+func TestPageAgreesWithFilesAndLimits(t *testing.T) {
+	all, err := Load(resultsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was := string(data)
+	now, err := Rewrite(was, all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if now == was {
+		return
+	}
+	wasLines, nowLines := strings.Split(was, "\n"), strings.Split(now, "\n")
+	for i := range min(len(wasLines), len(nowLines)) {
+		if wasLines[i] != nowLines[i] {
+			t.Fatalf("docs/CAPACITY.md, line %d, is\n%s\nand by its files and the limits in the code should be\n%s\nRun: %s",
+				i+1, wasLines[i], nowLines[i], rewriteWith)
+		}
+	}
+	t.Fatalf("docs/CAPACITY.md has %d lines, %d by its files and the limits. Run: %s", len(wasLines), len(nowLines), rewriteWith)
+}
+
+// A changed figure, limit or result file changes the page, or the test above binds nothing.
+func TestPageFollowsItsFigures(t *testing.T) {
+	data, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	for _, spoiled := range []string{
+		strings.Replace(page, "| 4,096 |", "| 8,192 |", 1),
+		strings.Replace(page, "<!-- /capacity:roles -->", "| by hand |\n<!-- /capacity:roles -->", 1),
+	} {
+		if spoiled == page {
+			t.Fatal("the page has nothing that could be spoiled")
+		}
+		all, err := Load(resultsPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if now, err := Rewrite(spoiled, all); err != nil || now == spoiled {
+			t.Errorf("a spoiled page stays as it is, %v", err)
+		}
+	}
+	if _, err := Rewrite(strings.ReplaceAll(page, "<!-- capacity:bounds -->", ""), &Results{Files: map[string]Result{}}); err == nil {
+		t.Error("a page without a table's mark is taken")
+	}
+}
+
+// Each row's slope is there, or the page says that it was not measured; none stands in the files that no row or table shows.
+func TestRowsNameSeries(t *testing.T) {
+	all, err := Load(resultsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range Rows {
+		if r.SeriesID == "" {
+			continue
+		}
+		if r.Size == nil || r.Unit == "" || r.Mechanism == "" {
+			t.Errorf("%s, %s: a row without size, unit or mechanism", r.Role, r.What)
+		}
+		if _, _, ok := all.Series(r.SeriesID); !ok {
+			t.Logf("%s is not measured", r.SeriesID)
+		}
+	}
+}
+
+func TestFitFindsTheForm(t *testing.T) {
+	sizes := []float64{200, 800, 3100, 6200}
+	for _, c := range []struct {
+		form Form
+		at   func(float64) float64
+	}{
+		{Constant, func(float64) float64 { return 7 }},
+		{Linear, func(n float64) float64 { return 5 + 0.3*n }},
+		{NLogN, func(n float64) float64 { return 0.02 * n * math.Log2(n) }},
+		{Quadratic, func(n float64) float64 { return 3 + 1e-4*n*n }},
+	} {
+		var points []Point
+		for _, n := range sizes {
+			points = append(points, Point{n, c.at(n)})
+		}
+		fit, err := FitSeries(points)
+		if err != nil || fit.Form != c.form || fit.Residual > 1e-6 {
+			t.Errorf("%s: got %+v, %v", c.form, fit, err)
+		}
+		if want := c.at(20000); math.Abs(fit.At(20000)/want-1) > 1e-6 {
+			t.Errorf("%s: %v at 20,000, want %v", c.form, fit.At(20000), want)
+		}
+		if fit.Extrapolated(4*6200) || !fit.Extrapolated(4*6200+1) {
+			t.Errorf("%s: extrapolated is not from four times the largest size on", c.form)
+		}
+	}
+}
+
+// The mix adds up to the operators' jobs a day, and its running tasks have slots.
+func TestMixGivesTheTarget(t *testing.T) {
+	jobs := 0.0
+	for _, m := range DayMix {
+		jobs += m.Jobs
+		if m.Kind == "gangs" && m.Size > GangMost {
+			t.Errorf("gangs of %v, %d at most", m.Size, GangMost)
+		}
+	}
+	if jobs != JobsDay {
+		t.Errorf("%v jobs a day, want %d", jobs, JobsDay)
+	}
+	if mean := TasksDay() / secondsPerDay; mean > Target.Starts {
+		t.Errorf("%v starts a second in the mean, over the peak of %v", mean, Target.Starts)
+	}
+	const slots, few, many = 14, 5400, 800
+	if few+many != Target.Executors || few+4*many != Accelerators || slots*Target.Executors < Target.Running {
+		t.Error("executors, accelerators and slots do not give the target's figures")
+	}
+}
+
+// A file that cannot be used is refused by the name of its field and what was expected.
+func TestBadResultFiles(t *testing.T) {
+	good := `{"run":{"commit":"c","changed":false,"command":"x","seed":1,"at":"2026-01-01T00:00:00Z","machine":{"processor":"p","cores":8,"memory_mib":1,"go":"g"},"partial":false},` +
+		`"series":[{"id":"a","role":"r","what":"w","unit":"us","grows":"n","fixed":"","points":[{"size":1,"value":1},{"size":2,"value":1},{"size":3,"value":1},{"size":30,"value":1}]}]}`
+	for _, c := range []struct{ from, to, field string }{
+		{"", "", ""},
+		{`"commit":"c"`, `"commit":""`, "run.commit"},
+		{`"cores":8`, `"cores":0`, "run.machine.cores"},
+		{`"unit":"us"`, `"unit":""`, "series[0]: unit"},
+		{`{"size":3,"value":1},`, ``, "points: 3"},
+		{`"size":30`, `"size":29`, "factor of 30"},
+		{`{"size":2,"value":1}`, `{"size":2,"value":-1}`, "points[1]"},
+		{`{"size":2,"value":1}`, `{"size":1,"value":1}`, "points[1]"},
+		{`"seed":1`, `"seeds":1`, "seeds"},
+		{`"seed":1`, `"seed":"one"`, "seed"},
+	} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, "x.json"), []byte(strings.Replace(good, c.from, c.to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(dir)
+		if c.field == "" {
+			if err != nil {
+				t.Errorf("a good file is refused: %v", err)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), c.field) || !strings.Contains(err.Error(), "x.json") {
+			t.Errorf("%s: %v, want an error that names x.json and %s", c.to, err, c.field)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure/decision.go
@@ -0,0 +1,192 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+
+	"gatetack/brain"
+)
+
+// Settings of the fleet whose decision module is measured. Tenants get equal portions.
+const (
+	classAimMS      = 400
+	classDeadlineMS = 6000
+	jobWorkMS       = 200
+	slotsPerWorker  = 14 // 84,000 running tasks over 6,200 executors, rounded up
+	firstWorker     = 100
+	zones           = 15
+	cellsPerZone    = 4
+	startMS         = 100_000
+)
+
+// Fleet is the size that the decision module of one process is measured at.
+type Fleet struct {
+	Executors int
+	Tenants   int
+	Processes int
+	Running   int // tasks of this process out at executors while it is measured
+	Seed      uint64
+}
+
+// settings are those of one process of the fleet.
+func (f Fleet) settings() brain.Settings {
+	s := brain.Settings{
+		Balancers: f.Processes, Step: 1,
+		Classes: []brain.Class{
+			{Aim: classAimMS, Stretch: 2, Deadline: classDeadlineMS, Worth: 1, Effect: brain.Safe, Kind: -1},
+			{Aim: classAimMS, Stretch: 2, Deadline: classDeadlineMS, Worth: 1, Effect: brain.Unsafe, Kind: -1},
+		},
+		Telemetry: brain.ReportAnswers, Fields: []brain.Field{brain.FieldFree},
+		Progress: 1000, TellsStart: true,
+		MaxAttempts: 4, MayDuplicate: true, MayCancel: true, Multiplex: 1,
+		ConnIdle: 5000, ConnectTimeout: 250,
+		AnswerSlack: 16, AskWithin: 10000, DrainGrace: 500,
+		FallMultiple: 4, Fall: 1500, ColdFrom: 0.3, WarmWithin: 9000,
+	}
+	for range f.Tenants {
+		s.Tenants = append(s.Tenants, brain.Tenant{Portion: 1 / float64(f.Tenants), Quota: 1e6})
+	}
+	return s
+}
+
+func (f Fleet) rows() []brain.Row {
+	rows := make([]brain.Row, f.Executors)
+	for i := range rows {
+		zone := i % zones
+		rows[i] = brain.Row{Worker: uint32(firstWorker + i), Zone: uint8(zone), Cell: uint16(zone*cellsPerZone + i/zones%cellsPerZone),
+			Condition: brain.Ready, Scale: 1}
+	}
+	return rows
+}
+
+// dispatcher is one process's decision module in the middle of its work.
+type dispatcher struct {
+	module  *brain.Dispatcher
+	rows    []brain.Row
+	fleet   Fleet
+	random  *rand.Rand
+	now     float64
+	nextJob uint32
+	actions []brain.Action
+	out     []placement // the oldest first
+	refused int
+}
+
+// placement is one attempt that is out.
+type placement struct {
+	job     uint32
+	attempt uint16
+	worker  uint32
+}
+
+func newDispatcher(f Fleet) (*dispatcher, error) {
+	module, err := brain.New(f.settings(), f.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("measure: %w", err)
+	}
+	d := &dispatcher{module: module, rows: f.rows(), fleet: f, random: rand.New(rand.NewPCG(f.Seed, 1)), now: startMS}
+	d.step(brain.Event{Kind: brain.EvList, Form: brain.ListCached, Rows: d.rows})
+	return d, nil
+}
+
+// step hands events over and keeps what is out.
+func (d *dispatcher) step(events ...brain.Event) {
+	d.actions = d.module.Step(d.now, events, d.actions[:0])
+	for _, action := range d.actions {
+		switch action.Kind {
+		case brain.ActSend:
+			d.out = append(d.out, placement{action.Job, action.Attempt, action.Worker})
+		case brain.ActRefuse, brain.ActFail:
+			d.refused++
+		}
+	}
+}
+
+// submit hands one job over.
+func (d *dispatcher) submit() {
+	d.nextJob++
+	d.step(brain.Event{Kind: brain.EvRequest, Job: d.nextJob, Class: uint8(d.nextJob % 2), Tenant: uint16(d.random.IntN(max(d.fleet.Tenants, 1))),
+		TimeLeft: classDeadlineMS, Work: jobWorkMS, Flags: brain.FlagWork, Slots: 1})
+}
+
+// finish ends the attempt that is out for the longest time.
+func (d *dispatcher) finish() {
+	if len(d.out) == 0 {
+		return
+	}
+	first := d.out[0]
+	d.out = d.out[1:]
+	d.step(brain.Event{Kind: brain.EvOutcome, Job: first.job, Attempt: first.attempt, Worker: first.worker, Outcome: brain.Served,
+		Elapsed: jobWorkMS, Final: true, Report: []float32{slotsPerWorker / 2}})
+}
+
+// job is all that one job costs the module: its request, its start, its end and a tick between.
+func (d *dispatcher) job() {
+	d.now += jobWorkMS / float64(max(d.fleet.Running, 1))
+	d.submit()
+	if len(d.out) > 0 {
+		last := d.out[len(d.out)-1]
+		d.step(brain.Event{Kind: brain.EvNote, Topic: brain.NoteStarted, Job: last.job, Attempt: last.attempt, Worker: last.worker})
+	}
+	d.finish()
+}
+
+// fill puts as many tasks out as the fleet says.
+func (d *dispatcher) fill() {
+	for range d.fleet.Running {
+		d.submit()
+	}
+}
+
+// DecisionPerJob is the processor time, in microseconds, that the module takes for a job.
+func DecisionPerJob(f Fleet) (float64, error) {
+	d, err := newDispatcher(f)
+	if err != nil {
+		return 0, err
+	}
+	d.fill()
+	const jobsPerRound = 200
+	cost, err := perOperation(func() error {
+		for range jobsPerRound {
+			d.job()
+		}
+		return nil
+	})
+	if d.refused > int(d.nextJob)/10 {
+		return 0, fmt.Errorf("measure: %d of %d jobs were refused, so the figure would not be that of a job that runs", d.refused, d.nextJob)
+	}
+	return float64(cost.Nanoseconds()) / 1000 / jobsPerRound, err
+}
+
+// ListRowChange is the processor time, in microseconds, of taking in one changed row of the list.
+func ListRowChange(f Fleet) (float64, error) {
+	d, err := newDispatcher(f)
+	if err != nil {
+		return 0, err
+	}
+	const changesPerRound = 10
+	cost, err := perOperation(func() error {
+		for range changesPerRound {
+			row := d.rows[d.random.IntN(len(d.rows))]
+			d.now += 10
+			row.Born = d.now
+			d.step(brain.Event{Kind: brain.EvList, Form: brain.ListDelta, Rows: []brain.Row{row}})
+		}
+		return nil
+	})
+	return float64(cost.Nanoseconds()) / 1000 / changesPerRound, err
+}
+
+// DecisionBytes is the live memory of the module with its list and its tasks.
+func DecisionBytes(f Fleet) (float64, error) {
+	before := heapBytes()
+	d, err := newDispatcher(f)
+	if err != nil {
+		return 0, err
+	}
+	d.fill()
+	after := heapBytes()
+	runtime.KeepAlive(d)
+	return float64(after) - float64(before), nil
+}
--- /dev/null
+++ b/internal/capacity/measure/settings.go
@@ -0,0 +1,33 @@
+package measure
+
+import (
+	"fmt"
+	"slices"
+
+	"gatetack/brain"
+)
+
+// RetunePerChange is the processor time, in microseconds, that a process takes to put one changed quota in force in its decision
+// module. Reading and checking the configuration comes on top.
+func RetunePerChange(f Fleet) (float64, error) {
+	d, err := newDispatcher(f)
+	if err != nil {
+		return 0, err
+	}
+	d.fill()
+	settings := f.settings()
+	settings.Tenants = slices.Clone(settings.Tenants)
+	const changesPerRound = 20
+	used, err := perOperation(func() error {
+		for range changesPerRound {
+			settings.Tenants[d.random.IntN(len(settings.Tenants))].Quota = 1 + d.random.Float64()*1e6
+			if err := d.module.Retune(settings, map[int]int{}); err != nil {
+				return fmt.Errorf("measure: %w", err)
+			}
+			d.now++
+			d.step(brain.Event{Kind: brain.EvTimer})
+		}
+		return nil
+	})
+	return used.Seconds() * 1e6 / changesPerRound, err
+}
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,312 @@
+package capacity
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Each table of the page stands between two lines of comment with its name.
+const (
+	beginMark = "<!-- capacity:%s -->\n"
+	endMark   = "<!-- /capacity:%s -->"
+)
+
+const notMeasured = "not measured"
+
+// tables are those of the page by their names.
+var tables = map[string]func(*Results) (string, error){
+	"target": targetTable,
+	"roles":  rolesTable,
+	"slopes": slopesTable,
+	"bounds": boundsTable,
+	"breaks": breaksTable,
+	"faults": faultsTable,
+	"mix":    mixTable,
+	"runs":   runsTable,
+}
+
+// Rewrite gives the page with all its tables written anew.
+func Rewrite(page string, all *Results) (string, error) {
+	var failed error
+	for name, write := range tables {
+		text, err := write(all)
+		if err == nil {
+			page, err = replace(page, name, text)
+		}
+		failed = errors.Join(failed, err)
+	}
+	return page, failed
+}
+
+// replace puts a table between its marks.
+func replace(page, name, text string) (string, error) {
+	begin, end := fmt.Sprintf(beginMark, name), fmt.Sprintf(endMark, name)
+	head, rest, ok := strings.Cut(page, begin)
+	if !ok {
+		return page, fmt.Errorf("the line %q is missing", strings.TrimSpace(begin))
+	}
+	_, tail, ok := strings.Cut(rest, end)
+	if !ok {
+		return page, fmt.Errorf("the line %q is missing after %q", end, strings.TrimSpace(begin))
+	}
+	return head + begin + text + end + tail, nil
+}
+
+// table writes rows under a head.
+func table(head []string, rows [][]string) string {
+	var b strings.Builder
+	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+	line(head)
+	rule := make([]string, len(head))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	line(rule)
+	for _, row := range rows {
+		line(row)
+	}
+	return b.String()
+}
+
+// rolesTable has a line for each role and resource.
+func rolesTable(all *Results) (string, error) {
+	head := []string{"role", "what", "slope", "today", "a tenth", "the target", "budget", "factor", "carried by", "how known"}
+	var rows [][]string
+	for _, r := range Rows {
+		row, err := r.cells(all)
+		if err != nil {
+			return "", err
+		}
+		rows = append(rows, row)
+	}
+	return table(head, rows), nil
+}
+
+func (r Row) cells(all *Results) ([]string, error) {
+	series, run, ok := all.Series(r.SeriesID)
+	if !ok {
+		return []string{r.Role, r.What, notMeasured, "", "", "", r.BudgetIs, "", r.Mechanism, notMeasured}, nil
+	}
+	fit, err := FitSeries(series.Points)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", series.ID, err)
+	}
+	cells := []string{r.Role, r.What, fmt.Sprintf("%s, by %s", fit.Form, series.Grows)}
+	for _, s := range sizes {
+		cells = append(cells, amount(r.Figure(s, fit), r.Unit))
+	}
+	budget, factor := "none given", ""
+	if r.Budget != nil {
+		budget = r.BudgetIs
+		if r.Need != nil {
+			budget = amount(r.Budget(Target, fit), r.Unit) + " " + r.BudgetIs
+		}
+		factor = factorText(r.Figure(Target, fit) / r.Budget(Target, fit))
+	}
+	known := "measured"
+	if fit.Extrapolated(r.Size(Target)) {
+		known = "extrapolated"
+	}
+	if run.Partial {
+		known += ", partial run"
+	}
+	return append(cells, budget, factor, r.Mechanism, known), nil
+}
+
+// factorText says how much is left or missing.
+func factorText(needed float64) string {
+	if needed > 1 {
+		return "**missing " + short(needed) + "**"
+	}
+	if needed <= 0 {
+		return "nothing needed"
+	}
+	return "left " + short(1/needed)
+}
+
+// slopesTable has a line for each series with its points and its fit.
+func slopesTable(all *Results) (string, error) {
+	var rows [][]string
+	for _, file := range all.Names() {
+		result := all.Files[file]
+		for _, s := range result.Series {
+			fit, err := FitSeries(s.Points)
+			if err != nil {
+				return "", fmt.Errorf("%s: %w", s.ID, err)
+			}
+			var points []string
+			for _, p := range s.Points {
+				points = append(points, fmt.Sprintf("%s: %s", short(p.Size), short(p.Value)))
+			}
+			rows = append(rows, []string{s.Role, s.What + " (" + s.Unit + ")", s.Grows, strings.Join(points, "; "),
+				fit.formula(), fmt.Sprintf("%.1f%%", 100*fit.Residual), "`" + result.Run.Command + "`"})
+		}
+	}
+	return table([]string{"role", "what (unit)", "grows with", "measured", "fit", "residual", "command"}, rows), nil
+}
+
+// formula is a fit in words.
+func (f Fit) formula() string {
+	if f.Form == Constant {
+		return "constant " + short(f.Base)
+	}
+	return fmt.Sprintf("%s: %s + %s x %s", f.Form, short(f.Base), short(f.Slope), map[Form]string{Linear: "n", NLogN: "n log2 n", Quadratic: "n^2"}[f.Form])
+}
+
+func boundsTable(*Results) (string, error) {
+	var rows [][]string
+	for _, b := range Bounds() {
+		rows = append(rows, []string{"`" + b.Name + "`", b.What, short(b.Has), short(b.Need), b.Why, factorText(b.Factor())})
+	}
+	return table([]string{"limit", "what", "in the code", "needed at the target", "why", "factor"}, rows), nil
+}
+
+// breaksTable puts what breaks on the way to the target in order.
+func breaksTable(all *Results) (string, error) {
+	type broken struct {
+		at   float64
+		what string
+		how  string
+	}
+	var list []broken
+	for _, r := range Rows {
+		series, _, ok := all.Series(r.SeriesID)
+		if !ok || r.Budget == nil {
+			continue
+		}
+		fit, err := FitSeries(series.Points)
+		if err != nil {
+			return "", fmt.Errorf("%s: %w", series.ID, err)
+		}
+		if at := r.BreaksAt(fit); at <= 1 {
+			list = append(list, broken{at, r.Role + ": " + r.What, factorText(r.Figure(Target, fit) / r.Budget(Target, fit))})
+		}
+	}
+	for _, b := range Bounds() {
+		if b.Factor() > 1 && b.Grows {
+			list = append(list, broken{1 / b.Factor(), "limit `" + b.Name + "`: " + b.What, factorText(b.Factor())})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b broken) int { return cmp.Compare(a.at, b.at) })
+	var rows [][]string
+	for i, b := range list {
+		s := Target.part(b.at)
+		rows = append(rows, []string{fmt.Sprint(i + 1), b.what, fmt.Sprintf("%s executors, %s running, %s starts a second", short(s.Executors), short(s.Running), short(s.Starts)), b.how})
+	}
+	return table([]string{"", "what breaks", "at", "at the target"}, rows), nil
+}
+
+// Fault is one of the faults that the operators count.
+type Fault struct {
+	What  string
+	Often string
+	Rows  float64 // of the list that change
+}
+
+// Faults are those of the target. Each executor that goes and comes back changes its row twice.
+var Faults = []Fault{
+	{"a machine fails", "59 a day", 2},
+	{"a machine is restarted or replaced", "2,000 a day", 2},
+	{"a rack or switch is lost (taken as a sixth of a zone)", "each week", 2 * 6200.0 / Zones / 6},
+	{"a zone is lost and returns", "once or twice a year", 2 * 6200.0 / Zones},
+}
+
+func faultsTable(all *Results) (string, error) {
+	row, _, okRow := all.Series("list.row.executors")
+	list, _, okList := all.Series("list.bytes.executors")
+	var rows [][]string
+	for _, f := range Faults {
+		cells := []string{f.What, f.Often, short(math.Round(f.Rows)), notMeasured, notMeasured, "`" + "brain" + "`, `internal/discovery`"}
+		if okRow && okList {
+			rowFit, err := FitSeries(row.Points)
+			if err != nil {
+				return "", err
+			}
+			listFit, err := FitSeries(list.Points)
+			if err != nil {
+				return "", err
+			}
+			cells[3] = amount(f.Rows*rowFit.At(Target.Executors)*perMicro, "core seconds")
+			cells[4] = amount(f.Rows*listFit.At(Target.Executors)/Target.Executors, "bytes")
+		}
+		rows = append(rows, cells)
+	}
+	return table([]string{"fault", "how often", "rows of the list that change", "processor, in each process", "bytes, to each process", "carried by"}, rows), nil
+}
+
+func mixTable(*Results) (string, error) {
+	var rows [][]string
+	jobs := 0.0
+	for _, m := range DayMix {
+		jobs += m.Jobs
+		rows = append(rows, []string{m.Kind, short(m.Jobs), short(m.Size), short(m.Jobs * m.Size)})
+	}
+	rows = append(rows, []string{"all", short(jobs), "", short(TasksDay())})
+	return table([]string{"kind", "jobs a day", "tasks of one", "tasks a day"}, rows), nil
+}
+
+func runsTable(all *Results) (string, error) {
+	var rows [][]string
+	for _, name := range all.Names() {
+		r := all.Files[name].Run
+		state := "whole"
+		if r.Partial {
+			state = "partial"
+		}
+		if r.Changed {
+			state += ", with changes since the commit"
+		}
+		rows = append(rows, []string{"`" + name + "`", "`" + r.Commit + "`", "`" + r.Command + "`", fmt.Sprint(r.Seed), r.At.Format("2006-01-02 15:04"),
+			fmt.Sprintf("%s, %d cores, %s GiB, %s", r.Machine.Processor, r.Machine.Cores, short(math.Round(float64(r.Machine.MemoryMiB)/102.4)/10), r.Machine.Go), state})
+	}
+	return table([]string{"file", "program measured", "command", "seed", "at", "machine", "state"}, rows), nil
+}
+
+// amount is a value with its unit, in the unit's usual multiples.
+func amount(value float64, unit string) string {
+	switch unit {
+	case "bytes", "bytes/s":
+		per := strings.TrimPrefix(unit, "bytes")
+		for _, m := range []struct {
+			from float64
+			name string
+		}{{1e9, "GB"}, {1e6, "MB"}, {1e3, "KB"}} {
+			if value >= m.from {
+				return short(value/m.from) + " " + m.name + per
+			}
+		}
+		return short(value) + " B" + per
+	case "cores":
+		return short(100*value) + "% of a core"
+	}
+	return short(value) + " " + unit
+}
+
+// short is a number of three digits that count, large ones with commas.
+func short(value float64) string {
+	if value == 0 {
+		return "0"
+	}
+	digits := 2 - int(math.Floor(math.Log10(math.Abs(value))))
+	if value == math.Trunc(value) {
+		digits = 0
+	}
+	text := fmt.Sprintf("%.*f", max(digits, 0), value)
+	if digits < 0 && value != math.Trunc(value) {
+		text = fmt.Sprintf("%.0f", value)
+	}
+	whole, part, fraction := strings.Cut(text, ".")
+	for i := len(whole) - 3; i > 0; i -= 3 {
+		whole = whole[:i] + "," + whole[i:]
+	}
+	if fraction {
+		if part = strings.TrimRight(part, "0"); part != "" {
+			return whole + "." + part
+		}
+	}
+	return whole
+}
--- /dev/null
+++ b/internal/capacity/rows.go
@@ -0,0 +1,150 @@
+package capacity
+
+// Row is one line of the page's table of roles: what a role needs of one resource, beside its budget.
+type Row struct {
+	Role      string
+	What      string
+	SeriesID  string // the slope that it rests on; empty: not measured
+	Size      func(Size) float64
+	Rate      func(Size) float64 // how often the series' quantity is spent; nil: once
+	Scale     float64            // from the series' unit, times the rate, to the row's
+	Unit      string
+	Budget    func(Size, Fit) float64 // nil: none is given
+	BudgetIs  string
+	Mechanism string
+	// Capacity rows compare what is needed with what the slope says can be borne.
+	Need func(Size) float64
+}
+
+// Sizes that slopes are taken at.
+func executors(s Size) float64 { return s.Executors }
+func tenants(s Size) float64   { return s.Tenants }
+func processes(s Size) float64 { return s.Processes }
+func running(s Size) float64   { return s.Running }
+
+// Rates at which costs recur.
+func startsPerProcess(s Size) float64  { return s.Starts / s.Processes }
+func starts(s Size) float64            { return s.Starts }
+func taskWrites(s Size) float64        { return s.Starts * WritesPerTask }
+func leaseWrites(s Size) float64       { return s.Processes / leaseSeconds }
+func zoneRows(s Size) float64          { return s.Executors / Zones }
+func changesPerSecond(s Size) float64  { return s.ChangesDay / secondsPerDay }
+func stepsPerSecond(Size) float64      { return ownerSteps }
+func storeWrites(s Size) float64       { return taskWrites(s) + leaseWrites(s) }
+func allTasksOfProcess(s Size) float64 { return s.Running / s.Processes }
+
+const (
+	leaseSeconds = 3
+	ownerSteps   = 10 // of the owner's loop, a second
+	perMicro     = 1e-6
+	perMilli     = 1e-3
+)
+
+func fixedBudget(value float64) func(Size, Fit) float64 {
+	return func(Size, Fit) float64 { return value }
+}
+
+// Rows are all roles.
+var Rows = []Row{
+	{Role: "dispatcher: decision", What: "processor, by executors", SeriesID: "decision.job.executors", Size: executors, Rate: startsPerProcess, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain`"},
+	{Role: "dispatcher: decision", What: "processor, by tenants", SeriesID: "decision.job.tenants", Size: tenants, Rate: startsPerProcess, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain`"},
+	{Role: "dispatcher: decision", What: "processor, by running tasks of the process", SeriesID: "decision.job.running", Size: allTasksOfProcess, Rate: startsPerProcess, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain`"},
+	{Role: "dispatcher: decision", What: "memory, by executors", SeriesID: "decision.bytes.executors", Size: executors, Scale: 1,
+		Unit: "bytes", Budget: fixedBudget(NodeBytes), BudgetIs: "64 MB", Mechanism: "`brain`"},
+	{Role: "dispatcher: front, core and carriers", What: "processor", SeriesID: "dispatcher.cores.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`internal/http1`, `internal/platform`, `internal/node`, `internal/executor`"},
+	{Role: "dispatcher: front, core and carriers", What: "bytes in, of clients, executors and lists", SeriesID: "dispatcher.in.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`internal/http1`, `internal/executor`"},
+	{Role: "dispatcher: front, core and carriers", What: "bytes out", SeriesID: "dispatcher.out.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`internal/http1`, `internal/executor`"},
+	{Role: "dispatcher: front, core and carriers", What: "read and write calls", SeriesID: "dispatcher.calls.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "calls/s", Mechanism: "`internal/http1`, `internal/executor`"},
+	{Role: "dispatcher: front, core and carriers", What: "memory of its own", SeriesID: "dispatcher.memory.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "bytes", Budget: fixedBudget(NodeBytes), BudgetIs: "64 MB", Mechanism: "all packages of the program"},
+	{Role: "hub", What: "processor, by executors", SeriesID: "hub.start.executors", Size: executors, Rate: starts, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
+	{Role: "hub", What: "processor, by processes", SeriesID: "hub.start.processes", Size: processes, Rate: starts, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
+	{Role: "hub", What: "processor, by running tasks", SeriesID: "hub.start.running", Size: running, Rate: starts, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
+	{Role: "hub", What: "bytes out", SeriesID: "hub.out.executors", Size: executors, Rate: starts, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`brain/peers.go`, `internal/peer`"},
+	{Role: "hub", What: "bytes in", SeriesID: "hub.in.executors", Size: executors, Rate: starts, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`brain/peers.go`, `internal/peer`"},
+	{Role: "hub", What: "messages in and out", SeriesID: "hub.messages.executors", Size: executors, Rate: starts, Scale: 1,
+		Unit: "messages/s", Mechanism: "`internal/peer`"},
+	{Role: "hub", What: "memory", SeriesID: "hub.bytes.executors", Size: executors, Scale: 1,
+		Unit: "bytes", Budget: fixedBudget(NodeBytes), BudgetIs: "64 MB", Mechanism: "`brain/peers.go`"},
+	{Role: "hub", What: "executors with work, beside those that an answer names", SeriesID: "hub.named.executors", Size: executors, Need: executors,
+		Unit: "executors", Budget: func(s Size, f Fit) float64 { return f.At(s.Executors) }, BudgetIs: "named in one answer", Mechanism: "`brain/peers.go`"},
+	{Role: "each process that asks the hub", What: "bytes in", SeriesID: "hub.out.executors", Size: executors, Rate: startsPerProcess, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`brain/peers.go`, `internal/peer`"},
+	{Role: "store member as leader", What: "writes of tasks and leases", SeriesID: "store.rate.held", Size: running, Need: storeWrites,
+		Unit: "writes/s", Budget: func(s Size, f Fit) float64 { return f.At(s.Running) }, BudgetIs: "writes/s that are taken", Mechanism: "`internal/store`, one raft log"},
+	{Role: "store member as leader", What: "processor", SeriesID: "store.leader.held", Size: running, Rate: storeWrites, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(SetAsideCores), BudgetIs: "8 cores of a set-aside machine", Mechanism: "`internal/store`"},
+	{Role: "store member as leader", What: "bytes out to two members", SeriesID: "store.leader.out.held", Size: running, Rate: storeWrites, Scale: 1,
+		Unit: "bytes/s", Mechanism: "`internal/store`"},
+	{Role: "store member as leader", What: "TCP segments out", SeriesID: "store.leader.segments.held", Size: running, Rate: storeWrites, Scale: 1,
+		Unit: "segments/s", Mechanism: "`internal/store`"},
+	{Role: "store member as follower", What: "processor", SeriesID: "store.follower.held", Size: running, Rate: storeWrites, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(SetAsideCores), BudgetIs: "8 cores of a set-aside machine", Mechanism: "`internal/store`"},
+	{Role: "store member as follower", What: "bytes in", SeriesID: "store.follower.in.held", Size: running, Rate: storeWrites, Scale: 1,
+		Unit: "bytes/s", Mechanism: "`internal/store`"},
+	{Role: "each store member", What: "processor of the state machine alone", SeriesID: "statemachine.task.running", Size: running, Rate: starts, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(1), BudgetIs: "1 core, for it takes one write after another", Mechanism: "`internal/kv`"},
+	{Role: "each store member", What: "memory of the records", SeriesID: "statemachine.bytes.running", Size: running, Scale: 1,
+		Unit: "bytes", Budget: fixedBudget(SetAsideMemory), BudgetIs: "24 GiB of a set-aside machine", Mechanism: "`internal/kv`"},
+	{Role: "each store member", What: "processor of a snapshot", SeriesID: "statemachine.snapshot.running", Size: running, Scale: perMilli,
+		Unit: "core seconds", Mechanism: "`internal/kv`"},
+	{Role: "owner of duties", What: "processor of the loop, in each process", SeriesID: "duties.step.nodes", Size: processes, Rate: stepsPerSecond, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`internal/owner`, `internal/duty`"},
+	{Role: "owner of duties", What: "writes to the store, of all processes", SeriesID: "duties.writes.nodes", Size: processes, Rate: leaseWrites, Scale: 1,
+		Unit: "writes/s", Mechanism: "`internal/owner`"},
+	{Role: "distributor of lists", What: "processor of a zone that returns, in each process", SeriesID: "list.row.executors", Size: executors, Rate: zoneRows, Scale: perMicro,
+		Unit: "core seconds", Budget: fixedBudget(NodeCores * ChangeWithin), BudgetIs: "2.9% of a core for 6 s", Mechanism: "`brain`, `internal/discovery`"},
+	{Role: "distributor of lists", What: "bytes of the whole list, to a process that begins", SeriesID: "list.bytes.executors", Size: executors, Scale: 1,
+		Unit: "bytes", Budget: fixedBudget(NodeTraffic * ChangeWithin), BudgetIs: "4 KB/s for 6 s", Mechanism: "`internal/discovery`"},
+	{Role: "distributor of lists", What: "processor of reading the whole list", SeriesID: "list.read.executors", Size: executors, Scale: perMicro,
+		Unit: "core seconds", Budget: fixedBudget(NodeCores * ChangeWithin), BudgetIs: "2.9% of a core for 6 s", Mechanism: "`internal/node`"},
+	{Role: "distributor of settings", What: "processor of the day's changes, in each process", SeriesID: "settings.retune.tenants", Size: tenants, Rate: changesPerSecond, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain`"},
+	{Role: "distributor of settings", What: "time until a change is in force at the last process", Mechanism: "see above the table of limits"},
+	{Role: "control on an executor's machine", What: "connections, probes, callbacks, bytes, processor", Mechanism: "`internal/executor`"},
+	{Role: "client of the store", What: "processor of a write", SeriesID: "store.client.held", Size: running, Rate: func(s Size) float64 { return storeWrites(s) / s.Processes }, Scale: perMicro,
+		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`internal/store`"},
+	{Role: "client of a front", What: "bytes and processor of a job", Mechanism: "`internal/platform`, `internal/batch`"},
+}
+
+// Figure is what the row needs at a size.
+func (r Row) Figure(s Size, fit Fit) float64 {
+	if r.Need != nil {
+		return r.Need(s)
+	}
+	value := fit.At(r.Size(s)) * r.Scale
+	if r.Rate != nil {
+		value *= r.Rate(s)
+	}
+	return value
+}
+
+// BreaksAt gives the part of the target's size, from 0 on, at which the row's need passes its budget; 1 is the target, and
+// over 1 says that it does not break on the way.
+func (r Row) BreaksAt(fit Fit) float64 {
+	const steps = 1000
+	for i := 1; i <= steps; i++ {
+		s := Target.part(float64(i) / steps)
+		if r.Figure(s, fit) > r.Budget(s, fit) {
+			return float64(i) / steps
+		}
+	}
+	return 2
+}
+
+// part is a fleet of a part of the size, all its numbers alike.
+func (s Size) part(p float64) Size {
+	return Size{Executors: s.Executors * p, Tenants: s.Tenants * p, Processes: s.Processes * p, Running: s.Running * p, Starts: s.Starts * p, ChangesDay: s.ChangesDay * p}
+}
