Let a node that sent nothing for two mean runs try one more job, and keep small fleets' rates

Ruled out: waiting jobs (0 to 3 at such a node), executors not usable, the list.

At fault: admit and push in brain/brain.go, which know no end of that. Where what others hold is not known, and nothing was sent for two mean runs, one job more is admitted past the remainder (limits hold), and a job that waits may be queued at the worker with fewest of ours. The test lets all jobs of a node hang; without this nothing is sent for 5.5 s.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,7 @@
 	evictGain    = 0.7   // how much less, of an arrival's worth a slot, a waiting job must be worth to go
 	pushAfter    = 0.3   // part of its slack that a starved node holds a job before it queues it at a worker
 	pushShare    = 0.8   // part of our part of all slots under which a node without room counts as starved
+	starvedRuns  = 2     // mean runs without a send after which a node that knows little tries one more job
 	waitMost     = 1.0   // admitted work that may wait, of capacity: more waiting serves late what it serves
 	scarce       = 0.2   // part of all slots under which free ones are shared
 	softStart    = 2     // slots a worker without reports is tried with: more fills a cold start quicker
@@ -76,8 +77,6 @@
 	askSpread    = 0.003 // of the time to ask within, for each node: a round of their asks,
 	askLeast     = 0.025 // and at least this part of it
 	comeBackRuns = 0.5   // mean runs, by tokens out, until a refused client may find one: fewer storms
-	maxLogs      = 60    // log lines at once; one more each logEvery ms
-	logEvery     = 10000
 )
 
 // Step takes in all that happened up to now, decides, and appends what to do to out.
@@ -177,9 +176,7 @@
 	d.value += (j.value - d.value) * 0.02
 	d.arrived = append(d.arrived, j)
 	d.countKey(j.key)
-	if e.Flags&FlagRepeat == 0 { // quotas count a request once, however often its client comes again
-		d.learnRate()
-	}
+	d.countArrival(e.Flags&FlagRepeat != 0)
 }
 
 // ---- admission
@@ -245,7 +242,7 @@
 		borrowed += max(0, d.tenants[i].inflight-unit*d.tenants[i].portion)
 	}
 	j.borrowed = true
-	return borrowed+j.slots <= tokens-reserved*tokens
+	return borrowed+j.slots <= tokens-reserved*tokens || len(d.waiting) == 0 && d.starved()
 }
 
 // estimate counts capacity: slots of our running jobs and free slots, by report or by what was served.
@@ -266,7 +263,7 @@
 		n := max(w.slots, d.kinds[w.kind].slots)
 		total += n
 		assumed += max(n, d.widest, softStart)
-		most = max(most, n, softStart)
+		most = max(most, n)
 		if known || w.reported > 0 && d.now-w.reported <= min(d.freshFor(), d.run) {
 			free += max(0, d.room(w))
 		} else {
@@ -293,7 +290,13 @@
 // and quotas show them; or what runs of its jobs, room it knows of, and while nothing queues as much again.
 func (d *Dispatcher) unseenCapacity(running, queued, reported, hoped, assumed float64) float64 {
 	part := d.ourPart() * max(assumed, d.quota*d.held/1000)
-	return max(part, running+reported+max(0, min(hoped, running-queued)))
+	return max(softStart, part, running+reported+max(0, min(hoped, running-queued)))
+}
+
+// starved says that such a node has sent nothing for long, for its jobs hang or run long. It may send one
+// more, else it would refuse all that comes for as long as their clients wait.
+func (d *Dispatcher) starved() bool {
+	return len(d.workers) > lookAll && !d.peersKnown() && d.now-d.sentAt > starvedRuns*d.held
 }
 
 // meter tells whether a request is beyond its tenant's share, by a bucket that fills at the part of the quota
@@ -515,9 +518,9 @@
 // room, and held the job for a good part of its slack. Busy nodes refill a slot as their own job ends: no
 // report shows it. It takes the worker with fewest of our slots, and queues no more than one job there.
 func (d *Dispatcher) push(j *job) *worker {
-	out := d.ownOut()
 	held := pushAfter * (j.aimAt - j.work/d.meanSpeed() - j.arrived)
-	if out+j.slots > d.fair || j.out > 0 || j.key != 0 || d.peersKnown() || d.now < j.arrived+held {
+	full := d.ownOut()+j.slots > d.fair && !d.starved()
+	if full || j.out > 0 || j.key != 0 || d.peersKnown() || d.now < j.arrived+held {
 		return nil
 	}
 	var best *worker
@@ -748,7 +751,7 @@
 	if d.quota <= 0 {
 		return even
 	}
-	return (even + min(1, d.rate/d.quota)) / 2
+	return (even + min(1, d.quotaRate()/d.quota)) / 2
 }
 
 func (d *Dispatcher) send(j *job, w *worker) {
@@ -758,6 +761,7 @@
 		w.tryAt = d.now + d.silence()/2*float64(int(1)<<min(w.tries, 3))*(0.75+0.5*d.random())
 		w.tries++
 	}
+	d.sentAt = d.now
 	d.out = append(d.out, Action{Kind: ActSend, Job: j.id, Worker: w.id})
 	j.attempts = append(j.attempts, attempt{w: w, sent: d.now, heard: d.now, hadRoom: w.free >= j.slots})
 	if j.key != 0 && missing(j, w, d.s.Balancers) >= homeMiss {
@@ -1217,8 +1221,8 @@
 	if n := len(d.workers); !d.s.MayProbe || d.s.Telemetry != ReportProbes || n == 0 || n > lookAll {
 		return // of a large fleet probeFor asks for each job
 	}
-	rate := d.rate
-	if quiet := d.now - d.lastSeen; d.lastSeen > 0 && quiet > 1000 {
+	rate := d.tries.perSecond
+	if quiet := d.now - d.tries.last; d.tries.last > 0 && quiet > 1000 {
 		rate = min(rate, 1000/quiet)
 	}
 	span := max(d.period*0.8, 1000*float64(len(d.workers))/(probesPerJob*max(rate, 0.5)))
--- a/brain/fresh_test.go
+++ b/brain/fresh_test.go
@@ -143,3 +143,33 @@
 		t.Errorf("%d jobs served of 80 that could be", served)
 	}
 }
+
+// A node whose jobs all queue at workers that hang had its tokens out for as long as the clients waited, and refused all that
+// came until then (austin-flags roll+mass, one node in ten). It tries one more job after some runs, and no flood of them.
+func TestNodeWhoseJobsHangGoesOnTrying(t *testing.T) {
+	r := newRig(t, blindSettings(100), fleet(200)...)
+	first, last, longest, sends := r.now, r.now, 0.0, 0
+	hang := map[uint32]Action{}
+	for id := uint32(1); r.now < first+20000; id++ {
+		e := request(id, uint8(id%3), uint16(id%3), 1)
+		e.Flags, e.Work = 0, 0
+		events := []Event{e}
+		if a, ok := hang[id-uint32(e.TimeLeft/100)]; ok { // its client's time is over
+			events = append(events, outcome(a.Job, 0, a.Worker, TimedOut))
+		}
+		for _, a := range r.after(100, events...) {
+			if a.Kind == ActSend {
+				longest, last = max(longest, r.now-last), r.now
+				sends++
+				hang[a.Job] = a
+			}
+		}
+	}
+	longest = max(longest, r.now-last)
+	if longest >= 4000 {
+		t.Errorf("nothing was sent for %.0f ms", longest)
+	}
+	if least := starvedRuns * r.d.held; float64(sends) > 20000/least+3*r.d.ourPart()*200*softStart+2 {
+		t.Errorf("%d jobs sent that hang, one more each %.0f ms is meant", sends, least)
+	}
+}
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -164,13 +164,33 @@
 // startLag is how long a start note takes from a worker with room: learned, least lags seen.
 func (d *Dispatcher) startLag() float64 { return 2*d.lag + startGrace*d.s.Step }
 
-// learnRate takes in that a request came now.
-func (d *Dispatcher) learnRate() {
-	if d.lastSeen > 0 {
-		gap := max(d.now-d.lastSeen, 1)
-		d.rate += (1000/gap - d.rate) * min(1, gap/2000)
+// arrivals is how often something comes, as learned from the times between.
+type arrivals struct{ perSecond, last float64 }
+
+func (a *arrivals) add(now float64) {
+	if a.last > 0 {
+		gap := max(now-a.last, 1)
+		a.perSecond += (1000/gap - a.perSecond) * min(1, gap/2000)
+	}
+	a.last = now
+}
+
+// countArrival takes in that a request came now.
+func (d *Dispatcher) countArrival(repeat bool) {
+	d.tries.add(d.now)
+	if !repeat {
+		d.firsts.add(d.now)
 	}
-	d.lastSeen = d.now
+}
+
+// quotaRate is the rate that our part of the quotas goes by. Quotas count a request once, however often its client
+// sends it again: in a storm of repeats the parts of all nodes summed to 2.7. Small fleets count each try: there a node
+// sees most workers itself, and its part bounds little.
+func (d *Dispatcher) quotaRate() float64 {
+	if len(d.workers) > lookAll {
+		return d.firsts.perSecond
+	}
+	return d.tries.perSecond
 }
 
 // clock learns speed from a served attempt.
--- a/brain/peers.go
+++ b/brain/peers.go
@@ -141,7 +141,7 @@
 	}
 	d.out = append(d.out, Action{Kind: ActTell, To: AllPeers, Data: data})
 	bytes := float64(len(data) * (d.s.Balancers - 1))
-	d.tellAt = d.now + max(tellPeriods*d.period, 1000*bytes/(tellBytes*max(d.rate, 1)))*(0.8+0.4*d.random())
+	d.tellAt = d.now + max(tellPeriods*d.period, 1000*bytes/(tellBytes*max(d.tries.perSecond, 1)))*(0.8+0.4*d.random())
 }
 
 // startHub orders the hubs, alike at all nodes.
--- a/brain/state.go
+++ b/brain/state.go
@@ -207,12 +207,13 @@
 	heldStat  spread    // of what they told to hold
 	ageBest   int
 	ageCount  float64
-	queued    float64 // mean time from a send to its start note
-	lag       float64 // usual time from a send to its start note where there was room
-	rate      float64 // our requests a second
-	quota     float64 // requests a second that all tenants may send to all nodes
-	lastSeen  float64
+	queued    float64  // mean time from a send to its start note
+	lag       float64  // usual time from a send to its start note where there was room
+	tries     arrivals // of requests here, those that clients send again counted each time
+	firsts    arrivals // likewise without those
+	quota     float64  // requests a second that all tenants may send to all nodes
 	capacity  float64
+	sentAt    float64 // when a job was last sent
 	fair      float64 // our part of all slots
 	panicking bool
 
@@ -354,6 +355,11 @@
 	return float64(mix(d.rng)>>11) / (1 << 53)
 }
 
+const (
+	maxLogs  = 60    // log lines at once; one more each logEvery
+	logEvery = 10000 // ms
+)
+
 // log writes a line, at most maxLogs at once and one more each logEvery.
 func (d *Dispatcher) log(format string, args ...any) {
 	d.logLeft = min(maxLogs, d.logLeft+(d.now-d.loggedAt)/logEvery)
@@ -500,7 +506,8 @@
 		period: firstPeriod, lag: s.ConnectTimeout / 10, logLeft: maxLogs,
 		age: ageShare * firstPeriod, ageBest: 1}
 	d.share(s.Tenants)
-	d.rate = d.quota / float64(s.Balancers)
+	d.tries.perSecond = d.quota / float64(s.Balancers)
+	d.firsts.perSecond = d.tries.perSecond
 	d.classes = make([]classStat, len(s.Classes))
 	for i, c := range s.Classes {
 		d.run += max(1, c.Aim) / float64(len(s.Classes))
