--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -65,7 +65,7 @@
 		Args: cobra.ArbitraryArgs,
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), sessionCommand(), machineCommand(), storeCommand(), dutyCommand(), keysCommand(), conformCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), sessionCommand(), machineCommand(), storeCommand(), settingsCommand(), dutyCommand(), keysCommand(), conformCommand())
 	return cmd
 }
 
--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -34,6 +34,7 @@
 	"gatetack/internal/peer"
 	"gatetack/internal/platform"
 	"gatetack/internal/records"
+	"gatetack/internal/settings"
 	"gatetack/internal/store"
 )
 
@@ -65,48 +66,16 @@
 
 func (noPeers) Tell(uint16, []byte) {}
 
-// reload reads the platform's configuration each time its file was replaced: it puts its classes, tenants, attempts, prices
-// and worths in force and moves to the discovery it names. It goes on while the node leaves; a file that can not be used
-// changes nothing. Stay grows with the longest deadline, since the node may be killed that much later.
-func reload(ctx context.Context, hup <-chan os.Signal, c config.Config, f *config.File, core *node.Core, move func(string),
-	stay *atomic.Int64, log *slog.Logger) {
-	for {
-		select {
-		case <-hup:
-		case <-ctx.Done():
-			return
-		}
-		if f.Alone() {
-			log.Warn("reload: a node that is alone reads its file at its start")
-			continue
-		}
-		next, err := c.Again(os.Getenv)
-		if err == nil {
-			err = next.Check(f)
-		}
-		retuned := err == nil && c.Retuned(next)
-		if retuned {
-			err = core.Retune(ctx, next.Settings, next.Names, c.Limits.Retired)
-		}
-		if err != nil {
-			log.Error("reload: the configuration can not be used, the old one stays", "err", err)
-			continue
-		}
-		if stays := c.Stays(next); len(stays) > 0 {
-			log.Warn("reload: holds from the next start on", "changed", stays)
-		}
-		log.Info("reload", "discovery", next.Discovery, "was", c.Discovery, "retuned", retuned, "classes", next.Names.Classes)
-		stay.Store(max(stay.Load(), int64(next.Limits.Stay)))
-		c.Follow(next)
-		move(next.Discovery)
-	}
-}
-
 // serve runs the node. When ctx ends it goes on until all that was taken is answered and nothing new comes.
 func serve(ctx context.Context, hup <-chan os.Signal, c *config.Config, f *config.File, log *slog.Logger) error {
 	life := failpoint.Wall()
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
+	base := *c
+	feed, err := openSettings(ctx, c, f, life, log)
+	if err != nil {
+		return err
+	}
 	core, err := node.New(c.Settings, c.Seed, c.Known, c.Names, c.Limits, log)
 	if err != nil {
 		return err
@@ -119,6 +88,18 @@
 	if err != nil {
 		return err
 	}
+	var stay atomic.Int64
+	stay.Store(int64(c.Limits.Stay))
+	tune := &tuner{core: core, lim: c.Limits, stay: &stay, base: base, document: settings.NewDocument()}
+	if feed != nil {
+		tune.document = feed.inForce
+		if members != nil {
+			if err := feed.serve(members, c, f, tune.Base, log); err != nil {
+				return err
+			}
+		}
+		g.Go(func() error { return feed.run(hard, tune) })
+	}
 	var kept records.Store
 	var shared inventory.Keeper
 	switch {
@@ -138,10 +119,7 @@
 		kept = own
 	}
 	source := discovery.New(c.Discovery, c.Known.Index, !c.Settings.Ask, c.Limits, core, core.Slow(), log)
-	var stay atomic.Int64
-	stay.Store(int64(c.Limits.Stay))
-	first := *c
-	g.Go(func() error { reload(hard, hup, first, f, core, source.Move, &stay, log); return nil })
+	g.Go(func() error { reload(hard, hup, tune, f, source.Move, log); return nil })
 	var lists interface {
 		node.Lists
 		Run(context.Context) error
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -46,6 +46,12 @@
 		Marks   *string           `yaml:"marks"`   // a folder in the machine's memory: how far this member got; empty: nowhere; left out: /dev/shm
 		Trust   bool              `yaml:"trust_disk"`
 	} `yaml:"store"`
+	Settings struct {
+		Enabled bool     `yaml:"enabled"` // settings come through the store: this node's own member, or those it follows
+		Follow  []string `yaml:"follow"`  // members of the store to follow, for a node that is none
+		Keys    string   `yaml:"keys"`    // a folder of keys, by which the members know who follows; without it only loopback addresses are taken
+		Cache   string   `yaml:"cache"`   // a file that keeps the settings in force, with which the node starts; empty: none
+	} `yaml:"settings"`
 	Data struct {
 		File string `yaml:"file"` // which data sets stand where, and the links between halls; empty: no hall costs a job more for its inputs
 	} `yaml:"data"`
@@ -83,7 +89,8 @@
 		}
 	}
 	// A file is named as it stands to the one that names it.
-	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir, &f.Batch.Dir, &f.Store.Keys, &f.Batch.Keys, &f.Data.File} {
+	for _, path := range []*string{&f.Inventory.File, &f.Store.Dir, &f.Batch.Dir, &f.Store.Keys, &f.Batch.Keys, &f.Data.File,
+		&f.Settings.Keys, &f.Settings.Cache} {
 		if *path != "" && !filepath.IsAbs(*path) {
 			*path = filepath.Join(dir, *path)
 		}
@@ -114,9 +121,34 @@
 			}
 		}
 	}
+	if err := f.checkSettings(); err != nil {
+		return nil, fmt.Errorf("line %d: settings.%w", lineOf(data, []string{"settings"}), err)
+	}
 	return f, nil
 }
 
+// checkSettings says what is wrong with the section on settings through the store.
+func (f *File) checkSettings() error {
+	isMember := f.Store.Dir != ""
+	switch s := &f.Settings; {
+	case !s.Enabled && len(s.Follow) > 0:
+		return errors.New("enabled: false, expected true where members to follow are named")
+	case s.Enabled && isMember && len(s.Follow) > 0:
+		return errors.New("follow: a member of the store follows its own, expected none")
+	case s.Enabled && !isMember && len(s.Follow) == 0:
+		return errors.New("follow: absent, expected addresses of members, as this node is none")
+	}
+	if f.Settings.Keys != "" {
+		return nil
+	}
+	for i, addr := range f.Settings.Follow {
+		if err := loopback(addr); err != nil {
+			return fmt.Errorf("follow.%d: %w", i, err)
+		}
+	}
+	return nil
+}
+
 // loopback says whether an address is one that only this machine reaches: neither the front nor the store has a log-in.
 func loopback(addr string) error {
 	host, _, err := net.SplitHostPort(addr)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -60,6 +60,7 @@
 	InventoryRows  int
 	InventoryLook  time.Duration // between looks at the file
 	StoreConns     int           // connections of other members' calls
+	StoreFollowers int           // connections of processes that follow the settings; none unless ServeFollowers gives them some
 	StoreBody      int           // bytes of a member's call
 	StoreValues    int           // of one kind, and
 	StoreBytes     int           // their bytes together: the ones written first go first
@@ -98,6 +99,12 @@
 	Retired      time.Duration      // after a retune, jobs of a class that it dropped are still taken
 	Quiet        time.Duration      // at the end, nothing may come for so long before the node exits
 
+	// Settings that come through the store.
+	SettingsPoll    time.Duration // a process that follows waits so long for a change in one call
+	SettingsCall    time.Duration // of such a call in all: then the member is taken to be away
+	SettingsBackoff Backoff       // between calls that fail
+	SettingsRetry   Backoff       // between tries to put in force what could not be
+
 	// Slow peers.
 	Pace pace.Policy
 
@@ -127,6 +134,15 @@
 	Failed: 4, Beat: 2 * time.Second, Late: 1200 * time.Millisecond, Slow: 500 * time.Millisecond,
 	Stood: time.Second, Least: 100 * time.Millisecond}
 
+// Backoff is the wait before a next try: it doubles from First up to Most.
+type Backoff struct{ First, Most time.Duration }
+
+// ServeFollowers takes connections from those for clients and grants them to processes that follow the settings.
+func (l *Limits) ServeFollowers() {
+	l.StoreFollowers = l.ClientConns / 4
+	l.ClientConns -= l.StoreFollowers
+}
+
 // Longest takes in the longest deadline of a client.
 func (l *Limits) Longest(deadline time.Duration) {
 	l.Stay = min(max(deadline, 0), killAfter) + killSpare - killEarly
@@ -174,6 +190,8 @@
 		ListCall: 2500 * time.Millisecond, Staleness: stalenessTimeouts, PushAgain: 100 * time.Millisecond, DrainSpare: drainGrace / 2,
 		ReadyBy: 5 * time.Second, AnswerEarly: 30 * time.Millisecond, Stay: killAfter + killSpare - killEarly, Quiet: 700 * time.Millisecond,
 		Follow: 20 * time.Millisecond, Retired: 3 * time.Second,
+		SettingsPoll: 2 * time.Second, SettingsCall: 3 * time.Second,
+		SettingsBackoff: Backoff{50 * time.Millisecond, 2 * time.Second}, SettingsRetry: Backoff{time.Second, 30 * time.Second},
 		Pace:  pace.Default(),
 		Cores: 1, MemoryBytes: int64(memoryMB) << 20 * 3 / 4, PeerBytes: 256,
 	}
--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+
+	"gatetack/internal/fault"
+)
+
+// InvalidError names a setting that can not be used, and what was expected.
+type InvalidError struct {
+	Item     string // the item's key
+	Field    string // of it, "" where the item as a whole is meant
+	Got      string
+	Expected string
+}
+
+func (e *InvalidError) Error() string {
+	place := e.Item
+	if e.Field != "" {
+		place += ": " + e.Field
+	}
+	return fmt.Sprintf("settings: %s: %s, expected %s", place, e.Got, e.Expected)
+}
+
+// Code is its kind.
+func (*InvalidError) Code() string { return "settings.invalid" }
+
+// Do is what can be done.
+func (*InvalidError) Do() string {
+	return "correct the field that is named and set it again; nothing was changed"
+}
+
+// ConflictError says that the document has another version than a change was made for.
+type ConflictError struct {
+	Wanted, Version uint64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("settings: version %d was expected, and version %d stands", e.Wanted, e.Version)
+}
+
+// Code is its kind.
+func (*ConflictError) Code() string { return "settings.conflict" }
+
+// Do is what can be done.
+func (*ConflictError) Do() string {
+	return "look at what stands (`gatetack settings list`) and make the change again for that version"
+}
+
+// Errors of updates that can not be applied to a document.
+var (
+	ErrStale = errors.New("settings: an update to an older version than the one that is held")
+	ErrGap   = errors.New("settings: an update that does not follow the version that is held")
+)
+
+var _ = []struct{}{fault.Kind(&InvalidError{}), fault.Kind(&ConflictError{})}
--- /dev/null
+++ b/internal/settings/field.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"gatetack/brain"
+	"gatetack/internal/wire"
+)
+
+// maxAttempts bounds how often a job may be tried.
+const maxAttempts = 1000
+
+// assignment writes one decoded value to its place.
+type assignment[T any] func(*T)
+
+// field is one field that an item may have.
+type field[T any] struct {
+	expected string
+	parse    func(gjson.Result) (assignment[T], bool)
+}
+
+// number is a field that holds a number of at least a least one.
+func number[T any](expected string, accept func(float64) bool, place func(*T) *float64) field[T] {
+	return field[T]{expected, func(v gjson.Result) (assignment[T], bool) {
+		n, ok := finite(v)
+		return func(t *T) { *place(t) = n }, ok && accept(n)
+	}}
+}
+
+func amount[T any](place func(*T) *float64) field[T] {
+	return number("a number of 0 or more", func(n float64) bool { return n >= 0 }, place)
+}
+
+func period[T any](place func(*T) *float64) field[T] {
+	return number("milliseconds over 0", func(n float64) bool { return n > 0 }, place)
+}
+
+// word is a field that holds one of some words.
+func word[T, V any](words map[string]V, place func(*T) *V) field[T] {
+	expected := "one of " + strings.Join(slices.Sorted(maps.Keys(words)), ", ")
+	return field[T]{expected, func(v gjson.Result) (assignment[T], bool) {
+		value, ok := words[v.Str]
+		return func(t *T) { *place(t) = value }, ok && v.Type == gjson.String
+	}}
+}
+
+// finite reads a number. Text in place of one is refused.
+func finite(v gjson.Result) (float64, bool) {
+	if v.Type != gjson.Number {
+		return 0, false
+	}
+	n, err := strconv.ParseFloat(v.Raw, 64)
+	return n, err == nil && !math.IsInf(n, 0) && !math.IsNaN(n)
+}
+
+var classFields = map[string]field[brain.Class]{
+	"aim":        amount(func(c *brain.Class) *float64 { return &c.Aim }),
+	"deadline":   period(func(c *brain.Class) *float64 { return &c.Deadline }),
+	"worth":      amount(func(c *brain.Class) *float64 { return &c.Worth }),
+	"window":     amount(func(c *brain.Class) *float64 { return &c.Window }),
+	"aimStretch": amount(func(c *brain.Class) *float64 { return &c.Stretch }),
+	"effect":     word(wire.Effects, func(c *brain.Class) *brain.Effect { return &c.Effect }),
+	"dedupScope": word(wire.Scopes, func(c *brain.Class) *brain.Scope { return &c.Scope }),
+}
+
+var tenantFields = map[string]field[brain.Tenant]{
+	"portion":  amount(func(t *brain.Tenant) *float64 { return &t.Portion }),
+	"quotaRps": amount(func(t *brain.Tenant) *float64 { return &t.Quota }),
+}
+
+// generalFields are named as in the platform's settings, with a dot for each level.
+var generalFields = map[string]field[brain.Settings]{
+	"limits.maxAttempts": {
+		expected: "a whole number from 1 to " + strconv.Itoa(maxAttempts),
+		parse: func(v gjson.Result) (assignment[brain.Settings], bool) {
+			n, ok := finite(v)
+			return func(s *brain.Settings) { s.MaxAttempts = int(n) }, ok && n == math.Trunc(n) && n >= 1 && n <= maxAttempts
+		},
+	},
+	"limits.maxRetryAfter": amount(func(s *brain.Settings) *float64 { return &s.MaxRetryAfter }),
+	"fees.crossZone":       amount(func(s *brain.Settings) *float64 { return &s.Fees.CrossZone }),
+	"fees.handshake":       amount(func(s *brain.Settings) *float64 { return &s.Fees.Handshake }),
+	"fees.origin":          amount(func(s *brain.Settings) *float64 { return &s.Fees.Origin }),
+	"overShareWorth":       amount(func(s *brain.Settings) *float64 { return &s.OverShareWorth }),
+	"worthBy":              word(map[string]bool{"request": false, "work": true}, func(s *brain.Settings) *bool { return &s.WorthByWork }),
+}
+
+// Required fields of an item whose class or tenant the base configuration does not have.
+var (
+	classRequired  = []string{"deadline", "effect"}
+	tenantRequired = []string{"portion", "quotaRps"}
+)
--- /dev/null
+++ b/internal/settings/item.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"gatetack/brain"
+)
+
+// Item is one item of a document. Its value is decoded once, when it comes; what is wrong with it is told when the document is
+// merged, so that a process which can not use an item can still hand it on.
+type Item struct {
+	Change
+	class   overlay[brain.Class]
+	tenant  overlay[brain.Tenant]
+	general overlay[brain.Settings]
+	err     error
+}
+
+// overlay is what an item writes over a value of the base configuration.
+type overlay[T any] map[string]assignment[T]
+
+func (o overlay[T]) apply(to *T) {
+	for _, assign := range o {
+		assign(to)
+	}
+}
+
+// lacks returns the first of some fields that the overlay does not have.
+func (o overlay[T]) lacks(required []string) string {
+	for _, name := range required {
+		if _, ok := o[name]; !ok {
+			return name
+		}
+	}
+	return ""
+}
+
+// newItem decodes the value of a change that is not a deletion.
+func newItem(c Change) *Item {
+	item := &Item{Change: c}
+	if item.err = validKey(c.Key); item.err != nil {
+		return item
+	}
+	switch {
+	case c.Key == GeneralKey:
+		item.general, item.err = decode(c, generalFields)
+	case strings.HasPrefix(c.Key, ClassPrefix):
+		item.class, item.err = decode(c, classFields)
+	default:
+		item.tenant, item.err = decode(c, tenantFields)
+	}
+	return item
+}
+
+// decode reads an item's value by the fields that it may have.
+func decode[T any](c Change, fields map[string]field[T]) (overlay[T], error) {
+	if len(c.Value) > MaxValue {
+		return nil, &InvalidError{Item: c.Key, Got: strconv.Itoa(len(c.Value)) + " bytes", Expected: strconv.Itoa(MaxValue) + " at most"}
+	}
+	if !json.Valid(c.Value) {
+		return nil, &InvalidError{Item: c.Key, Got: "not valid JSON", Expected: "a JSON object"}
+	}
+	object := gjson.ParseBytes(c.Value)
+	if !object.IsObject() {
+		return nil, &InvalidError{Item: c.Key, Got: shorten(object.Raw), Expected: "a JSON object"}
+	}
+	out := overlay[T]{}
+	return out, decodeObject(c.Key, "", object, fields, out)
+}
+
+func decodeObject[T any](item, prefix string, object gjson.Result, fields map[string]field[T], out overlay[T]) error {
+	var err error
+	object.ForEach(func(key, value gjson.Result) bool {
+		name := prefix + key.String()
+		f, known := fields[name]
+		switch _, twice := out[name]; {
+		case twice:
+			err = &InvalidError{Item: item, Field: name, Got: "stands twice", Expected: "one value"}
+		case known:
+			assign, ok := f.parse(value)
+			if !ok {
+				err = &InvalidError{Item: item, Field: name, Got: shorten(value.Raw), Expected: f.expected}
+			}
+			out[name] = assign
+		case value.IsObject():
+			err = decodeObject(item, name+".", value, fields, out)
+		default:
+			err = &InvalidError{Item: item, Field: name, Got: "not a field that can be set here",
+				Expected: "one of " + strings.Join(slices.Sorted(maps.Keys(fields)), ", ")}
+		}
+		return err == nil
+	})
+	return err
+}
+
+// shownBytes bounds what of a wrong value an error shows.
+const shownBytes = 40
+
+func shorten(text string) string {
+	if len(text) <= shownBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:shownBytes], "") + "..."
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,381 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gatetack/brain"
+	_ "gatetack/internal/seeds"
+)
+
+// baseRules are those of a process with two classes and two tenants.
+func baseRules() Rules {
+	return Rules{
+		Settings: brain.Settings{Balancers: 1, MaxAttempts: 3, FallMultiple: 2, Step: 4, OverShareWorth: 0.2,
+			Classes: []brain.Class{{Aim: 400, Deadline: 7500, Worth: 8, Effect: brain.Unsafe, Kind: -1},
+				{Aim: 1500, Deadline: 25000, Worth: 24, Effect: brain.Keyed, Window: 40000, Kind: -1}},
+			Tenants: []brain.Tenant{{Portion: 0.6, Quota: 20}, {Portion: 0.4, Quota: 12}}},
+		Classes: []string{"tile-charge", "area-render"}, Tenants: []string{"pohjakaart", "maavaade"},
+	}
+}
+
+func change(key, value string) Change { return Change{Key: key, Value: json.RawMessage(value)} }
+
+// documentOf makes a document of some changes.
+func documentOf(t *testing.T, changes ...Change) *Document {
+	t.Helper()
+	d, err := NewDocument().Apply(Update{Version: 1, Snapshot: true, Changes: changes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestMergeLaysItemsOverTheBase(t *testing.T) {
+	base := baseRules()
+	got, err := Merge(base, documentOf(t,
+		change("class/area-render", `{"worth":3}`), change("class/draft", `{"deadline":5000,"effect":"free","dedupScope":"all"}`),
+		change("tenant/maavaade", `{"quotaRps":5}`), change("tenant/new", `{"portion":0.1,"quotaRps":1}`),
+		change("general", `{"limits":{"maxAttempts":7},"fees":{"crossZone":0.5},"worthBy":"work","overShareWorth":0}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := baseRules()
+	want.Settings.Classes[1].Worth = 3
+	want.Settings.Classes = append(want.Settings.Classes, brain.Class{Deadline: 5000, Worth: 1, Effect: brain.Safe, Scope: brain.ScopeAll, Kind: -1})
+	want.Settings.Tenants[1].Quota = 5
+	want.Settings.Tenants = append(want.Settings.Tenants, brain.Tenant{Portion: 0.1, Quota: 1})
+	want.Settings.MaxAttempts, want.Settings.Fees.CrossZone, want.Settings.WorthByWork, want.Settings.OverShareWorth = 7, 0.5, true, 0
+	want.Classes, want.Tenants = append(want.Classes, "draft"), append(want.Tenants, "new")
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+	if !reflect.DeepEqual(base, baseRules()) {
+		t.Error("the base has changed")
+	}
+}
+
+// Each error names the item, the field and what was expected.
+func TestErrorsNameFieldAndExpectation(t *testing.T) {
+	for _, x := range []struct{ key, value, want string }{
+		{"klass/x", `{}`, "klass/x: not a key of a setting, expected class/NAME, tenant/NAME or general"},
+		{"head", `{}`, "head: not a key of a setting"},
+		{"class/", `{}`, "class/: not a name, expected 1 to 128 bytes"},
+		{"class/a b", `{}`, "class/a b: not a name"},
+		{"class/a/b", `{}`, "class/a/b: not a name"},
+		{"class/" + strings.Repeat("a", 129), `{}`, "not a name"},
+		{"class/x", `[]`, "class/x: [], expected a JSON object"},
+		{"class/x", `{"deadline":`, "class/x: not valid JSON, expected a JSON object"},
+		{"class/x", `{"deadline":0,"effect":"free"}`, "class/x: deadline: 0, expected milliseconds over 0"},
+		{"class/x", `{"deadline":"5000","effect":"free"}`, `class/x: deadline: "5000", expected milliseconds over 0`},
+		{"class/x", `{"deadline":1e999,"effect":"free"}`, "class/x: deadline: 1e999, expected milliseconds over 0"},
+		{"class/x", `{"deadline":5000,"effect":"none"}`, `class/x: effect: "none", expected one of free, guarded, single_shot`},
+		{"class/x", `{"deadline":5000,"deadline":6000}`, "class/x: deadline: stands twice, expected one value"},
+		{"class/x", `{"deadline":5000}`, "class/x: effect: absent, expected a value, as the base configuration has none of this name"},
+		{"class/x", `{"dedline":5000}`, "class/x: dedline: not a field that can be set here, expected one of aim, aimStretch, deadline"},
+		{"class/tile-charge", `{"window":-1}`, "class/tile-charge: window: -1, expected a number of 0 or more"},
+		{"tenant/x", `{"portion":0.1}`, "tenant/x: quotaRps: absent, expected a value"},
+		{"tenant/maavaade", `{"portion":null}`, "tenant/maavaade: portion: null, expected a number of 0 or more"},
+		{"general", `{"limits":{"maxAttempts":0}}`, "general: limits.maxAttempts: 0, expected a whole number from 1 to 1000"},
+		{"general", `{"limits":{"maxAttempts":1.5}}`, "general: limits.maxAttempts: 1.5, expected a whole number"},
+		{"general", `{"limits":{"sockets":9}}`, "general: limits.sockets: not a field that can be set here"},
+		{"general", `{"worthBy":true}`, "general: worthBy: true, expected one of request, work"},
+	} {
+		err := Validate(baseRules(), documentOf(t, change(x.key, x.value)))
+		var invalid *InvalidError
+		if !errors.As(err, &invalid) || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s %s: %v, expected %q", x.key, x.value, err, x.want)
+		}
+	}
+}
+
+// What is good item by item may still be too much together.
+func TestTheWholeIsValidated(t *testing.T) {
+	var many []Change
+	for i := range 254 {
+		many = append(many, change(fmt.Sprintf("class/c%03d", i), `{"deadline":5000,"effect":"free"}`))
+	}
+	if err := Validate(baseRules(), documentOf(t, many[:253]...)); err != nil {
+		t.Errorf("255 classes: %v", err)
+	}
+	if err := Validate(baseRules(), documentOf(t, many...)); err == nil || !strings.Contains(err.Error(), "256 classes with it, expected 255 at most") {
+		t.Errorf("256 classes: %v", err)
+	}
+	alone := baseRules()
+	alone.Tenants, alone.Settings.Tenants = nil, nil
+	if err := Validate(alone, documentOf(t, change("tenant/x", `{"portion":1,"quotaRps":1}`))); err == nil {
+		t.Error("the first tenant over a base that has none is taken")
+	}
+}
+
+// values that the model tests draw from: good ones, and ones that can not be used.
+var drawnValues = []string{`{"worth":1}`, `{"worth":2}`, `{"deadline":5000,"effect":"free"}`, `{"portion":0.5,"quotaRps":3}`, `{"quotaRps":4}`, `{}`, `{"worth":-1}`, `7`}
+
+func drawChanges(t *rapid.T) []Change {
+	keys := []string{"class/a", "class/b", "class/tile-charge", "tenant/a", "tenant/maavaade", "general"}
+	var out []Change
+	for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 1, 4, rapid.ID).Draw(t, "keys") {
+		c := Change{Key: key}
+		if rapid.IntRange(0, 3).Draw(t, "verb") > 0 {
+			c.Value = json.RawMessage(rapid.SampledFrom(drawnValues).Draw(t, "value"))
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// model is the documents of all versions as plain maps.
+type model struct {
+	at       map[uint64]map[string]Change
+	versions []uint64
+}
+
+func (m *model) latest() map[string]Change { return m.at[m.versions[len(m.versions)-1]] }
+
+func (m *model) next(version uint64, changes []Change) Update {
+	from := m.versions[len(m.versions)-1]
+	next := maps.Clone(m.latest())
+	u := Update{Version: version, From: from}
+	for _, c := range changes {
+		c.Version = version
+		u.Changes = append(u.Changes, c)
+		if next[c.Key] = c; c.Deleted() {
+			delete(next, c.Key)
+		}
+	}
+	m.at[version], m.versions = next, append(m.versions, version)
+	return u
+}
+
+func contents(d *Document) map[string]Change {
+	out := map[string]Change{}
+	for _, c := range d.Items() {
+		out[c.Key] = c
+	}
+	return out
+}
+
+// From any version that was, whatever History gives leads to the latest, and it is a delta where the changes since are kept.
+func TestHistoryLeadsToTheLatest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{at: map[uint64]map[string]Change{0: {}}, versions: []uint64{0}}
+		h := NewHistory()
+		documents := map[uint64]*Document{0: h.Document()}
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			version := m.versions[len(m.versions)-1] + rapid.Uint64Range(1, 9).Draw(t, "step")
+			u := m.next(version, drawChanges(t))
+			if rapid.IntRange(0, 9).Draw(t, "reread") == 0 {
+				u = Update{Version: version, Snapshot: true, Changes: slices.Collect(maps.Values(m.latest()))}
+			}
+			if err := h.Append(u); err != nil {
+				t.Fatal(err)
+			}
+			documents[version] = h.Document()
+			if got := contents(h.Document()); !reflect.DeepEqual(got, m.latest()) {
+				t.Fatalf("version %d: %v, expected %v", version, got, m.latest())
+			}
+			if err := h.Append(u); err != nil { // once more
+				t.Fatal(err)
+			}
+		}
+		from := rapid.SampledFrom(m.versions).Draw(t, "from")
+		u := h.After(from)
+		text, err := json.Marshal(u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := DecodeUpdate(text)
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		got, err := documents[from].Apply(read)
+		if err != nil || got.Version() != h.Document().Version() || !reflect.DeepEqual(contents(got), m.latest()) {
+			t.Fatalf("from %d by %s: %v", from, text, err)
+		}
+		if unknown := h.After(m.versions[len(m.versions)-1] + 1); !unknown.Snapshot {
+			t.Fatal("from a version that never was: no snapshot")
+		}
+	})
+}
+
+// A replica to which updates come in any order, twice, late or not at all never goes back and holds what the model has under its
+// version; and what is in force was held.
+func TestReplicaNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{at: map[uint64]map[string]Change{0: {}}, versions: []uint64{0}}
+		h := NewHistory()
+		sent := []Update{}
+		r := NewReplica(NewDocument())
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				u := m.next(m.versions[len(m.versions)-1]+1, drawChanges(t))
+				if err := h.Append(u); err != nil {
+					t.Fatal(err)
+				}
+				sent = append(sent, u, h.After(rapid.SampledFrom(m.versions).Draw(t, "from")), h.Document().Snapshot())
+			case 1:
+				var err error
+				if rapid.Bool().Draw(t, "fails") {
+					err = errors.New("no")
+				}
+				before := r.InForce()
+				r.Settle(err)
+				if err == nil && r.InForce() != r.Document().Version() || err != nil && (r.InForce() != before || r.Refused().Version != r.Document().Version()) {
+					t.Fatalf("after %v: %+v", err, r)
+				}
+			default:
+				if len(sent) == 0 {
+					continue
+				}
+				u := rapid.SampledFrom(sent).Draw(t, "update")
+				before := r.Document()
+				err := r.Offer(u)
+				switch now := r.Document(); {
+				case now.Version() < before.Version():
+					t.Fatalf("from version %d back to %d", before.Version(), now.Version())
+				case err != nil && now != before:
+					t.Fatal("an update that failed changed what is held")
+				case (err == nil) != (u.Version == before.Version() || u.Version > before.Version() && (u.Snapshot || u.From == before.Version())):
+					t.Fatalf("an update from %d to %d, snapshot %v, at %d: %v", u.From, u.Version, u.Snapshot, before.Version(), err)
+				}
+			}
+			if got := contents(r.Document()); !reflect.DeepEqual(got, m.at[r.Document().Version()]) {
+				t.Fatalf("version %d: %v, expected %v", r.Document().Version(), got, m.at[r.Document().Version()])
+			}
+		}
+	})
+}
+
+// Merge against the model: the items one by one over the base, and an error exactly where one of them can not be used.
+func TestMergeAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{at: map[uint64]map[string]Change{0: {}}, versions: []uint64{0}}
+		d := NewDocument()
+		for version := range rapid.Uint64Range(1, 8).Draw(t, "changes") {
+			var err error
+			if d, err = d.Apply(m.next(version+1, drawChanges(t))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, err := Merge(baseRules(), d)
+		want, good := mergeModel(baseRules(), m.latest())
+		if good != (err == nil) {
+			t.Fatalf("%v: %v, expected it to be good: %v", m.latest(), err, good)
+		}
+		if good && !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v: %+v, expected %+v", m.latest(), got, want)
+		}
+	})
+}
+
+// mergeModel reads the drawn values by the standard library alone.
+func mergeModel(base Rules, items map[string]Change) (Rules, bool) {
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		var value struct {
+			Worth, Deadline, Portion, QuotaRps *float64
+			Effect                             *string
+		}
+		if json.Unmarshal(items[key].Value, &value) != nil || value.Worth != nil && *value.Worth < 0 {
+			return Rules{}, false
+		}
+		ofClass := value.Worth != nil || value.Deadline != nil || value.Effect != nil
+		ofTenant := value.Portion != nil || value.QuotaRps != nil
+		switch {
+		case strings.HasPrefix(key, "class/"):
+			name := strings.TrimPrefix(key, "class/")
+			at := slices.Index(base.Classes, name)
+			if ofTenant || at < 0 && (value.Deadline == nil || value.Effect == nil) {
+				return Rules{}, false
+			}
+			if at < 0 {
+				at = len(base.Classes)
+				base.Classes = append(base.Classes, name)
+				base.Settings.Classes = append(base.Settings.Classes, brain.Class{Worth: 1, Kind: -1, Scope: brain.ScopeCell})
+			}
+			c := &base.Settings.Classes[at]
+			if value.Worth != nil {
+				c.Worth = *value.Worth
+			}
+			if value.Deadline != nil {
+				c.Deadline = *value.Deadline
+			}
+			if value.Effect != nil {
+				c.Effect = brain.Safe
+			}
+		case strings.HasPrefix(key, "tenant/"):
+			name := strings.TrimPrefix(key, "tenant/")
+			at := slices.Index(base.Tenants, name)
+			if ofClass || at < 0 && (value.Portion == nil || value.QuotaRps == nil) {
+				return Rules{}, false
+			}
+			if at < 0 {
+				at = len(base.Tenants)
+				base.Tenants, base.Settings.Tenants = append(base.Tenants, name), append(base.Settings.Tenants, brain.Tenant{})
+			}
+			c := &base.Settings.Tenants[at]
+			if value.Portion != nil {
+				c.Portion = *value.Portion
+			}
+			if value.QuotaRps != nil {
+				c.Quota = *value.QuotaRps
+			}
+		case ofClass || ofTenant:
+			return Rules{}, false
+		}
+	}
+	return base, true
+}
+
+func TestEffectiveChanges(t *testing.T) {
+	d := documentOf(t, change("class/a", `{"worth":1}`), change("general", `{"overShareWorth":1}`))
+	got, err := d.Effective([]Change{change("class/a", ` { "worth" : 1 } `), change("general", `null`), {Key: "tenant/none"}, change("class/b", `{"worth": 2}`)})
+	want := []Change{{Key: "general"}, change("class/b", `{"worth":2}`)}
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%v, %v, expected %v", got, err, want)
+	}
+	if _, err := d.Effective([]Change{change("class/a", `{}`), change("class/a", `{}`)}); err == nil {
+		t.Error("an item that stands twice in one change is taken")
+	}
+	if _, err := d.Effective(make([]Change, MaxChanges+1)); err == nil || !strings.Contains(err.Error(), "255 at most") {
+		t.Errorf("too many items: %v", err)
+	}
+}
+
+// Whatever bytes come, the decoder does not fail otherwise than by an error, and what it takes can be applied and is written the
+// same again.
+func FuzzDecodeUpdate(f *testing.F) {
+	for _, text := range []string{`{"version":3,"snapshot":true,"changes":[{"key":"class/a","version":2,"value":{"worth":1}}]}`,
+		`{"version":3,"from":2,"changes":[{"key":"class/a","version":3}]}`, `{}`, `{"version":1}{}`, `{"changes":[{"key":"head"}]}`,
+		`{"version":3,"from":2,"changes":[{"key":"general","version":3,"value":{"limits":{"maxAttempts":[]}}}]}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		u, err := DecodeUpdate(data)
+		if err != nil {
+			return
+		}
+		d := &Document{version: u.From, items: NewDocument().items}
+		next, err := d.Apply(u)
+		if err != nil {
+			t.Fatalf("%s: %v", data, err)
+		}
+		_, _ = Merge(baseRules(), next) // an error, or not
+		text, err := json.Marshal(u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := DecodeUpdate(text)
+		if err != nil || len(again.Changes) != len(u.Changes) || again.Version != u.Version {
+			t.Fatalf("%s was read as %s: %v", data, text, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settingsync/accept.go
@@ -0,0 +1,101 @@
+package settingsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"gatetack/internal/kv"
+	"gatetack/internal/settings"
+)
+
+// maxTries bounds how often a change is tried while others change the settings.
+const maxTries = 16
+
+// Apply accepts all of some changes, or none. They are validated against the whole document as it will be, and are made only if it
+// still is as it was then: so of two changes that are good alone and not together one is refused.
+func (s *Service) Apply(ctx context.Context, request ApplyRequest) (Accepted, error) {
+	for range maxTries {
+		if err := s.cfg.Store.CatchUp(ctx); err != nil {
+			return Accepted{}, &UnknownError{err}
+		}
+		document := s.current()
+		if request.If != nil && *request.If != document.Version() {
+			return Accepted{}, &settings.ConflictError{Wanted: *request.If, Version: document.Version()}
+		}
+		changes, err := document.Effective(request.Changes)
+		if err != nil || len(changes) == 0 {
+			return Accepted{Version: document.Version()}, err
+		}
+		if err := s.validate(document, changes); err != nil {
+			return Accepted{}, err
+		}
+		result, err := s.cfg.Store.Txn(ctx, transaction(document.Version(), changes))
+		switch {
+		case err != nil:
+			return Accepted{}, &UnknownError{err}
+		case result.Err != "":
+			return Accepted{}, &settings.InvalidError{Item: changes[0].Key, Got: result.Err, Expected: "a change that the store can keep"}
+		case result.OK():
+			return Accepted{Version: result.Version, Changed: len(changes)}, nil
+		}
+	}
+	return Accepted{}, &BusyError{maxTries}
+}
+
+// current is the document as this member has it in the store.
+func (s *Service) current() *settings.Document {
+	view := s.cfg.Store.View()
+	version := uint64(0)
+	if head, ok := view.Get(settings.Table, settings.HeadKey); ok {
+		version = head.Version
+	}
+	s.mu.Lock()
+	held := s.history.Document()
+	s.mu.Unlock()
+	if held.Version() == version {
+		return held
+	}
+	read, err := settings.NewDocument().Apply(snapshotOf(view))
+	if err != nil { // of a snapshot to an empty document there is none
+		return settings.NewDocument()
+	}
+	return read
+}
+
+// validate says whether this member could put the document with the changes in force.
+func (s *Service) validate(document *settings.Document, changes []settings.Change) error {
+	version := document.Version()
+	next, err := document.Apply(settings.Update{Version: version + 1, From: version, Changes: changes})
+	if err != nil {
+		return err
+	}
+	return settings.Validate(s.cfg.Base(), next)
+}
+
+// transaction writes the changes and the head, if the head is of a version.
+func transaction(version uint64, changes []settings.Change) *kv.Txn {
+	head, _ := json.Marshal(settings.Head{Previous: version}) // a number
+	t := &kv.Txn{Ops: []kv.Op{{Verb: kv.Put, Table: settings.Table, Key: settings.HeadKey, Value: head, Keep: true, Cond: true, If: version}}}
+	for _, c := range changes {
+		op := kv.Op{Verb: kv.Put, Table: settings.Table, Key: c.Key, Value: c.Value, Keep: true}
+		if c.Deleted() {
+			op = kv.Op{Verb: kv.Delete, Table: settings.Table, Key: c.Key}
+		}
+		t.Ops = append(t.Ops, op)
+	}
+	return t
+}
+
+// refusedByRequest reports whether an error lies in the request, so that the same one will fail again.
+func refusedByRequest(err error) (status int, version uint64) {
+	var invalid *settings.InvalidError
+	var conflict *settings.ConflictError
+	switch {
+	case errors.As(err, &invalid):
+		return 400, 0
+	case errors.As(err, &conflict):
+		return 409, conflict.Version
+	}
+	return 503, 0
+}
--- /dev/null
+++ b/internal/settingsync/follower.go
@@ -0,0 +1,153 @@
+package settingsync
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"gatetack/internal/fault"
+	"gatetack/internal/limits"
+	"gatetack/internal/settings"
+)
+
+// Target is what acts on the settings.
+type Target interface {
+	// PutInForce returns once a document is in force. After an error all is as it was.
+	PutInForce(ctx context.Context, d *settings.Document) error
+}
+
+// FollowerConfig is what a Follower needs.
+type FollowerConfig struct {
+	Process  string // its name, of which there is one in the fleet
+	Life     int64  // when it started, Unix ms
+	Upstream Upstream
+	Target   Target
+	Cache    Cache
+	Limits   limits.Limits
+	Log      *slog.Logger
+}
+
+// Follower keeps a process's settings at the latest version that is accepted.
+type Follower struct {
+	cfg     FollowerConfig
+	replica *settings.Replica
+	reports uint64
+
+	anew     bool // what is held does not lead on: a snapshot is asked for
+	failures int  // polls that failed, one after the other
+	refusals int  // tries to put what is held in force that failed
+	retryAt  time.Time
+}
+
+// NewFollower returns a follower in whose process a document is in force already.
+func NewFollower(cfg FollowerConfig, inForce *settings.Document) *Follower {
+	return &Follower{cfg: cfg, replica: settings.NewReplica(inForce)}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if f.replica.Pending() && !time.Now().Before(f.retryAt) {
+			f.putInForce(ctx)
+		}
+		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+			f.failures++
+			f.cfg.Log.Debug("settings: no answer that leads on", "failures", f.failures, fault.Attrs(err))
+			pause(ctx, jittered(delay(f.cfg.Limits.SettingsBackoff, f.failures)))
+		}
+	}
+	return nil
+}
+
+// Fetch asks for the latest settings before a process starts. It gives up after one call's time: the process then
+// starts without them.
+func Fetch(ctx context.Context, cfg FollowerConfig) *settings.Document {
+	ctx, cancel := context.WithTimeout(ctx, cfg.Limits.SettingsCall)
+	defer cancel()
+	none := settings.NewDocument()
+	for failures := 1; ctx.Err() == nil; failures++ {
+		u, err := cfg.Upstream.Poll(ctx, settings.Report{Process: cfg.Process, Life: cfg.Life}, 0)
+		if err == nil {
+			document, err := none.Apply(u)
+			if err == nil {
+				return document
+			}
+		}
+		cfg.Log.Debug("settings: no answer before the start", "failures", failures, fault.Attrs(err))
+		pause(ctx, jittered(delay(cfg.Limits.SettingsBackoff, failures)))
+	}
+	cfg.Log.Warn("settings: no member answered before the start")
+	return none
+}
+
+// putInForce has the target act on the document that is held.
+func (f *Follower) putInForce(ctx context.Context) {
+	document := f.replica.Document()
+	err := f.cfg.Target.PutInForce(ctx, document)
+	if err != nil && ctx.Err() != nil {
+		return
+	}
+	f.replica.Settle(err)
+	if err != nil {
+		f.refusals++
+		f.retryAt = time.Now().Add(jittered(delay(f.cfg.Limits.SettingsRetry, f.refusals)))
+		f.cfg.Log.Error("settings: what is in force stays", "inForce", f.replica.InForce(), fault.Attrs(&ForceError{document.Version(), err}))
+		return
+	}
+	f.refusals, f.retryAt = 0, time.Time{}
+	f.cfg.Log.Info("settings: in force", "version", document.Version(), "items", document.Len())
+	if err := f.cfg.Cache.Save(document); err != nil {
+		f.cfg.Log.Warn("settings: the cache can not be written: the next start begins without these settings", "err", err)
+	}
+}
+
+// poll reports how far this process is and takes in what follows.
+func (f *Follower) poll(ctx context.Context) error {
+	f.reports++
+	report := settings.Report{Process: f.cfg.Process, Life: f.cfg.Life, Number: f.reports, Held: f.replica.Document().Version(),
+		InForce: f.replica.InForce(), Refused: f.replica.Refused()}
+	if f.anew {
+		report.Held = 0
+	}
+	u, err := f.cfg.Upstream.Poll(ctx, report, f.wait())
+	if err != nil {
+		return err
+	}
+	before := f.replica.Document().Version()
+	if err := f.replica.Offer(u); err != nil {
+		f.anew = errors.Is(err, settings.ErrGap)
+		return err
+	}
+	f.anew, f.failures = false, 0
+	if f.replica.Document().Version() != before { // what is new is tried at once
+		f.refusals, f.retryAt = 0, time.Time{}
+	}
+	return nil
+}
+
+// wait is how long a poll may wait: no longer than until what is held is tried again.
+func (f *Follower) wait() time.Duration {
+	wait := f.cfg.Limits.SettingsPoll
+	if f.replica.Pending() {
+		wait = min(wait, max(0, time.Until(f.retryAt)))
+	}
+	return wait
+}
+
+// delay is the wait after so many failures.
+func delay(b limits.Backoff, failures int) time.Duration {
+	wait := b.First
+	for range failures - 1 {
+		if wait = 2 * wait; wait >= b.Most {
+			return b.Most
+		}
+	}
+	return wait
+}
+
+// jittered draws a wait of half a span or more, so that processes which failed together do not come back together.
+func jittered(span time.Duration) time.Duration {
+	return span/2 + rand.N(span/2+1)
+}
--- /dev/null
+++ b/internal/settingsync/handler.go
@@ -0,0 +1,156 @@
+package settingsync
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"gatetack/internal/fault"
+	"gatetack/internal/http1"
+	"gatetack/internal/settings"
+)
+
+// Handle answers one call on the member's listener.
+func (s *Service) Handle(ctx context.Context, m *http1.Message) http1.Response {
+	_, text, _ := strings.Cut(m.Target, "?")
+	query, err := url.ParseQuery(text)
+	if err != nil {
+		return answer(400, failure{Error: "query: " + err.Error()})
+	}
+	switch m.Method + " " + m.Path() {
+	case "POST " + pollPath:
+		return s.handlePoll(ctx, m.Body)
+	case "POST " + applyPath:
+		return s.handleApply(ctx, m.Body)
+	case "GET " + itemsPath:
+		return s.handleItems(ctx)
+	case "GET " + statusPath:
+		return s.handleStatus(ctx, query.Get("local") == "1")
+	}
+	return answer(404, failure{Error: "no such path, or not by " + m.Method})
+}
+
+func (s *Service) handlePoll(ctx context.Context, body []byte) http1.Response {
+	var request pollRequest
+	if err := decodeStrict(body, &request); err != nil {
+		return answer(400, failure{Error: err.Error()})
+	}
+	if request.Process == "" {
+		return answer(400, failure{Error: "process: absent, expected the name of the process that follows"})
+	}
+	u, err := s.Poll(ctx, request.Report, time.Duration(request.WaitMs)*time.Millisecond)
+	if err != nil {
+		return s.refuse("a poll", err)
+	}
+	return answer(200, u)
+}
+
+func (s *Service) handleApply(ctx context.Context, body []byte) http1.Response {
+	var request ApplyRequest
+	if err := decodeStrict(body, &request); err != nil {
+		return answer(400, failure{Error: err.Error()})
+	}
+	accepted, err := s.Apply(ctx, request)
+	if err != nil {
+		return s.refuse("a change", err)
+	}
+	s.cfg.Log.Info("settings: accepted", "version", accepted.Version, "changed", accepted.Changed)
+	return answer(200, accepted)
+}
+
+func (s *Service) handleItems(ctx context.Context) http1.Response {
+	if err := s.cfg.Store.CatchUp(ctx); err != nil {
+		return s.refuse("a list", &NotReadyError{})
+	}
+	return answer(200, s.current().Snapshot())
+}
+
+func (s *Service) handleStatus(ctx context.Context, local bool) http1.Response {
+	if local {
+		return answer(200, s.localStatus())
+	}
+	return answer(200, s.fleetStatus(ctx))
+}
+
+func (s *Service) refuse(what string, err error) http1.Response {
+	s.logFailure(what, err)
+	status, version := refusedByRequest(err)
+	f := failure{Error: err.Error(), Do: fault.Do(err), Version: version}
+	if told, ok := errors.AsType[fault.Told](err); ok {
+		f.Code = told.Code()
+	}
+	return answer(status, f)
+}
+
+// decodeStrict reads a request; a field that is not known may be a typing error in one that is.
+func decodeStrict(body []byte, to any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(to); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("something stands behind the request")
+	}
+	return nil
+}
+
+// localStatus is what this member knows.
+func (s *Service) localStatus() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Status{Version: s.history.Document().Version(), Processes: s.rollout.Progress(s.now())}
+}
+
+// fleetStatus is what all members that answer know.
+func (s *Service) fleetStatus(ctx context.Context) Status {
+	out := s.localStatus()
+	members, err := s.cfg.Store.Members()
+	if err != nil {
+		out.Silent = append(out.Silent, "all others: "+err.Error())
+		return out
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Limits.SettingsPoll)
+	defer cancel()
+	var others sync.WaitGroup
+	var mu sync.Mutex
+	known := [][]settings.Progress{out.Processes}
+	for _, other := range members {
+		if other.Name == s.cfg.Name {
+			continue
+		}
+		others.Go(func() {
+			status, err := s.statusOf(ctx, other.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				out.Silent = append(out.Silent, other.Name)
+				return
+			}
+			out.Version = max(out.Version, status.Version)
+			known = append(known, status.Processes)
+		})
+	}
+	others.Wait()
+	out.Processes = settings.Newest(known...)
+	return out
+}
+
+// statusOf asks another member for what it knows.
+func (s *Service) statusOf(ctx context.Context, addr string) (Status, error) {
+	var status Status
+	m, err := s.cfg.Call(ctx, addr, "GET", statusPath+"?local=1", nil)
+	if err != nil {
+		return status, err
+	}
+	if m.Status != 200 {
+		return status, &MemberError{addr, m.Status, string(m.Body)}
+	}
+	return status, json.Unmarshal(m.Body, &status)
+}
--- /dev/null
+++ b/internal/settingsync/remote.go
@@ -0,0 +1,66 @@
+package settingsync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gatetack/internal/settings"
+)
+
+// Upstream is where a process gets updates from.
+type Upstream interface {
+	// Poll tells how far the process is, and returns what follows the version that it holds, once there is any or the wait is over.
+	Poll(ctx context.Context, report settings.Report, wait time.Duration) (settings.Update, error)
+}
+
+// Remote follows members of the store from a process that is none. One that does not answer, or is behind, makes place for the
+// next. It is not safe for use by several goroutines at a time.
+type Remote struct {
+	members []string
+	current int
+	call    Caller
+	limit   time.Duration // of a call beyond its wait
+}
+
+// NewRemote returns an upstream at some members. Processes begin at different ones.
+func NewRemote(members []string, call Caller, limit time.Duration) *Remote {
+	return &Remote{members: members, current: rand.IntN(len(members)), call: call, limit: limit}
+}
+
+// Poll asks one member.
+func (r *Remote) Poll(ctx context.Context, report settings.Report, wait time.Duration) (settings.Update, error) {
+	member := r.members[r.current]
+	u, err := r.ask(ctx, member, pollRequest{Report: report, WaitMs: wait.Milliseconds()}, wait+r.limit)
+	if err == nil && u.Version < report.Held {
+		err = &StaleMemberError{member, u.Version, report.Held}
+	}
+	if err != nil {
+		r.current = (r.current + 1) % len(r.members)
+		return settings.Update{}, err
+	}
+	return u, nil
+}
+
+func (r *Remote) ask(ctx context.Context, member string, request pollRequest, limit time.Duration) (settings.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	body, err := json.Marshal(request)
+	if err != nil {
+		return settings.Update{}, fmt.Errorf("settings: a poll: %w", err)
+	}
+	m, err := r.call(ctx, member, "POST", pollPath, body)
+	if err != nil {
+		return settings.Update{}, &MemberError{member, 0, err.Error()}
+	}
+	if m.Status != 200 {
+		return settings.Update{}, &MemberError{member, m.Status, string(m.Body)}
+	}
+	u, err := settings.DecodeUpdate(m.Body)
+	if err != nil {
+		return settings.Update{}, &MemberError{member, m.Status, err.Error()}
+	}
+	return u, nil
+}
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sort"
 	"sync"
 
 	"github.com/hashicorp/raft"
@@ -78,8 +79,9 @@
 	if version < f.first {
 		return nil, upTo, true, f.grown
 	}
-	for _, e := range f.ring {
-		if e.Version > version && (table == "" || e.Table == table) && len(e.Key) >= len(prefix) && e.Key[:len(prefix)] == prefix {
+	next := sort.Search(len(f.ring), func(i int) bool { return f.ring[i].Version > version })
+	for _, e := range f.ring[next:] {
+		if (table == "" || e.Table == table) && len(e.Key) >= len(prefix) && e.Key[:len(prefix)] == prefix {
 			out = append(out, e)
 		}
 	}
--- a/internal/store/operate.go
+++ b/internal/store/operate.go
@@ -105,6 +105,9 @@
 		}
 		p[i] = text
 	}
+	if service, ok := s.mounted(p[0]); ok {
+		return service.Handle(ctx, m)
+	}
 	switch {
 	case p[0] == "status" && len(p) == 1 && m.Method == "GET":
 		return answerJSON(200, s.Status())
@@ -220,6 +223,9 @@
 		}
 		return refusal(404, "nothing stands at %s %s", table, key)
 	}
+	if _, ok := s.mounted(table); ok {
+		return refusal(403, "table %s is written by `gatetack %s` alone", table, table)
+	}
 	op := kv.Op{Verb: kv.Put, Table: table, Key: key, Value: m.Body, Keep: true}
 	switch m.Method {
 	case "PUT":
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,8 @@
 	dead map[raft.ServerID]bool // members whose heartbeats fail, as this one sees it while it leads
 
 	time logTime
+
+	services map[string]http1.Handler // by the first word of their paths, see Mount
 }
 
 // ErrNoLeader says that the store has no leader, so that nothing can be written or told for certain.
@@ -93,7 +95,7 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	sub := lim
-	sub.ClientConns, sub.SpareConns = lim.StoreConns, lim.StoreConns/2
+	sub.ClientConns, sub.SpareConns = lim.StoreConns+lim.StoreFollowers, lim.StoreConns/2
 	s.server = http1.NewServer(sub, s, slow, log)
 	return s, nil
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -111,6 +111,12 @@
 	return n
 }
 
+// Effects are the words for what a class's jobs do when they run twice.
+var Effects = map[string]brain.Effect{"free": brain.Safe, "guarded": brain.Keyed, "single_shot": brain.Unsafe}
+
+// Scopes are the words for where a repeat of a class's jobs is recognized.
+var Scopes = map[string]brain.Scope{"all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}
+
 var fieldNames = map[string]brain.Field{
 	"busy_reqs": brain.FieldBusy, "pending": brain.FieldPending, "cpu_share": brain.FieldUtil,
 	"svc_ms": brain.FieldLatency, "served_ps": brain.FieldServed, "failed_ps": brain.FieldErrors,
@@ -173,11 +179,9 @@
 			Stretch: s.num(p+"aimStretch", s.numAt("familyInfo.classStretch", i, 0)),
 			Window:  s.num(p+"window", 0),
 			// An effect or a scope that is absent or unknown is taken as the strictest one.
-			Effect: choice(s, p+"effect", brain.Unsafe, map[string]brain.Effect{
-				"free": brain.Safe, "guarded": brain.Keyed, "single_shot": brain.Unsafe}),
-			Scope: choice(s, p+"dedupScope", brain.ScopeCell, map[string]brain.Scope{
-				"all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}),
-			Kind: int(s.numAt("familyInfo.classKind", i, -1)),
+			Effect: choice(s, p+"effect", brain.Unsafe, Effects),
+			Scope:  choice(s, p+"dedupScope", brain.ScopeCell, Scopes),
+			Kind:   int(s.numAt("familyInfo.classKind", i, -1)),
 		})
 	}
 	for i := range s.items("tenants.count") {
--- a/test/errors_test.go
+++ b/test/errors_test.go
@@ -12,6 +12,8 @@
 	_ "gatetack/internal/actorhost"
 	_ "gatetack/internal/locality"
 	_ "gatetack/internal/recovery"
+	_ "gatetack/internal/settings"
+	_ "gatetack/internal/settingsync"
 	_ "gatetack/internal/site"
 	_ "gatetack/internal/store"
 )
