--- a/cmd/gatetack/settings.go
+++ b/cmd/gatetack/settings.go
@@ -28,7 +28,7 @@
 	cmd := &cobra.Command{Use: "settings", Short: "look at and change the settings that come through the replicated store"}
 	r := &settingsRemote{storeRemote: newStoreRemote(cmd)}
 	cmd.PersistentFlags().StringVar(&r.output, "output", "text", "text or json")
-	cmd.AddCommand(r.listCommand(), r.statusCommand(),
+	cmd.AddCommand(r.listCommand(), r.statusCommand(), r.forgetCommand(),
 		r.changeCommand("set KEY VALUE", "set one item: class/NAME, tenant/NAME or general; its value is a JSON object, @FILE reads it", 2, oneItem),
 		r.changeCommand("delete KEY", "take one item away: what the base configuration says holds again", 1,
 			func(args []string) ([]settings.Change, error) { return []settings.Change{{Key: args[0]}}, nil }),
@@ -170,6 +170,32 @@
 		}}
 }
 
+func (r *settingsRemote) forgetCommand() *cobra.Command {
+	return &cobra.Command{Use: "forget PROCESS", Short: "no longer wait for a process that is gone for good",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) != 1 {
+				return usageError{errors.New("forget: the name of a process is expected")}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			body, err := json.Marshal(settingsync.ForgetRequest{Process: args[0]})
+			if err != nil {
+				return err
+			}
+			_, _, err = r.call(cmd.Context(), "POST", settingsync.Name+"/forget", body)
+			return err
+		}}
+}
+
+// heard says when a process was last heard.
+func heard(p settings.Progress) string {
+	if p.SilentMs < 0 {
+		return "not heard"
+	}
+	return fmt.Sprintf("heard %d ms ago", p.SilentMs)
+}
+
 // showStatus writes a line on the whole, and one on each process that is behind.
 func showStatus(out io.Writer, status settingsync.Status) error {
 	var late []settings.Progress
@@ -181,7 +207,7 @@
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(table, "version %d accepted, in force at %d of %d processes\n", status.Version, len(status.Processes)-len(late), len(status.Processes))
 	for _, p := range late {
-		fmt.Fprintf(table, "not yet in force at %s\tversion %d\tbehind for %d ms\theard %d ms ago\t%s\n", p.Process, p.InForce, p.BehindMs, p.SilentMs, p.Refused.Reason)
+		fmt.Fprintf(table, "not yet in force at %s\tversion %d\tbehind for %d ms\t%s\t%s\n", p.Process, p.InForce, p.BehindMs, heard(p), p.Refused.Reason)
 	}
 	for _, name := range status.Silent {
 		fmt.Fprintf(table, "not asked: %s\twho follows it may be missing here\n", name)
--- /dev/null
+++ b/internal/settingsync/fake_test.go
@@ -0,0 +1,190 @@
+package settingsync
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gatetack/brain"
+	"gatetack/internal/kv"
+	"gatetack/internal/limits"
+	"gatetack/internal/member"
+	_ "gatetack/internal/seeds"
+	"gatetack/internal/settings"
+)
+
+// fakeStore is the store's state machine with nothing around it.
+type fakeStore struct {
+	mu     sync.Mutex
+	state  *kv.State
+	events []kv.Event
+	first  uint64
+	grown  chan struct{}
+	away   bool   // no leader
+	meets  func() // called before a transaction is made
+	writes int    // to the table of settings
+}
+
+func (f *fakeStore) written() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes
+}
+
+func newFakeStore() *fakeStore {
+	b := kv.Bounds{Values: 4096, Bytes: 16 << 20, History: 8, Key: 512, Value: 256 << 10, Ops: 256, Done: 64}
+	return &fakeStore{state: kv.New(b), grown: make(chan struct{})}
+}
+
+func (f *fakeStore) Changes(after uint64, table string) (out []kv.Event, upTo uint64, lost bool, more <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.events {
+		if e.Version > after && e.Table == table {
+			out = append(out, e)
+		}
+	}
+	return out, f.state.Snapshot().Index(), after < f.first, f.grown
+}
+
+func (f *fakeStore) CatchUp(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return errors.New("no leader")
+	}
+	return nil
+}
+
+func (f *fakeStore) View() *kv.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Snapshot()
+}
+
+func (f *fakeStore) Txn(_ context.Context, t *kv.Txn) (*kv.Result, error) {
+	if f.meets != nil {
+		f.meets()
+	}
+	return f.apply(t), nil
+}
+
+func (f *fakeStore) apply(t *kv.Txn) *kv.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(t.Ops) > 0 && t.Ops[0].Table == settings.Table {
+		f.writes++
+	}
+	r := f.state.Apply(f.state.Snapshot().Index()+1, t)
+	f.events = append(f.events, f.state.Events()...)
+	close(f.grown)
+	f.grown = make(chan struct{})
+	return &r
+}
+
+// compact lets go of all events that are kept.
+func (f *fakeStore) compact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events, f.first = nil, f.state.Snapshot().Index()
+}
+
+func (f *fakeStore) Members() (member.Cluster, error) { return nil, nil }
+
+func testLimits() limits.Limits {
+	lim := limits.New(0, 0, 0, 0, 0)
+	lim.SettingsPoll = 40 * time.Millisecond
+	lim.SettingsCall = time.Second
+	lim.SettingsBackoff = limits.Backoff{First: time.Millisecond, Most: 4 * time.Millisecond}
+	lim.SettingsRetry = limits.Backoff{First: 2 * time.Millisecond, Most: 10 * time.Millisecond}
+	return lim
+}
+
+func testRules() settings.Rules {
+	return settings.Rules{
+		Settings: brain.Settings{Balancers: 1, MaxAttempts: 3, FallMultiple: 2, Classes: []brain.Class{{Deadline: 5000, Worth: 1}},
+			Tenants: []brain.Tenant{{Portion: 1, Quota: 10}}},
+		Classes: []string{"a"}, Tenants: []string{"t"},
+	}
+}
+
+// startService runs a service until the test ends.
+func startService(t *testing.T, store *fakeStore) *Service {
+	t.Helper()
+	s := NewService(ServiceConfig{Name: "n0", Store: store, Base: testRules, Limits: testLimits(), Log: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for by := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("it does not come to be: " + what)
+		}
+	}
+}
+
+// fakeTarget notes what is put in force.
+type fakeTarget struct {
+	mu      sync.Mutex
+	inForce []*settings.Document
+	refuses func(*settings.Document) error
+}
+
+func (f *fakeTarget) PutInForce(_ context.Context, d *settings.Document) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuses != nil {
+		if err := f.refuses(d); err != nil {
+			return err
+		}
+	}
+	f.inForce = append(f.inForce, d)
+	return nil
+}
+
+func (f *fakeTarget) refuse(reason func(*settings.Document) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuses = reason
+}
+
+func (f *fakeTarget) versions() (out []uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.inForce {
+		out = append(out, d.Version())
+	}
+	return out
+}
+
+func (f *fakeTarget) latest() uint64 {
+	all := f.versions()
+	if len(all) == 0 {
+		return 0
+	}
+	return all[len(all)-1]
+}
+
+// startFollower runs a follower until the test ends.
+func startFollower(t *testing.T, process string, upstream Upstream, target Target, cache Cache) {
+	t.Helper()
+	inForce, err := cache.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := NewFollower(FollowerConfig{Process: process, Life: 1, Upstream: upstream, Target: target, Cache: cache, Limits: testLimits(),
+		Log: slog.New(slog.DiscardHandler)}, inForce)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
--- a/internal/settingsync/follower.go
+++ b/internal/settingsync/follower.go
@@ -127,8 +127,12 @@
 	return nil
 }
 
-// wait is how long a poll may wait: no longer than until what is held is tried again.
+// wait is how long a poll may wait: no longer than until what is held is tried again, and not at all after one that failed, so that
+// of several members that are cut off each but the first costs only the time of a call.
 func (f *Follower) wait() time.Duration {
+	if f.failures > 0 {
+		return 0
+	}
 	wait := f.cfg.Limits.SettingsPoll
 	if f.replica.Pending() {
 		wait = min(wait, max(0, time.Until(f.retryAt)))
--- a/internal/settingsync/handler.go
+++ b/internal/settingsync/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 		return s.handleApply(ctx, m.Body)
 	case "GET " + itemsPath:
 		return s.handleItems(ctx)
+	case "POST " + forgetPath:
+		return s.handleForget(ctx, m.Body)
 	case "GET " + statusPath:
 		return s.handleStatus(ctx, query.Get("local") == "1")
 	}
@@ -56,11 +59,12 @@
 	if err := decodeStrict(body, &request); err != nil {
 		return answer(400, failure{Error: err.Error()})
 	}
+	began := time.Now()
 	accepted, err := s.Apply(ctx, request)
 	if err != nil {
 		return s.refuse("a change", err)
 	}
-	s.cfg.Log.Info("settings: accepted", "version", accepted.Version, "changed", accepted.Changed)
+	s.cfg.Log.Info("settings: accepted", "version", accepted.Version, "changed", accepted.Changed, "took", time.Since(began))
 	return answer(200, accepted)
 }
 
@@ -71,6 +75,20 @@
 	return answer(200, s.current().Snapshot())
 }
 
+func (s *Service) handleForget(ctx context.Context, body []byte) http1.Response {
+	var request ForgetRequest
+	if err := decodeStrict(body, &request); err != nil {
+		return answer(400, failure{Error: err.Error()})
+	}
+	if !s.enrolled(request.Process) {
+		return answer(400, failure{Error: "process: none of the name " + strconv.Quote(request.Process) + " is known"})
+	}
+	if err := s.Forget(ctx, request.Process); err != nil {
+		return s.refuse("a process", err)
+	}
+	return answer(200, request)
+}
+
 func (s *Service) handleStatus(ctx context.Context, local bool) http1.Response {
 	if local {
 		return answer(200, s.localStatus())
@@ -113,7 +131,7 @@
 	out := s.localStatus()
 	members, err := s.cfg.Store.Members()
 	if err != nil {
-		out.Silent = append(out.Silent, "all others: "+err.Error())
+		out.Silent, out.Processes = append(out.Silent, "all others: "+err.Error()), s.withRoster(out.Processes)
 		return out
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Limits.SettingsPoll)
@@ -138,7 +156,7 @@
 		})
 	}
 	others.Wait()
-	out.Processes = settings.Newest(known...)
+	out.Processes = s.withRoster(settings.Newest(known...))
 	return out
 }
 
--- a/internal/settingsync/protocol.go
+++ b/internal/settingsync/protocol.go
@@ -19,6 +19,7 @@
 	pollPath   = "/v1/" + Name + "/poll"   // POST pollRequest: settings.Update
 	applyPath  = "/v1/" + Name + "/apply"  // POST ApplyRequest: Accepted
 	itemsPath  = "/v1/" + Name + "/items"  // GET: settings.Update, a snapshot
+	forgetPath = "/v1/" + Name + "/forget" // POST ForgetRequest: the same
 	statusPath = "/v1/" + Name + "/status" // GET: Status; with local=1 of this member alone
 )
 
@@ -40,6 +41,11 @@
 	Changed int    `json:"changed"` // items that were not so before
 }
 
+// ForgetRequest asks to take a process off the roster.
+type ForgetRequest struct {
+	Process string `json:"process"`
+}
+
 // Status tells which version is accepted and how far each process is.
 type Status struct {
 	Version   uint64              `json:"version"`
--- a/internal/settingsync/service.go
+++ b/internal/settingsync/service.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"gatetack/internal/fault"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
@@ -44,19 +46,30 @@
 	history *settings.History
 	rollout *settings.Rollout
 	changed chan struct{} // closed at the next version
+
+	newcomers chan settings.Report // of processes that are to be put on the roster
 }
 
 // NewService returns a service. It answers polls once Run has caught up with the store.
 func NewService(cfg ServiceConfig) *Service {
-	return &Service{cfg: cfg, began: time.Now(), history: settings.NewHistory(), rollout: settings.NewRollout(), changed: make(chan struct{})}
+	return &Service{cfg: cfg, began: time.Now(), history: settings.NewHistory(), rollout: settings.NewRollout(), changed: make(chan struct{}),
+		newcomers: make(chan settings.Report, maxNewcomers)}
 }
 
 func (s *Service) now() time.Duration { return time.Since(s.began) }
 
-// Run follows the store until the context ends.
+// Run serves until the context ends.
 func (s *Service) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { s.enroll(ctx); return nil })
+	g.Go(func() error { s.follow(ctx); return nil })
+	return g.Wait()
+}
+
+// follow takes in what changes in the store until the context ends.
+func (s *Service) follow(ctx context.Context) {
 	if !s.catchUp(ctx) {
-		return nil
+		return
 	}
 	cursor := s.reload()
 	s.mu.Lock()
@@ -72,7 +85,7 @@
 		select {
 		case <-more:
 		case <-ctx.Done():
-			return nil
+			return
 		}
 	}
 }
@@ -175,9 +188,7 @@
 func (s *Service) Poll(ctx context.Context, report settings.Report, wait time.Duration) (settings.Update, error) {
 	timer := time.NewTimer(min(max(wait, 0), s.cfg.Limits.SettingsPoll))
 	defer timer.Stop()
-	s.mu.Lock()
-	s.rollout.Hear(report, s.now())
-	s.mu.Unlock()
+	s.hear(report)
 	for {
 		u, changed, err := s.after(report.Held)
 		if err != nil || u.Version > report.Held {
--- /dev/null
+++ b/internal/settingsync/settingsync_test.go
@@ -0,0 +1,362 @@
+package settingsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gatetack/internal/http1"
+	"gatetack/internal/kv"
+	"gatetack/internal/settings"
+)
+
+func one(key, value string) ApplyRequest {
+	return ApplyRequest{Changes: []settings.Change{{Key: key, Value: json.RawMessage(value)}}}
+}
+
+func apply(t *testing.T, s *Service, request ApplyRequest) uint64 {
+	t.Helper()
+	a, err := s.Apply(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.Version
+}
+
+func TestAcceptedChangesReachFollowers(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	targets := []*fakeTarget{{}, {}, {}}
+	for i, target := range targets {
+		startFollower(t, fmt.Sprint("p", i), s, target, "")
+	}
+	var last uint64
+	for i := range 20 {
+		last = apply(t, s, one("class/a", fmt.Sprintf(`{"worth":%d}`, i+2)))
+	}
+	for _, target := range targets {
+		waitFor(t, "the last version is in force", func() bool { return target.latest() == last })
+		if got := target.versions(); !slices.IsSorted(got) {
+			t.Errorf("put in force in this order: %v", got)
+		}
+	}
+	waitFor(t, "all are told as up to date", func() bool {
+		status := s.localStatus()
+		return len(status.Processes) == 3 && !slices.ContainsFunc(status.Processes, func(p settings.Progress) bool { return p.InForce != last || p.BehindMs != 0 })
+	})
+	// A change that is made twice has one effect.
+	writes := store.written()
+	if again := apply(t, s, one("class/a", ` {"worth": 21}`)); again != last || store.written() != writes {
+		t.Errorf("the same change again: version %d after %d, %d writes", again, last, store.written()-writes)
+	}
+}
+
+// Two changes that are good alone and not together: the one that comes second is refused, however they cross.
+func TestChangesThatCrossAreValidatedAgain(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	fill := ApplyRequest{}
+	for i := range 253 {
+		fill.Changes = append(fill.Changes, settings.Change{Key: fmt.Sprintf("class/c%03d", i), Value: json.RawMessage(`{"deadline":1,"effect":"free"}`)})
+	}
+	apply(t, s, fill)
+	crossed := false
+	store.meets = func() { // as another member would, between the validation and the write
+		if crossed {
+			return
+		}
+		crossed = true
+		other := NewService(s.cfg)
+		if _, err := other.Apply(t.Context(), one("class/other", `{"deadline":1,"effect":"free"}`)); err != nil {
+			t.Error(err)
+		}
+	}
+	_, err := s.Apply(t.Context(), one("class/mine", `{"deadline":1,"effect":"free"}`))
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) || !strings.Contains(err.Error(), "256 classes with it, expected 255 at most") {
+		t.Errorf("the 256th class: %v", err)
+	}
+	if d := s.current(); d.Len() != 254 {
+		t.Errorf("%d items", d.Len())
+	}
+}
+
+func TestCompareAndSet(t *testing.T) {
+	s := startService(t, newFakeStore())
+	version := apply(t, s, one("class/a", `{"worth":2}`))
+	request := one("class/a", `{"worth":3}`)
+	request.If = &version
+	next := apply(t, s, request)
+	_, err := s.Apply(t.Context(), request)
+	var conflict *settings.ConflictError
+	if !errors.As(err, &conflict) || conflict.Version != next {
+		t.Errorf("for a version that is over: %v", err)
+	}
+	r := s.Handle(t.Context(), &http1.Message{Method: "POST", Target: applyPath, Body: []byte(fmt.Sprintf(`{"changes":[{"key":"class/a","value":{"worth":4}}],"if":%d}`, version))})
+	if r.Status != 409 || !strings.Contains(string(r.Body), fmt.Sprintf(`"version":%d`, next)) {
+		t.Errorf("%d %s", r.Status, r.Body)
+	}
+}
+
+func TestRefusedCallsChangeNothing(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	for _, x := range []struct{ body, want string }{
+		{`{"changes":[{"key":"class/a","value":{"worth":2}},{"key":"class/a","value":{"worth":3}}]}`, "stands twice in one change"},
+		{`{"changes":[{"key":"class/a","value":{"worth":2}},{"key":"class/b","value":{"worth":3}}]}`, "class/b: deadline: absent"},
+		{`{"changes":[{"key":"class/a","value":{"worth":-2}}]}`, "class/a: worth: -2, expected a number of 0 or more"},
+		{`{"changes":[{"key":"class/a","vaule":{"worth":2}}]}`, "vaule"},
+		{`{"changes":[]}{}`, "behind the request"},
+		{`not JSON`, "invalid character"},
+		{``, "EOF"},
+	} {
+		r := s.Handle(t.Context(), &http1.Message{Method: "POST", Target: applyPath, Body: []byte(x.body)})
+		if r.Status != 400 || !strings.Contains(string(r.Body), x.want) {
+			t.Errorf("%s: %d %s, expected %q", x.body, r.Status, r.Body, x.want)
+		}
+	}
+	if store.written() != 0 || s.current().Version() != 0 {
+		t.Errorf("%d writes, version %d", store.written(), s.current().Version())
+	}
+}
+
+// The store no longer keeps the changes since, and one of the table that has no head: both times the table is read anew.
+func TestCompactedHistory(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	target := &fakeTarget{}
+	startFollower(t, "p", s, target, "")
+	first := apply(t, s, one("class/a", `{"worth":2}`))
+	waitFor(t, "the first version is in force", func() bool { return target.latest() == first })
+	store.mu.Lock()
+	grown := store.grown
+	store.mu.Unlock()
+	store.compact()
+	second := store.apply(transaction(first, []settings.Change{{Key: "class/a", Value: json.RawMessage(`{"worth":3}`)}})).Version
+	store.compact()
+	<-grown
+	waitFor(t, "the second version is in force", func() bool { return target.latest() == second })
+	store.apply(&kv.Txn{Ops: []kv.Op{{Verb: kv.Put, Table: settings.Table, Key: "class/x", Value: []byte("written beside"), Keep: true}}})
+	third := apply(t, s, ApplyRequest{Changes: []settings.Change{{Key: "class/x"}}})
+	waitFor(t, "the third version is in force", func() bool { return target.latest() == third })
+}
+
+// A member that has not caught up tells nothing.
+func TestNotReady(t *testing.T) {
+	store := newFakeStore()
+	store.away = true
+	s := startService(t, store)
+	var notReady *NotReadyError
+	if _, err := s.Poll(t.Context(), settings.Report{Process: "p"}, 0); !errors.As(err, &notReady) {
+		t.Errorf("%v", err)
+	}
+	if _, err := s.Apply(t.Context(), one("class/a", `{"worth":2}`)); err == nil {
+		t.Error("a change without a leader is accepted")
+	}
+	store.mu.Lock()
+	store.away = false
+	store.mu.Unlock()
+	waitFor(t, "it is ready", func() bool { _, err := s.Poll(t.Context(), settings.Report{Process: "p"}, 0); return err == nil })
+}
+
+// scripted answers polls one after the other, and then tells nothing new.
+type scripted struct {
+	mu      sync.Mutex
+	answers []func(settings.Report) (settings.Update, error)
+	reports []settings.Report
+}
+
+func (s *scripted) Poll(ctx context.Context, r settings.Report, wait time.Duration) (settings.Update, error) {
+	s.mu.Lock()
+	s.reports = append(s.reports, r)
+	if len(s.answers) > 0 {
+		next := s.answers[0]
+		s.answers = s.answers[1:]
+		s.mu.Unlock()
+		return next(r)
+	}
+	s.mu.Unlock()
+	pause(ctx, min(wait, 5*time.Millisecond))
+	return settings.Update{Version: r.Held, From: r.Held}, ctx.Err()
+}
+
+func (s *scripted) last() settings.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reports) == 0 {
+		return settings.Report{}
+	}
+	return s.reports[len(s.reports)-1]
+}
+
+func delta(from, to uint64, worth int) settings.Update {
+	return settings.Update{From: from, Version: to, Changes: []settings.Change{{Key: "class/a", Version: to, Value: json.RawMessage(fmt.Sprintf(`{"worth":%d}`, worth))}}}
+}
+
+// Answers that come twice, in another order, of an older version, of another version than the one held, or not at all.
+func TestAnswersOutOfOrder(t *testing.T) {
+	give := func(u settings.Update) func(settings.Report) (settings.Update, error) {
+		return func(settings.Report) (settings.Update, error) { return u, nil }
+	}
+	snapshot := settings.Update{Version: 9, Snapshot: true, Changes: []settings.Change{{Key: "class/a", Version: 9, Value: json.RawMessage(`{"worth":9}`)}}}
+	asked := uint64(99)
+	up := &scripted{answers: []func(settings.Report) (settings.Update, error){
+		give(delta(0, 3, 3)), give(delta(0, 3, 3)), give(delta(3, 5, 5)), give(delta(0, 3, 3)), give(delta(3, 5, 5)), give(delta(7, 8, 8)),
+		func(r settings.Report) (settings.Update, error) { asked = r.Held; return snapshot, nil },
+		give(delta(5, 6, 6)),
+		func(settings.Report) (settings.Update, error) { return settings.Update{}, errors.New("no answer") },
+		give(delta(9, 12, 12)),
+	}}
+	target := &fakeTarget{}
+	startFollower(t, "p", up, target, "")
+	waitFor(t, "version 12 is in force", func() bool { return target.latest() == 12 })
+	if got := target.versions(); !slices.Equal(got, []uint64{3, 5, 9, 12}) {
+		t.Errorf("put in force: %v", got)
+	}
+	if asked != 0 {
+		t.Errorf("after a gap it says that it holds %d: no snapshot comes of that", asked)
+	}
+	waitFor(t, "it is reported", func() bool { return up.last().InForce == 12 })
+}
+
+// A version that can not be put in force is reported with its reason and tried again; the next one is tried at once.
+func TestVersionThatIsRefused(t *testing.T) {
+	up := &scripted{answers: []func(settings.Report) (settings.Update, error){
+		func(settings.Report) (settings.Update, error) { return delta(0, 1, 1), nil },
+		func(settings.Report) (settings.Update, error) { return delta(1, 2, 2), nil },
+	}}
+	target := &fakeTarget{}
+	target.refuse(func(d *settings.Document) error {
+		if d.Version() == 2 {
+			return errors.New("not with this base")
+		}
+		return nil
+	})
+	startFollower(t, "p", up, target, "")
+	waitFor(t, "it is reported", func() bool {
+		r := up.last()
+		return r.Held == 2 && r.InForce == 1 && r.Refused == settings.Refusal{Version: 2, Reason: "not with this base"}
+	})
+	target.refuse(nil)
+	waitFor(t, "it is tried again", func() bool { return up.last().InForce == 2 })
+	if r := up.last(); r.Refused != (settings.Refusal{}) {
+		t.Errorf("still told as refused: %+v", r)
+	}
+}
+
+// One process that refuses a version, and one that does not come back from putting it in force, hold up no other.
+func TestSlowAndRefusingProcessesHoldUpNobody(t *testing.T) {
+	s := startService(t, newFakeStore())
+	stuck := make(chan struct{})
+	defer close(stuck)
+	targets := []*fakeTarget{{}, {}, {}}
+	targets[0].refuse(func(*settings.Document) error { return errors.New("no") })
+	targets[1].refuse(func(*settings.Document) error { <-stuck; return nil })
+	for i, target := range targets {
+		startFollower(t, fmt.Sprint("p", i), s, target, "")
+	}
+	var last uint64
+	for i := range 10 {
+		last = apply(t, s, one("class/a", fmt.Sprintf(`{"worth":%d}`, i+2)))
+	}
+	waitFor(t, "the third has it", func() bool { return targets[2].latest() == last })
+	waitFor(t, "the first is told by its reason", func() bool {
+		p := s.localStatus().Processes
+		return len(p) == 3 && p[0].Refused.Reason == "no" && p[0].BehindMs > 0 && p[1].BehindMs > 0 && p[2].InForce == last
+	})
+}
+
+// A member that does not answer, answers an error or nonsense, or is behind: the next one is asked.
+func TestRemoteGoesOnToTheNextMember(t *testing.T) {
+	answers := map[string]func() (*http1.Message, error){
+		"down":    func() (*http1.Message, error) { return nil, errors.New("connection refused") },
+		"busy":    func() (*http1.Message, error) { return &http1.Message{Status: 503, Body: []byte("busy")}, nil },
+		"garbage": func() (*http1.Message, error) { return &http1.Message{Status: 200, Body: []byte(`{"version":`)}, nil },
+		"stale": func() (*http1.Message, error) {
+			return &http1.Message{Status: 200, Body: []byte(`{"version":3,"from":3,"changes":[]}`)}, nil
+		},
+		"good": func() (*http1.Message, error) {
+			return &http1.Message{Status: 200, Body: []byte(`{"version":7,"from":5,"changes":[]}`)}, nil
+		},
+	}
+	asked := map[string]int{}
+	members := []string{"down", "busy", "garbage", "stale", "good"}
+	r := NewRemote(members, func(_ context.Context, addr, _, _ string, _ []byte) (*http1.Message, error) {
+		asked[addr]++
+		return answers[addr]()
+	}, time.Second)
+	r.current = 0
+	var got settings.Update
+	for range members {
+		if u, err := r.Poll(t.Context(), settings.Report{Process: "p", Held: 5}, 0); err == nil {
+			got = u
+		}
+	}
+	if got.Version != 7 || len(asked) != len(members) {
+		t.Errorf("got %+v; asked %v", got, asked)
+	}
+	if _, err := r.Poll(t.Context(), settings.Report{Process: "p", Held: 5}, 0); err != nil || asked["good"] != 2 {
+		t.Errorf("it does not stay with the one that answers: %v, %v", err, asked)
+	}
+}
+
+// A process that was heard stays on the roster, also for a member that was started anew, until it is forgotten.
+func TestRoster(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	if _, err := s.Poll(t.Context(), settings.Report{Process: "p", Life: 5, Number: 1}, 0); err != nil {
+		waitFor(t, "it is ready", func() bool {
+			_, err := s.Poll(t.Context(), settings.Report{Process: "p", Life: 5, Number: 1}, 0)
+			return err == nil
+		})
+	}
+	waitFor(t, "it is on the roster", func() bool { return s.enrolled("p") })
+	version := apply(t, s, one("class/a", `{"worth":2}`))
+	anew := startService(t, store)
+	waitFor(t, "the new member has caught up", func() bool { return anew.localStatus().Version == version })
+	status := anew.fleetStatus(t.Context())
+	if len(status.Processes) != 1 || status.Processes[0].Process != "p" || status.Processes[0].InForce != 0 || status.Processes[0].SilentMs != neverHeard {
+		t.Errorf("%+v", status)
+	}
+	if r := anew.Handle(t.Context(), &http1.Message{Method: "POST", Target: forgetPath, Body: []byte(`{"process":"q"}`)}); r.Status != 400 {
+		t.Errorf("a process that is not known: %d %s", r.Status, r.Body)
+	}
+	if r := anew.Handle(t.Context(), &http1.Message{Method: "POST", Target: forgetPath, Body: []byte(`{"process":"p"}`)}); r.Status != 200 {
+		t.Errorf("forget: %d %s", r.Status, r.Body)
+	}
+	if status := anew.fleetStatus(t.Context()); len(status.Processes) != 0 {
+		t.Errorf("after it was forgotten: %+v", status)
+	}
+}
+
+func TestCache(t *testing.T) {
+	cache := Cache(filepath.Join(t.TempDir(), "settings.json"))
+	if d, err := cache.Load(); err != nil || d.Version() != 0 {
+		t.Fatalf("where none was kept: %v, %v", d, err)
+	}
+	s := startService(t, newFakeStore())
+	target := &fakeTarget{}
+	startFollower(t, "p", s, target, cache)
+	version := apply(t, s, one("class/a", `{"worth":2}`))
+	waitFor(t, "it is kept", func() bool { d, err := cache.Load(); return err == nil && d.Version() == version && d.Len() == 1 })
+	data, err := os.ReadFile(string(cache))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(data) { // cut anywhere
+		if err := os.WriteFile(string(cache), data[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if d, err := cache.Load(); err == nil || d.Version() != 0 {
+			t.Fatalf("cut at %d of %d: %v", n, len(data), err)
+		}
+	}
+}
