--- /dev/null
+++ b/internal/settings/bench_test.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gatetack/brain"
+)
+
+// fleetRules is a base configuration with so many tenants.
+func fleetRules(tenants int) Rules {
+	r := baseRules()
+	r.Tenants, r.Settings.Tenants = nil, nil
+	for i := range tenants {
+		r.Tenants = append(r.Tenants, fmt.Sprintf("tenant-%04d", i))
+		r.Settings.Tenants = append(r.Settings.Tenants, brain.Tenant{Portion: 1 / float64(tenants), Quota: 10})
+	}
+	return r
+}
+
+// quota is the item of a tenant.
+func quota(tenant int, version uint64) Change {
+	value := fmt.Sprintf(`{"portion":0.01,"quotaRps":%d}`, 10+version%90)
+	return Change{Key: fmt.Sprintf("tenant/tenant-%04d", tenant), Version: version, Value: json.RawMessage(value)}
+}
+
+// BenchmarkOneChange makes one change of a tenant's quota in a document that has an item for each tenant, and carries it to a replica
+// as a delta and as the whole document, beside one another. Merge is what follows in both cases.
+func BenchmarkOneChange(b *testing.B) {
+	for _, tenants := range []int{4, 50, 450} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) { benchmarkOneChange(b, tenants) })
+	}
+}
+
+func benchmarkOneChange(b *testing.B, tenants int) {
+	base, h := fleetRules(tenants), NewHistory()
+	first := Update{Version: 1, Snapshot: true}
+	for i := range tenants {
+		first.Changes = append(first.Changes, quota(i, 1))
+	}
+	if err := h.Append(first); err != nil {
+		b.Fatal(err)
+	}
+	held := h.Document()
+	var delta, whole, merge time.Duration
+	var deltaBytes, wholeBytes int
+	for version := uint64(2); b.Loop(); version++ {
+		u := Update{From: version - 1, Version: version, Changes: []Change{quota(int(version)%tenants, version)}}
+		if err := h.Append(u); err != nil {
+			b.Fatal(err)
+		}
+		began := time.Now()
+		next, n := carry(b, held, h.After(held.Version()))
+		delta += time.Since(began)
+		deltaBytes += n
+		began = time.Now()
+		_, n = carry(b, held, h.Document().Snapshot())
+		whole += time.Since(began)
+		wholeBytes += n
+		began = time.Now()
+		if _, err := Merge(base, next); err != nil {
+			b.Fatal(err)
+		}
+		merge += time.Since(began)
+		held = next
+	}
+	each := func(v float64) float64 { return v / float64(b.N) }
+	b.ReportMetric(each(float64(delta.Nanoseconds())), "delta-ns")
+	b.ReportMetric(each(float64(whole.Nanoseconds())), "whole-ns")
+	b.ReportMetric(float64(whole)/float64(delta), "whole/delta-ns")
+	b.ReportMetric(each(float64(deltaBytes)), "delta-B")
+	b.ReportMetric(each(float64(wholeBytes)), "whole-B")
+	b.ReportMetric(float64(wholeBytes)/float64(deltaBytes), "whole/delta-B")
+	b.ReportMetric(each(float64(merge.Nanoseconds())), "merge-ns")
+}
+
+// carry takes an update from a member to a replica, but for the wire.
+func carry(b *testing.B, held *Document, u Update) (*Document, int) {
+	text, err := json.Marshal(u)
+	if err != nil {
+		b.Fatal(err)
+	}
+	read, err := DecodeUpdate(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	next, err := held.Apply(read)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return next, len(text)
+}
