--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -167,6 +167,9 @@
 			if f.Store.Dir != "" {
 				fmt.Fprintf(out, "store in %s, %d members\n", f.Store.Dir, len(f.Store.Members))
 			}
+			if f.Settings.Enabled {
+				fmt.Fprintf(out, "settings from the store, %d members to follow\n", len(f.Settings.Follow))
+			}
 			return nil
 		},
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -163,9 +163,17 @@
 		"batch:\n  lisen: 127.0.0.1:8480\n":   "lisen",
 		"batch: [":                            "yaml",
 		"pace:\n  client_out: {rate: 4096}\n": "",
-		"pace:\n  box_out:\n    rate: 1\n    grace: 1ms\n":      "line 4: pace.box_out.grace: 1ms is not between",
-		"pace:\n  look: 250ms\n  acks: {least: 2s, most: 1s}\n": "line 3: pace.acks.most",
-		"pace:\n  client_out: {speed: 1}\n":                     "speed",
+		"pace:\n  box_out:\n    rate: 1\n    grace: 1ms\n":                                                 "line 4: pace.box_out.grace: 1ms is not between",
+		"pace:\n  look: 250ms\n  acks: {least: 2s, most: 1s}\n":                                            "line 3: pace.acks.most",
+		"settings: {enabled: true, follow: [\"127.0.0.1:1\"], cache: c}\n":                                 "",
+		"batch: {}\nsettings: {enabled: true}\n":                                                           "line 2: settings.follow: absent, expected addresses of members",
+		"settings: {follow: [\"127.0.0.1:1\"]}\n":                                                          "line 1: settings.enabled: false, expected true",
+		"settings: {enabled: true, follow: [\"10.0.0.1:1\"]}\n":                                            "line 1: settings.follow.0: \"10.0.0.1\" is no loopback address",
+		"settings: {enabled: true, follow: [\"10.0.0.1:1\"], keys: k}\n":                                   "",
+		"settings: {enabled: true, folow: [\"127.0.0.1:1\"]}\n":                                            "folow",
+		"store: {dir: d, listen: \"127.0.0.1:1\"}\nsettings: {enabled: true, follow: [\"127.0.0.1:1\"]}\n": "line 2: settings.follow: a member of the store follows its own",
+		"store: {dir: d, listen: \"127.0.0.1:1\"}\nsettings: {enabled: true}\n":                            "",
+		"pace:\n  client_out: {speed: 1}\n":                                                                "speed",
 	} {
 		_, err := parseFile([]byte(text), "")
 		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
--- a/internal/settingsync/errors.go
+++ b/internal/settingsync/errors.go
@@ -6,11 +6,11 @@
 	"gatetack/internal/fault"
 )
 
-// NotReadyError says that a member does not know yet what was accepted.
+// NotReadyError says that a member does not know what was accepted: it has not caught up, or knows no leader.
 type NotReadyError struct{}
 
 func (*NotReadyError) Error() string {
-	return "settings: this member has not caught up with the store yet"
+	return "settings: this member has not caught up with the store, or knows no leader"
 }
 
 // Code is its kind.
--- a/internal/settingsync/fake_test.go
+++ b/internal/settingsync/fake_test.go
@@ -59,6 +59,14 @@
 	return nil
 }
 
+func (f *fakeStore) HasLeader() bool { return f.CatchUp(context.Background()) == nil }
+
+func (f *fakeStore) setAway(away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
+}
+
 func (f *fakeStore) View() *kv.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/settingsync/service.go
+++ b/internal/settingsync/service.go
@@ -21,6 +21,7 @@
 type Store interface {
 	Changes(after uint64, table string) (events []kv.Event, upTo uint64, lost bool, more <-chan struct{})
 	CatchUp(ctx context.Context) error
+	HasLeader() bool
 	View() *kv.View
 	Txn(ctx context.Context, t *kv.Txn) (*kv.Result, error)
 	Members() (member.Cluster, error)
@@ -184,7 +185,8 @@
 }
 
 // Poll takes a report in and returns what follows the version that its process holds, once there is any or the wait is over. The
-// version of the answer is older than that where this member is behind.
+// version of the answer is older than that where this member is behind. A member that knows no leader can not tell whether there is
+// any, and its answer is an error: another may be asked.
 func (s *Service) Poll(ctx context.Context, report settings.Report, wait time.Duration) (settings.Update, error) {
 	timer := time.NewTimer(min(max(wait, 0), s.cfg.Limits.SettingsPoll))
 	defer timer.Stop()
@@ -194,9 +196,15 @@
 		if err != nil || u.Version > report.Held {
 			return u, err
 		}
+		if !s.cfg.Store.HasLeader() {
+			return settings.Update{}, &NotReadyError{}
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			if !s.cfg.Store.HasLeader() {
+				return settings.Update{}, &NotReadyError{}
+			}
 			return u, nil
 		case <-ctx.Done():
 			return settings.Update{}, ctx.Err()
--- a/internal/settingsync/settingsync_test.go
+++ b/internal/settingsync/settingsync_test.go
@@ -161,10 +161,18 @@
 	if _, err := s.Apply(t.Context(), one("class/a", `{"worth":2}`)); err == nil {
 		t.Error("a change without a leader is accepted")
 	}
-	store.mu.Lock()
-	store.away = false
-	store.mu.Unlock()
+	store.setAway(false)
 	waitFor(t, "it is ready", func() bool { _, err := s.Poll(t.Context(), settings.Report{Process: "p"}, 0); return err == nil })
+	// Later without a leader: what it has is told, and not that there is nothing more.
+	version := apply(t, s, one("class/a", `{"worth":2}`))
+	store.setAway(true)
+	waitFor(t, "what it has is told", func() bool {
+		u, err := s.Poll(t.Context(), settings.Report{Process: "p"}, 0)
+		return err == nil && u.Version == version
+	})
+	if _, err := s.Poll(t.Context(), settings.Report{Process: "p", Held: version}, 0); !errors.As(err, &notReady) {
+		t.Errorf("without a leader it says that nothing follows: %v", err)
+	}
 }
 
 // scripted answers polls one after the other, and then tells nothing new.
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -29,3 +29,9 @@
 
 // CatchUp returns once this member has all that was written before the call.
 func (s *Store) CatchUp(ctx context.Context) error { return s.certain(ctx, nil) }
+
+// HasLeader reports whether this member knows a leader. One that is cut off from most others does not, soon after.
+func (s *Store) HasLeader() bool {
+	addr, _ := s.raft.LeaderWithID()
+	return addr != ""
+}
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -115,12 +115,59 @@
 	if again := f.fleet[2].accept("set", "class/draft", draftClass); again != version {
 		t.Errorf("the same change again made version %d after %d", again, version)
 	}
+	for i := range 20 {
+		version = f.fleet[i%3].accept("set", "tenant/maavaade", fmt.Sprintf(`{"quotaRps":%d}`, 20+i))
+		f.fleet[0].inForce(version, f.names()...)
+	}
+	f.reportRollout(t)
 	out, err := f.fleet[0].settings("status")
 	if err != nil || !strings.Contains(out, fmt.Sprintf("version %d accepted, in force at 5 of 5 processes", version)) {
 		t.Errorf("status: %v\n%s", err, out)
 	}
 }
 
+var (
+	loggedInForce  = regexp.MustCompile(`time=(\S+) \S+ msg="settings: in force" version=(\d+)`)
+	loggedAccepted = regexp.MustCompile(`time=(\S+) \S+ msg="settings: accepted" version=(\d+) changed=[1-9]\d* took=(\S+)`)
+)
+
+// reportRollout tells how long after a member was asked for a change the last process had it in force, by the processes' logs. It
+// judges nothing.
+func (f *settingsFleet) reportRollout(t *testing.T) {
+	t.Helper()
+	asked, last := map[string]time.Time{}, map[string]time.Time{}
+	for _, s := range f.fleet {
+		log := s.wholeLog()
+		for _, m := range loggedAccepted.FindAllStringSubmatch(log, -1) {
+			at, err := time.Parse(time.RFC3339Nano, m[1])
+			took, tookErr := time.ParseDuration(m[3])
+			if err != nil || tookErr != nil {
+				t.Fatalf("%q can not be read: %v, %v", m[0], err, tookErr)
+			}
+			asked[m[2]] = at.Add(-took)
+		}
+		for _, m := range loggedInForce.FindAllStringSubmatch(log, -1) {
+			at, err := time.Parse(time.RFC3339Nano, m[1])
+			if err != nil {
+				t.Fatalf("%q can not be read: %v", m[0], err)
+			}
+			if at.After(last[m[2]]) {
+				last[m[2]] = at
+			}
+		}
+	}
+	var took []time.Duration
+	for version, at := range asked {
+		took = append(took, last[version].Sub(at))
+	}
+	if len(took) == 0 {
+		t.Fatal("no log tells of a change")
+	}
+	slices.Sort(took)
+	t.Logf("%d changes at %d processes: in force at the last after %v in the median, %v at most", len(took), len(f.fleet),
+		took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+}
+
 // A change that can not be used is refused at each member by field and by what was expected, and changes nothing; so is one for a
 // version that is over. What some items of one change lack keeps all of them out.
 func TestSettingsBadChanges(t *testing.T) {
@@ -386,3 +433,51 @@
 		t.Errorf("a job of the last tenant: %v, %+v", err, m)
 	}
 }
+
+// A member is cut off from the other members and not from the process that follows it: that goes on to another member, and has what is
+// accepted there. Once the link is back the member itself has it.
+func TestSettingsMemberCutOff(t *testing.T) {
+	cut := standin.Fault{Up: true, Down: true}
+	var around []*standin.Link // between n2 and the other members
+	var away *standin.Link     // from the follower to n0
+	f := newSettingsFleet(t, 3, 1, func(f *settingsFleet) {
+		link := func(from, to *site) *standin.Link {
+			x, err := standin.NewLink(from.ctx, from.g, to.store)
+			if err != nil {
+				t.Fatal(err)
+			}
+			from.env = append(from.env, to.store+"="+x.Addr)
+			return x
+		}
+		n0, n1, n2, follower := f.fleet[0], f.fleet[1], f.fleet[2], f.fleet[3]
+		around = append(around, link(n0, n2), link(n1, n2), link(n2, n0), link(n2, n1))
+		away = link(follower, n0)
+		for _, s := range f.fleet {
+			s.env = []string{"GATETACK_LINKS=" + strings.Join(s.env, ",")}
+		}
+		follower.extra = strings.Replace(follower.extra, n1.store+", ", "", 1) // follows n0 and n2
+	})
+	n0, n1, n2 := f.fleet[0], f.fleet[1], f.fleet[2]
+	set := func(aim int) uint64 {
+		return n0.accept("set", "class/draft", fmt.Sprintf(`{"deadline":5000,"aim":%d,"effect":"free"}`, aim))
+	}
+	away.Set(cut)
+	n1.inForce(set(100), f.names()...) // now it follows n2
+	away.Set(standin.Fault{})
+	for _, link := range around {
+		link.Set(cut)
+	}
+	version := set(101)
+	n1.inForce(version, "n0", "n1", "f0")
+	if out, err := n1.settings("status"); err != nil || !strings.Contains(out, "not asked: n2") || !strings.Contains(out, "not yet in force at n2") {
+		t.Errorf("status: %v %s", err, out)
+	}
+	for _, link := range around {
+		link.Set(standin.Fault{})
+	}
+	n1.inForce(version, f.names()...)
+	n2.until("n2 tells the same", func() bool {
+		out, err := n2.settings("status")
+		return err == nil && strings.Contains(out, "in force at 4 of 4 processes")
+	})
+}
