Test that a base read again and settings of the store cross without loss, and measure putting one in force

Tests: TestBaseAndDocumentCross, TestTunerRefuses (with -race: passed). BenchmarkPutInForce: a change of one quota at 4, 50 and 450 tenants.

--- /dev/null
+++ b/cmd/gatetack/reload_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gatetack/internal/config"
+	"gatetack/internal/node"
+	"gatetack/internal/settings"
+)
+
+// quietCarriers stands for all that a core speaks to, and does nothing.
+type quietCarriers struct{}
+
+func (quietCarriers) Told(uint32, node.Entry, time.Time) {}
+func (quietCarriers) Send(node.Attempt)                  {}
+func (quietCarriers) GiveUp(uint64)                      {}
+func (quietCarriers) Probe(uint32)                       {}
+func (quietCarriers) CloseIdle(uint32)                   {}
+func (quietCarriers) Watch(bool)                         {}
+func (quietCarriers) Fetch()                             {}
+func (quietCarriers) Tell(uint16, []byte)                {}
+
+// configOf is a configuration with so many tenants, each with a quota.
+func configOf(t testing.TB, tenants int, quota float64) *config.Config {
+	t.Helper()
+	var list []map[string]any
+	for i := range tenants {
+		list = append(list, map[string]any{"name": fmt.Sprintf("tenant-%04d", i), "portion": 0.01, "quotaRps": quota})
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "settings": map[string]any{"balancers": 1, "step": 4,
+		"limits": map[string]any{"maxAttempts": 3}, "invariants": map[string]any{"fallMultiple": 2.5},
+		"requestClasses": []map[string]any{{"name": "tile", "aim": 400, "deadline": 7500, "effect": "free"}}, "tenants": list}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// startTuner runs a core with a tuner until the test ends.
+func startTuner(t testing.TB, c *config.Config) *tuner {
+	t.Helper()
+	core, err := node.New(c.Settings, 1, node.List{}, c.Names, c.Limits, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.Connect(quietCarriers{}, quietCarriers{}, quietCarriers{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- core.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return &tuner{core: core, lim: c.Limits, stay: &atomic.Int64{}, base: *c, document: settings.NewDocument()}
+}
+
+// quotaDocument has an item for each tenant of a configuration.
+func quotaDocument(t testing.TB, tenants int, version uint64, quota int) *settings.Document {
+	t.Helper()
+	u := settings.Update{Version: version, Snapshot: true}
+	for i := range tenants {
+		u.Changes = append(u.Changes, settings.Change{Key: fmt.Sprintf("tenant/tenant-%04d", i), Value: json.RawMessage(fmt.Sprintf(`{"quotaRps":%d}`, quota))})
+	}
+	d, err := settings.NewDocument().Apply(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// quotas are those of the tenants in force.
+func quotas(core *node.Core) (out []float64) {
+	for _, t := range core.Rules().Settings.Tenants {
+		out = append(out, t.Quota)
+	}
+	return out
+}
+
+// A base that is read again and a document that comes cross many times: what is in force in the end is the last of both, the document
+// over the base.
+func TestBaseAndDocumentCross(t *testing.T) {
+	const rounds = 50
+	tune := startTuner(t, configOf(t, 3, 1))
+	var crossing sync.WaitGroup
+	crossing.Go(func() {
+		for n := range rounds {
+			if _, err := tune.follow(t.Context(), configOf(t, 3, float64(100+n))); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	crossing.Go(func() {
+		for n := range rounds {
+			if err := tune.PutInForce(t.Context(), quotaDocument(t, 2, uint64(n+1), 200+n)); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	crossing.Wait()
+	if got, want := quotas(tune.core), []float64{200 + rounds - 1, 200 + rounds - 1, 100 + rounds - 1}; !slices.Equal(got, want) {
+		t.Errorf("quotas in force: %v, expected %v", got, want)
+	}
+	if got := tune.Base().Settings.Tenants[0].Quota; got != 100+rounds-1 {
+		t.Errorf("the base's quota is %v", got)
+	}
+}
+
+// What can not be used, as a document or as a base beneath one, leaves all as it was.
+func TestTunerRefuses(t *testing.T) {
+	tune := startTuner(t, configOf(t, 2, 1))
+	good, err := settings.NewDocument().Apply(settings.Update{Version: 1, Snapshot: true,
+		Changes: []settings.Change{{Key: "tenant/tenant-0001", Value: json.RawMessage(`{"quotaRps":7}`)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tune.PutInForce(t.Context(), good); err != nil {
+		t.Fatal(err)
+	}
+	before := tune.core.Rules()
+	bad, err := good.Apply(settings.Update{From: 1, Version: 2, Changes: []settings.Change{{Key: "class/new", Value: json.RawMessage(`{"worth":1}`)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tune.PutInForce(t.Context(), bad); err == nil || !strings.Contains(err.Error(), "class/new: deadline: absent") {
+		t.Errorf("a document that can not be used: %v", err)
+	}
+	if _, err := tune.follow(t.Context(), configOf(t, 1, 1)); err == nil || !strings.Contains(err.Error(), "tenant/tenant-0001: portion: absent") {
+		t.Errorf("a base without the tenant of an item: %v", err)
+	}
+	if !reflect.DeepEqual(tune.core.Rules(), before) || tune.document != good || len(tune.Base().Tenants) != 2 {
+		t.Error("something has changed")
+	}
+}
+
+// BenchmarkPutInForce changes one quota and has the core act on it.
+func BenchmarkPutInForce(b *testing.B) {
+	for _, tenants := range []int{4, 50, 450} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
+			tune := startTuner(b, configOf(b, tenants, 1))
+			d := quotaDocument(b, tenants, 1, 5)
+			for version := uint64(2); b.Loop(); version++ {
+				change := settings.Change{Key: fmt.Sprintf("tenant/tenant-%04d", int(version)%tenants), Value: json.RawMessage(fmt.Sprintf(`{"quotaRps":%d}`, version))}
+				var err error
+				if d, err = d.Apply(settings.Update{From: version - 1, Version: version, Changes: []settings.Change{change}}); err != nil {
+					b.Fatal(err)
+				}
+				if err := tune.PutInForce(b.Context(), d); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
