--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -65,7 +65,7 @@
 		Args: cobra.ArbitraryArgs,
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), sessionCommand(), machineCommand(), storeCommand(), dutyCommand(), keysCommand(), conformCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), sessionCommand(), machineCommand(), storeCommand(), settingsCommand(), dutyCommand(), keysCommand(), conformCommand())
 	return cmd
 }
 
@@ -167,6 +167,9 @@
 			if f.Store.Dir != "" {
 				fmt.Fprintf(out, "store in %s, %d members\n", f.Store.Dir, len(f.Store.Members))
 			}
+			if f.Settings.Enabled {
+				fmt.Fprintf(out, "settings from the store, %d members to follow\n", len(f.Settings.Follow))
+			}
 			return nil
 		},
 	}
