--- a/internal/capacity/measure/dispatcher.go
+++ b/internal/capacity/measure/dispatcher.go
@@ -23,6 +23,10 @@
 	BytesOut     float64 // a second, by write calls
 	Calls        float64 // read and write calls a second
 	PrivateBytes float64 // of memory of its own
+
+	ClientBytesIn, ClientBytesOut     float64 // a second, of all clients
+	ExecutorBytesIn, ExecutorBytesOut float64 // a second, at one executor: starts, callbacks and their answers
+	ExecutorConnections               float64 // that stand at one executor
 }
 
 // Figures of the small site that a dispatcher is measured at.
@@ -34,6 +38,8 @@
 	siteSpan        = 3 * time.Second
 	siteDeadline    = 5 * time.Second
 	siteConnections = 64
+	siteMemoryMB    = 64
+	siteSockets     = 1024
 	siteClass       = "tile-charge"
 )
 
@@ -53,6 +59,7 @@
 	if err != nil {
 		return DispatcherCost{}, err
 	}
+	executors := map[string]bool{}
 	for i := range siteExecutors {
 		executor, err := standin.NewBox(ctx, group, fmt.Sprintf("s-%08x", i+1), ports[0], siteRun)
 		if err != nil {
@@ -60,9 +67,9 @@
 		}
 		executor.Set(func(b *standin.Behaviour) { b.Slots, b.Free = siteSlots, siteSlots })
 		list.Put(executor, "ready")
+		executors[executor.Addr] = true
 	}
-	const memoryMB, sockets = 64, 1024
-	return startAndLoad(ctx, program, ports[0], list.Addr, starts, memoryMB, sockets)
+	return startAndLoad(ctx, program, ports[0], list.Addr, &openLoad{executors: executors, starts: starts})
 }
 
 // siteSettings are the small site's, with quotas that no measured load passes.
@@ -71,7 +78,7 @@
 }
 
 // startAndLoad starts the program, loads it and ends it.
-func startAndLoad(ctx context.Context, program, listen, discovery string, starts, memoryMB, sockets int) (DispatcherCost, error) {
+func startAndLoad(ctx context.Context, program, listen, discovery string, load *openLoad) (DispatcherCost, error) {
 	dir, err := os.MkdirTemp("", "capacity-dispatcher-")
 	if err != nil {
 		return DispatcherCost{}, err
@@ -79,7 +86,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	config := filepath.Join(dir, "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, listen, discovery, memoryMB, sockets, siteSettings())
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"settings":%s}`, listen, discovery, siteMemoryMB, siteSockets, siteSettings())
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		return DispatcherCost{}, err
 	}
@@ -99,63 +106,72 @@
 			return DispatcherCost{}, fmt.Errorf("measure: %s does not become ready", program)
 		}
 	}
-	return underLoad(ctx, node.Pid, listen, starts)
+	return load.measure(ctx, node.Pid, listen)
 }
 
-// underLoad asks for starts, and measures the node once the load has settled.
-func underLoad(ctx context.Context, pid int, address string, starts int) (DispatcherCost, error) {
+// measure asks for starts, and measures the node once the load has settled.
+func (l *openLoad) measure(ctx context.Context, pid int, address string) (DispatcherCost, error) {
 	ctx, cancel := context.WithTimeout(ctx, siteSettle+siteSpan)
 	defer cancel()
-	var load openLoad
-	load.start(ctx, address, starts)
+	l.start(ctx, address)
 	time.Sleep(siteSettle)
 	before, err := process.Measure(pid)
 	if err != nil {
 		return DispatcherCost{}, err
 	}
-	servedBefore, began := load.served.Load(), time.Now()
+	servedBefore, began := l.served.Load(), time.Now()
 	time.Sleep(siteSpan - siteSettle/2)
 	after, err := process.Measure(pid)
 	if err != nil {
 		return DispatcherCost{}, err
 	}
-	span, served := time.Since(began).Seconds(), load.served.Load()-servedBefore
+	connections, err := standingConnections(l.executors)
+	if err != nil {
+		return DispatcherCost{}, err
+	}
+	span, served := time.Since(began).Seconds(), l.served.Load()-servedBefore
 	cancel()
-	load.group.Wait()
-	if least := 0.9 * float64(starts) * span; float64(served) < least {
+	l.group.Wait()
+	if least := 0.9 * float64(l.starts) * span; float64(served) < least {
 		return DispatcherCost{}, fmt.Errorf("measure: %d jobs were served in %.1f s, expected %.0f at least", served, span, least)
 	}
-	return DispatcherCost{
+	cost := DispatcherCost{
 		Cores:        (after.CPU - before.CPU).Seconds() / span,
 		BytesIn:      float64(after.ReadBytes-before.ReadBytes) / span,
 		BytesOut:     float64(after.WrittenBytes-before.WrittenBytes) / span,
 		Calls:        float64(after.ReadCalls-before.ReadCalls+after.WriteCalls-before.WriteCalls) / span,
 		PrivateBytes: float64(after.PrivateBytes),
-	}, nil
+	}
+	jobs, rate := float64(l.answered.Load()), float64(served)/span
+	cost.ClientBytesIn, cost.ClientBytesOut = float64(l.in.Load())/jobs*rate, float64(l.out.Load())/jobs*rate
+	// What the node reads and writes beside its clients is its executors', but for the list's beats.
+	cost.ExecutorBytesIn = max(0, cost.BytesOut-cost.ClientBytesIn) / siteExecutors
+	cost.ExecutorBytesOut = max(0, cost.BytesIn-cost.ClientBytesOut) / siteExecutors
+	cost.ExecutorConnections = float64(connections) / siteExecutors
+	return cost, nil
 }
 
 // openLoad hands in jobs at an even pace over a number of connections.
 type openLoad struct {
-	group  sync.WaitGroup
-	served atomic.Int64
+	starts    int             // a second
+	executors map[string]bool // their addresses
+	group     sync.WaitGroup
+	served    atomic.Int64
+	answered  atomic.Int64 // whatever the answer was
+	in, out   atomic.Int64 // bytes of connections that were closed
 }
 
-func (l *openLoad) start(ctx context.Context, address string, starts int) {
-	due := make(chan int, starts*int((siteSettle+siteSpan)/time.Second+1))
+func (l *openLoad) start(ctx context.Context, address string) {
+	due := make(chan int, l.starts*int((siteSettle+siteSpan)/time.Second+1)) // room for all: what is due waits for nobody
 	for range siteConnections {
 		l.group.Go(func() { l.connection(ctx, address, due) })
 	}
 	l.group.Go(func() {
 		defer close(due)
-		ticker := time.NewTicker(time.Second / time.Duration(starts))
-		defer ticker.Stop()
-		for n := 0; ; n++ {
-			select {
-			case <-ticker.C:
-				due <- n
-			case <-ctx.Done():
-				return
-			}
+		began := time.Now()
+		for n := 0; ctx.Err() == nil; n++ {
+			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(l.starts))))
+			due <- n
 		}
 	})
 }
@@ -163,11 +179,18 @@
 // connection hands in what is due, one job after another.
 func (l *openLoad) connection(ctx context.Context, address string, due <-chan int) {
 	var conn *standin.Conn
-	defer func() {
-		if conn != nil {
-			_ = conn.Close()
+	hangUp := func() {
+		if conn == nil {
+			return
 		}
-	}()
+		if traffic, err := trafficOf(conn.Conn); err == nil {
+			l.in.Add(int64(traffic.BytesIn))
+			l.out.Add(int64(traffic.BytesOut))
+		}
+		_ = conn.Close()
+		conn = nil
+	}
+	defer hangUp()
 	for n := range due {
 		if ctx.Err() != nil {
 			return
@@ -180,12 +203,14 @@
 			}
 		}
 		message, err := conn.Do("POST", "/"+siteClass+"/cut", []byte("scene"), standin.Job(fmt.Sprintf("ca9ac17e%08x", n), siteDeadline)...)
-		if err != nil || message.Close {
-			_ = conn.Close()
-			conn = nil
+		if err == nil {
+			l.answered.Add(1)
 		}
 		if err == nil && message.Status == 200 {
 			l.served.Add(1)
 		}
+		if err != nil || message.Close {
+			hangUp()
+		}
 	}
 }
--- a/internal/capacity/measure/member.go
+++ b/internal/capacity/measure/member.go
@@ -7,12 +7,8 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
-	"path/filepath"
-	"strconv"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"gatetack/internal/limits"
 	"gatetack/internal/store"
@@ -34,16 +30,7 @@
 	HeapBytes   uint64 `json:"heap_bytes"`
 	Leads       bool   `json:"leads"`
 	Index       uint64 `json:"index"`
-	Traffic
-}
-
-// Traffic is what went over the connections between members, as the kernel counts it: those of clients, one to a call, are closed
-// by then and not in it.
-type Traffic struct {
-	BytesOut    uint64 `json:"bytes_out"`
-	BytesIn     uint64 `json:"bytes_in"`
-	SegmentsOut uint64 `json:"segments_out"`
-	SegmentsIn  uint64 `json:"segments_in"`
+	Traffic            // of the connections between members: those of clients, one to a call, are closed by then
 }
 
 // measuredLimits are a member's limits: the usual ones, but for how much a table may hold.
@@ -99,31 +86,3 @@
 	stats.HeapBytes = heapBytes()
 	return stats, nil
 }
-
-// openTraffic adds up what went over this process's open TCP connections.
-func openTraffic() (Traffic, error) {
-	var sum Traffic
-	names, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		return sum, fmt.Errorf("measure: %w", err)
-	}
-	for _, name := range names {
-		link, err := os.Readlink(filepath.Join("/proc/self/fd", name.Name()))
-		if err != nil || len(link) < len("socket") || link[:len("socket")] != "socket" {
-			continue
-		}
-		fd, err := strconv.Atoi(name.Name())
-		if err != nil {
-			continue
-		}
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			continue // not of TCP
-		}
-		sum.BytesOut += info.Bytes_sent
-		sum.BytesIn += info.Bytes_received
-		sum.SegmentsOut += uint64(info.Segs_out)
-		sum.SegmentsIn += uint64(info.Segs_in)
-	}
-	return sum, nil
-}
--- a/internal/capacity/measure/suite.go
+++ b/internal/capacity/measure/suite.go
@@ -104,7 +104,8 @@
 }
 
 func dispatcherRole(ctx context.Context, o Options) ([]capacity.Series, error) {
-	const role, grows = "dispatcher: front, core and carriers", "starts a second of the process"
+	const role, client, executor = "dispatcher: front, core and carriers", "client of a front", "control on an executor's machine"
+	const grows = "starts a second of the process"
 	const fixed = "8 executors, 2 tenants, runs of 0.1 s, three callbacks a task, each on a connection of its own"
 	slopes := []*slope{
 		newSlope("dispatcher.cores.starts", role, "processor", "cores", grows, fixed),
@@ -112,13 +113,19 @@
 		newSlope("dispatcher.out.starts", role, "bytes out", "bytes/s", grows, fixed),
 		newSlope("dispatcher.calls.starts", role, "read and write calls", "calls/s", grows, fixed),
 		newSlope("dispatcher.memory.starts", role, "memory of its own", "bytes", grows, fixed),
+		newSlope("client.in.starts", client, "bytes in, of all clients of a process", "bytes/s", grows, fixed),
+		newSlope("client.out.starts", client, "bytes out, of all clients of a process", "bytes/s", grows, fixed),
+		newSlope("executor.in.starts", executor, "bytes in, of one process", "bytes/s", grows, fixed),
+		newSlope("executor.out.starts", executor, "bytes out, to one process", "bytes/s", grows, fixed),
+		newSlope("executor.connections.starts", executor, "connections that stand, of one process", "connections", grows, fixed),
 	}
 	for _, n := range startSizes {
 		cost, err := Dispatcher(ctx, o.Node, n)
 		if err != nil {
 			return nil, err
 		}
-		for i, value := range []float64{cost.Cores, cost.BytesIn, cost.BytesOut, cost.Calls, cost.PrivateBytes} {
+		for i, value := range []float64{cost.Cores, cost.BytesIn, cost.BytesOut, cost.Calls, cost.PrivateBytes, cost.ClientBytesIn,
+			cost.ClientBytesOut, cost.ExecutorBytesIn, cost.ExecutorBytesOut, cost.ExecutorConnections} {
 			slopes[i].add(n, value)
 		}
 	}
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -24,6 +24,7 @@
 
 // Rates at which costs recur.
 func startsPerProcess(s Size) float64  { return s.Starts / s.Processes }
+func startsOfSite(s Size) float64      { return measuredExecutors * s.Starts / s.Executors }
 func starts(s Size) float64            { return s.Starts }
 func taskWrites(s Size) float64        { return s.Starts * WritesPerTask }
 func leaseWrites(s Size) float64       { return s.Processes / leaseSeconds }
@@ -35,9 +36,11 @@
 
 const (
 	leaseSeconds = 3
-	ownerSteps   = 10 // of the owner's loop, a second
-	perMicro     = 1e-6
-	perMilli     = 1e-3
+	// measuredExecutors share the starts of the one process whose executors are measured.
+	measuredExecutors = 8
+	ownerSteps        = 10 // of the owner's loop, a second
+	perMicro          = 1e-6
+	perMilli          = 1e-3
 )
 
 func fixedBudget(value float64) func(Size, Fit) float64 {
@@ -113,10 +116,18 @@
 	{Role: "distributor of settings", What: "processor of the day's changes, in each process", SeriesID: "settings.retune.tenants", Size: tenants, Rate: changesPerSecond, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain`"},
 	{Role: "distributor of settings", What: "time until a change is in force at the last process", Mechanism: "see above the table of limits"},
-	{Role: "control on an executor's machine", What: "connections, probes, callbacks, bytes, processor", Mechanism: "`internal/executor`"},
+	{Role: "control on an executor's machine", What: "bytes in: starts and answers to callbacks", SeriesID: "executor.in.starts", Size: startsOfSite, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`internal/executor`"},
+	{Role: "control on an executor's machine", What: "bytes out: callbacks and answers to starts", SeriesID: "executor.out.starts", Size: startsOfSite, Scale: 1,
+		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`internal/executor`"},
+	{Role: "control on an executor's machine", What: "connections, probes, processor", Mechanism: "`internal/executor`"},
 	{Role: "client of the store", What: "processor of a write", SeriesID: "store.client.held", Size: running, Rate: func(s Size) float64 { return storeWrites(s) / s.Processes }, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`internal/store`"},
-	{Role: "client of a front", What: "bytes and processor of a job", Mechanism: "`internal/platform`, `internal/batch`"},
+	{Role: "client of a front", What: "bytes out, of all clients of a process", SeriesID: "client.out.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "bytes/s", Mechanism: "`internal/platform`"},
+	{Role: "client of a front", What: "bytes in, of all clients of a process", SeriesID: "client.in.starts", Size: startsPerProcess, Scale: 1,
+		Unit: "bytes/s", Mechanism: "`internal/platform`"},
+	{Role: "client of the batch front", What: "bytes and processor of a job", Mechanism: "`internal/batch`"},
 }
 
 // Figure is what the row needs at a size.
