Make a request anew whose last byte waited so long that it tells an executor too much time

Cause: the time left is written into a request's head, and its last byte can wait for acknowledgements for up to a second after that.

--- a/internal/executor/crossing_test.go
+++ b/internal/executor/crossing_test.go
@@ -10,9 +10,13 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"gatetack/brain"
 	"gatetack/internal/gate"
+	"gatetack/internal/http1"
 	"gatetack/internal/node"
+	"gatetack/internal/pace"
 	"gatetack/internal/sock"
 	"gatetack/internal/standin"
 )
@@ -206,3 +210,70 @@
 		t.Errorf("%q ms are told, %v were left: %v", text, left, err)
 	}
 }
+
+// A request whose last byte could go only long after it was made, since the other machine took the rest of it slowly, is made anew
+// on another connection, with the time that is left then. The first one never gets its last byte.
+func TestToldTimeIsRenewedAfterAWait(t *testing.T) {
+	lim := standin.Lim
+	lim.TimeSpare = 20 * time.Millisecond
+	lim.Pace.BoxOut = pace.Rate{Bytes: 1, Grace: 20 * time.Second}
+	c, s := setup(t, lim)
+	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	smallBuffer(t, ln)
+	a := attempt(1)
+	a.Job.Body = []byte(strings.Repeat("b", 60<<10))
+	type got struct {
+		text string
+		left time.Duration // before the rest of the first was read
+	}
+	first, second := make(chan got, 1), make(chan got, 1)
+	var g errgroup.Group
+	defer func() { _ = ln.Close(); _ = g.Wait() }()
+	g.Go(func() error {
+		conn, err := ln.Accept()
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = conn.Close() }()
+		head := make([]byte, 100)
+		_, _ = io.ReadFull(conn, head) // the request is made
+		time.Sleep(5 * lim.TimeSpare)
+		left := time.Until(a.Deadline)
+		rest, _ := io.ReadAll(conn)
+		first <- got{string(head) + string(rest), left}
+		next, err := ln.Accept()
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = next.Close() }()
+		m, err := http1.NewParser(lim, false).Read(http1.NewRing(lim.Ring), next)
+		if err != nil {
+			return nil
+		}
+		second <- got{m.Get("X-Expires-In-Ms"), left}
+		_, _ = io.WriteString(next, accepted)
+		return nil
+	})
+	c.Told(7, node.Entry{Name: "s-7", Address: ln.Addr().String(), Status: "ready"}, time.Now())
+	c.Send(a)
+	for i, ch := range []chan got{first, second} {
+		select {
+		case x := <-ch:
+			if _, body, _ := strings.Cut(x.text, "\r\n\r\n"); i == 0 && len(body) >= len(a.Job.Body) {
+				t.Errorf("the first has its last byte: %d of the body", len(body))
+			}
+			if told, err := strconv.Atoi(x.text); i == 1 && (err != nil || time.Duration(told)*time.Millisecond > x.left) {
+				t.Errorf("%q ms are told, %v were left", x.text, x.left)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("nothing comes on connection", i+1)
+		}
+	}
+	if got := s.outcomes(1); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+	_ = c.Callback([]byte(done))
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -74,6 +74,7 @@
 	signed  bool      // it gave one, or the attempt ended without
 	over    bool
 	cancel  context.CancelFunc // of its connection, until the 202
+	renewed bool               // its request was made anew since it told too much time; its sender's alone
 }
 
 // New makes a client whose goroutines belong to g and end with ctx.
@@ -260,7 +261,7 @@
 		// A kept connection can have ended on the other side without a sign, until the next request comes. Nothing
 		// was sent then - the last byte was not written - and the attempt takes another connection. One that was
 		// made for it and broke says something of the executor: the module hears of that.
-		if o != brain.ConnectFailed || !conn.kept || n >= c.lim.Reconnects || ctx.Err() != nil {
+		if o != brain.ConnectFailed || !conn.kept && !conn.stale || n >= c.lim.Reconnects || ctx.Err() != nil {
 			return o, report
 		}
 	}
@@ -312,6 +313,11 @@
 		}
 		return brain.ConnectFailed, nil
 	}
+	// The request was made before that wait, and tells the time that was left then: it is made anew, once, on another connection.
+	if conn.stale = !t.renewed && left-time.Until(t.Deadline) > c.lim.TimeSpare; conn.stale {
+		t.renewed = true
+		return brain.ConnectFailed, nil
+	}
 	// All that may take a while lies behind.
 	if !c.commit(t) {
 		return brain.Moot, nil
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -27,6 +27,7 @@
 	kept  bool          // it carried a request before,
 	stood time.Duration // and had stood idle for so long when it was taken
 	trip  time.Duration // what connecting took: a round trip, about
+	stale bool          // the request on it told more time than was left once its last byte could go
 }
 
 // read gives the next response.
