Drop the marks of taken bytes in one move, however many there are

A client that drips a byte a millisecond behind an open request leaves up to 4096 marks; each was dropped by a move of all others. go test -race ./internal/http1 passes, TestArrivals and TestRequestsKnowWhenTheyCame 10 of 10.

--- a/internal/http1/arrivals.go
+++ b/internal/http1/arrivals.go
@@ -37,14 +37,18 @@
 		return time.Time{}
 	}
 	a.out += int64(n)
-	for len(a.marks) > 0 {
-		first := a.marks[0]
-		if first.upTo <= a.out {
-			a.marks = append(a.marks[:0], a.marks[1:]...)
-		}
-		if first.upTo >= a.out {
-			return first.at
-		}
+	last := 0 // the mark of the last byte taken
+	for last < len(a.marks) && a.marks[last].upTo < a.out {
+		last++
 	}
-	return time.Time{}
+	if last == len(a.marks) {
+		a.marks = a.marks[:0]
+		return time.Time{}
+	}
+	at, gone := a.marks[last].at, last
+	if a.marks[last].upTo == a.out {
+		gone++
+	}
+	a.marks = append(a.marks[:0], a.marks[gone:]...)
+	return at
 }
