scalerun: change settings through the store where there is one

Cause: settings now come through the replicated store, and the scale run still changed them by file and signal at each dispatcher.

Change: with store members each change is one gatetack settings apply at a member; members and followers put it in force, and the time to the last of them counts from the command's start.

--- a/internal/scale/fleet/settings.go
+++ b/internal/scale/fleet/settings.go
@@ -70,6 +70,23 @@
 // task is of it: that a dispatcher knows its name shows from outside that the change is in force there.
 func ChangeClass(change int) string { return fmt.Sprintf("change-%d", change) }
 
+func changeFields() object {
+	return object{"aim": millis(leastDeadline), "deadline": millis(leastDeadline), "worth": 1.0, "effect": "free", "dedupScope": "cell", "window": 0.0}
+}
+
+// ChangeItems gives a change as the store's settings take it: its class comes, and that of the change before goes.
+func ChangeItems(change int) ([]byte, error) {
+	items := object{"class/" + ChangeClass(change): changeFields()}
+	if change > 1 { // the class that the base began with stays
+		items["class/"+ChangeClass(change-1)] = nil
+	}
+	text, err := json.Marshal(items)
+	if err != nil {
+		return nil, fmt.Errorf("change %d: %w", change, err)
+	}
+	return text, nil
+}
+
 // Settings gives the settings of one dispatcher in the platform's form, as they are after so many changes.
 func (d *Description) Settings(dispatcher, changes int) object {
 	rules := d.Rules()
@@ -92,8 +109,9 @@
 		classes[i] = object{"name": ClassNames[i], "aim": millis(aim), "deadline": millis(rules.Deadlines[i]), "worth": worth[i],
 			"effect": effects[i], "dedupScope": "cell", "window": millis(rules.KeyWindow)}
 	}
-	classes = append(classes, object{"name": ChangeClass(changes), "aim": millis(leastDeadline), "deadline": millis(leastDeadline), "worth": 1.0,
-		"effect": "free", "dedupScope": "cell", "window": 0.0})
+	change := changeFields()
+	change["name"] = ChangeClass(changes)
+	classes = append(classes, change)
 	return object{
 		"me": dispatcher, "balancers": d.AllDispatchers(), "zone": d.DispatcherZone(dispatcher), "zones": zones, "kinds": Kinds, "step": 4.0,
 		"discovery": "subscribe", "weights": "rough", "workload": "jobs", "worthBy": "request", "overShareWorth": 0.2,
--- a/internal/scale/play/batch_test.go
+++ b/internal/scale/play/batch_test.go
@@ -9,13 +9,14 @@
 	"gatetack/internal/scale/faults"
 )
 
-// The short form with a store: arrays come through the batch front of its members, and the leader is killed and comes back. What was
+// The short form with a store: arrays come through the batch front of its members, settings change through it at members and at a
+// dispatcher that is none, and the leader is killed and comes back. What was
 // submitted has one end each, and what must not run twice does not.
 func TestShortRunWithAStore(t *testing.T) {
 	t.Parallel()
 	d := small()
-	d.StoreMembers, d.BatchShare, d.Duration = 3, 1, 9*time.Second
-	r, err := Run(context.Background(), options(t, d, faults.Spec{Name: faults.Leader}))
+	d.Dispatchers, d.StoreMembers, d.BatchShare, d.Duration = 4, 3, 1, 9*time.Second
+	r, err := Run(context.Background(), options(t, d, faults.Spec{Name: faults.Leader}, faults.Spec{Name: faults.Reconfigure, Value: 2}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,5 +34,8 @@
 	if notes := strings.Join(r.Notes, "; "); !strings.Contains(notes, "was killed") {
 		t.Errorf("notes: %s", notes)
 	}
-	t.Logf("%+v\n%v", r.Verdict.Counts, r.Notes)
+	if r.Changes.Made != 4 || int(r.Changes.InForce.Count)+r.Changes.Missing != 4 || r.Changes.InForce.Count == 0 {
+		t.Errorf("changes: %+v", r.Changes)
+	}
+	t.Logf("%+v\n%+v\n%v", r.Changes, r.Verdict.Counts, r.Notes)
 }
--- a/internal/scale/play/changes.go
+++ b/internal/scale/play/changes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -10,11 +12,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"gatetack/internal/scale/fleet"
+	"gatetack/internal/scale/process"
 	"gatetack/internal/scale/result"
 )
 
-// changes makes changes of the configuration as operators make them today - a new file and a signal at each dispatcher - and measures
-// when each is in force at the last one.
+// changes makes changes of the configuration as operators make them - through the store where there is one, else by a new file and a
+// signal at each dispatcher - and measures when each is in force at the last one.
 type changes struct {
 	r *run
 	g sync.WaitGroup
@@ -45,20 +48,75 @@
 	number := c.made
 	c.mu.Unlock()
 	began := time.Now()
+	by := c.byFile
+	if c.r.Description.StoreMembers > 0 {
+		by = c.byStore
+	}
+	c.g.Go(func() {
+		if err := by(ctx, number); err != nil {
+			c.r.note("change %d: %v", number, err)
+			c.miss()
+			return
+		}
+		c.follow(ctx, number, began)
+	})
+}
+
+// byFile makes a change at each dispatcher.
+func (c *changes) byFile(_ context.Context, number int) error {
 	for _, x := range c.r.dispatchers {
 		p := x.current()
 		if p == nil {
 			continue
 		}
 		if err := c.r.writeConfig(x, number); err != nil {
-			c.r.note("change %d: %v", number, err)
-			return
+			return err
 		}
 		if err := p.Signal(syscall.SIGHUP); err != nil {
-			c.r.note("change %d: %v", number, err)
+			return err
 		}
 	}
-	c.g.Go(func() { c.follow(ctx, number, began) })
+	return nil
+}
+
+// byStore makes a change by the operators' command at a member that stands: one class takes the place of the one before.
+func (c *changes) byStore(ctx context.Context, number int) error {
+	text, err := fleet.ChangeItems(number)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.r.Dir, fmt.Sprintf("change-%d.json", number))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return fmt.Errorf("change: %w", err)
+	}
+	log := filepath.Join(c.r.Dir, "changes.log")
+	for _, x := range c.r.dispatchers[:c.r.Description.StoreMembers] {
+		if x.current() == nil {
+			continue
+		}
+		p, err := c.r.starter.Start(process.Command{Name: "settings", Program: c.r.Program, Log: log,
+			Args: []string{"settings", "apply", path, "--store-addr", c.r.network.Store(x.number)}})
+		if err != nil {
+			return err
+		}
+		select {
+		case <-p.Ended():
+		case <-ctx.Done():
+			p.Kill()
+			return ctx.Err()
+		}
+		if p.Err() == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("no member took it, see %s", log)
+}
+
+// miss counts a change that did not come to be in force everywhere in time.
+func (c *changes) miss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.missing++
 }
 
 // follow waits until a change is in force at all dispatchers.
@@ -66,9 +124,7 @@
 	for _, x := range c.r.dispatchers {
 		for x.current() != nil && !c.inForce(x.number, number) {
 			if time.Since(began) > changeWithin {
-				c.mu.Lock()
-				c.missing++
-				c.mu.Unlock()
+				c.miss()
 				return
 			}
 			select {
--- a/internal/scale/play/dispatchers.go
+++ b/internal/scale/play/dispatchers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -141,17 +142,22 @@
 	return os.Rename(x.config()+".new", x.config())
 }
 
-// operatorsFile is what a member of the store is started with beside its configuration; empty for the others.
+// operatorsFile is what a dispatcher is started with beside its configuration, where there is a store: its members have a batch front,
+// and all others follow the settings in it.
 func (r *run) operatorsFile(number int) string {
 	d := &r.Description
-	if number >= d.StoreMembers {
+	if d.StoreMembers == 0 {
 		return ""
 	}
-	var members []string
+	var members, addresses []string
 	for i := range d.StoreMembers {
 		members = append(members, fmt.Sprintf("%s: %q", fleet.DispatcherName(i), r.network.Store(i)))
+		addresses = append(addresses, strconv.Quote(r.network.Store(i)))
+	}
+	if number >= d.StoreMembers {
+		return fmt.Sprintf("settings:\n  enabled: true\n  follow: [%s]\n", strings.Join(addresses, ", "))
 	}
-	return fmt.Sprintf("batch:\n  listen: %s\nstore:\n  dir: store\n  listen: %s\n  members: {%s}\n  marks: marks\n",
+	return fmt.Sprintf("batch:\n  listen: %s\nstore:\n  dir: store\n  listen: %s\n  members: {%s}\n  marks: marks\nsettings:\n  enabled: true\n",
 		r.network.Batch(number), r.network.Store(number), strings.Join(members, ", "))
 }
 
