--- a/internal/settingsync/accept.go
+++ b/internal/settingsync/accept.go
@@ -15,7 +15,10 @@
 // Apply accepts all of some changes, or none. They are validated against the whole document as it will be, and are made only if it
 // still is as it was then: so of two changes that are good alone and not together one is refused.
 func (s *Service) Apply(ctx context.Context, request ApplyRequest) (Accepted, error) {
-	for range maxTries {
+	for try := range maxTries {
+		if try > 0 {
+			pause(ctx, jittered(delay(s.cfg.Limits.SettingsBackoff, try)))
+		}
 		if err := s.cfg.Store.CatchUp(ctx); err != nil {
 			return Accepted{}, &UnknownError{err}
 		}
--- a/internal/settingsync/settingsync_test.go
+++ b/internal/settingsync/settingsync_test.go
@@ -106,6 +106,59 @@
 	}
 }
 
+// Changes made at once at two members: each that is accepted is in the document, under a version of its own, and each version that a
+// follower puts in force is one of them.
+func TestChangesMadeAtOnce(t *testing.T) {
+	const clients, changes = 4, 10
+	store := newFakeStore()
+	services := []*Service{startService(t, store), startService(t, store)}
+	target := &fakeTarget{}
+	startFollower(t, "p", services[0], target, "")
+	var mu sync.Mutex
+	accepted := map[uint64]string{}
+	var all sync.WaitGroup
+	for c := range clients {
+		all.Go(func() {
+			for n := range changes {
+				key := fmt.Sprintf("class/c%d-%d", c, n)
+				a, err := services[c%2].Apply(t.Context(), one(key, `{"deadline":1,"effect":"free"}`))
+				if busy := (*BusyError)(nil); errors.As(err, &busy) {
+					continue
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				if other, ok := accepted[a.Version]; ok {
+					t.Errorf("version %d is told of %s and %s", a.Version, other, key)
+				}
+				accepted[a.Version] = key
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	if len(accepted) < clients*changes/2 {
+		t.Errorf("%d of %d changes were accepted: too few to show anything", len(accepted), clients*changes)
+	}
+	latest := services[1].current()
+	for version, key := range accepted {
+		if item, ok := latest.Get(key); !ok || item.Version != version {
+			t.Errorf("%s of version %d is not in the document", key, version)
+		}
+	}
+	if latest.Len() != len(accepted) {
+		t.Errorf("%d items of %d changes", latest.Len(), len(accepted))
+	}
+	waitFor(t, "the latest is in force", func() bool { return target.latest() == latest.Version() })
+	for _, version := range target.versions() {
+		if _, ok := accepted[version]; !ok {
+			t.Errorf("version %d, which was never accepted, was put in force", version)
+		}
+	}
+}
+
 func TestRefusedCallsChangeNothing(t *testing.T) {
 	store := newFakeStore()
 	s := startService(t, store)
