--- a/internal/settings/item.go
+++ b/internal/settings/item.go
@@ -22,20 +22,30 @@
 	err     error
 }
 
-// overlay is what an item writes over a value of the base configuration.
-type overlay[T any] map[string]assignment[T]
+// overlay is what an item writes over a value of the base configuration, in the order of its fields.
+type overlay[T any] []overlaid[T]
+
+// overlaid is one field of an overlay.
+type overlaid[T any] struct {
+	field  string
+	assign assignment[T]
+}
 
 func (o overlay[T]) apply(to *T) {
-	for _, assign := range o {
-		assign(to)
+	for i := range o {
+		o[i].assign(to)
 	}
 }
 
+func (o overlay[T]) has(field string) bool {
+	return slices.ContainsFunc(o, func(x overlaid[T]) bool { return x.field == field })
+}
+
 // lacks returns the first of some fields that the overlay does not have.
 func (o overlay[T]) lacks(required []string) string {
-	for _, name := range required {
-		if _, ok := o[name]; !ok {
-			return name
+	for _, field := range required {
+		if !o.has(field) {
+			return field
 		}
 	}
 	return ""
@@ -70,24 +80,25 @@
 	if !object.IsObject() {
 		return nil, &InvalidError{Item: c.Key, Got: shorten(object.Raw), Expected: "a JSON object"}
 	}
-	out := overlay[T]{}
-	return out, decodeObject(c.Key, "", object, fields, out)
+	var out overlay[T]
+	err := decodeObject(c.Key, "", object, fields, &out)
+	return out, err
 }
 
-func decodeObject[T any](item, prefix string, object gjson.Result, fields map[string]field[T], out overlay[T]) error {
+func decodeObject[T any](item, prefix string, object gjson.Result, fields map[string]field[T], out *overlay[T]) error {
 	var err error
 	object.ForEach(func(key, value gjson.Result) bool {
 		name := prefix + key.String()
 		f, known := fields[name]
-		switch _, twice := out[name]; {
-		case twice:
+		switch {
+		case out.has(name):
 			err = &InvalidError{Item: item, Field: name, Got: "stands twice", Expected: "one value"}
 		case known:
 			assign, ok := f.parse(value)
 			if !ok {
 				err = &InvalidError{Item: item, Field: name, Got: shorten(value.Raw), Expected: f.expected}
 			}
-			out[name] = assign
+			*out = append(*out, overlaid[T]{name, assign})
 		case value.IsObject():
 			err = decodeObject(item, name+".", value, fields, out)
 		default:
--- a/internal/settingsync/rollout_bench_test.go
+++ b/internal/settingsync/rollout_bench_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +32,11 @@
 	base     settings.Rules
 	services []*settingsync.Service
 
+	lim       limits.Limits
+	addresses []string // of the members
+	ctx       context.Context
+	running   sync.WaitGroup
+
 	mu      sync.Mutex
 	missing map[string]bool
 	done    chan struct{}
@@ -100,34 +107,53 @@
 	}
 }
 
+// newBenchFleet starts the members and the processes, and returns once all follow.
 func newBenchFleet(b *testing.B, processes, tenants int) *benchFleet {
+	f := newBenchMembers(b, tenants)
+	f.expect(processes)
+	for i := range processes {
+		name := fmt.Sprint("p", i)
+		follower := settingsync.NewFollower(settingsync.FollowerConfig{Process: name, Life: 1, Target: merging{name, f}, Limits: f.lim,
+			Log: slog.New(slog.DiscardHandler), Upstream: settingsync.NewRemote(f.addresses, f.call, f.lim.SettingsCall-f.lim.SettingsPoll)},
+			settings.NewDocument())
+		f.running.Go(func() { _ = follower.Run(f.ctx) })
+	}
+	<-f.done
+	return f
+}
+
+// call makes a call to a member.
+func (f *benchFleet) call(ctx context.Context, addr, verb, path string, body []byte) (*http1.Message, error) {
+	return store.Call(ctx, addr, verb, path, body, nil, f.lim)
+}
+
+// newBenchMembers starts the members, and returns once they accept changes.
+func newBenchMembers(b *testing.B, tenants int) *benchFleet {
 	f := &benchFleet{b: b, base: settings.Rules{Settings: brain.Settings{Balancers: 1, MaxAttempts: 3, FallMultiple: 2,
 		Classes: []brain.Class{{Deadline: 5000, Worth: 1}}}, Classes: []string{"a"}}}
 	for i := range tenants {
 		f.base.Tenants = append(f.base.Tenants, fmt.Sprint("t", i))
 		f.base.Settings.Tenants = append(f.base.Settings.Tenants, brain.Tenant{Portion: 1, Quota: 1})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	b.Cleanup(func() { cancel(); running.Wait() })
-	lim := limits.New(4096, 0, 0, 0, 0)
-	lim.ServeFollowers()
+	var cancel context.CancelFunc
+	f.ctx, cancel = context.WithCancel(context.Background())
+	b.Cleanup(func() { cancel(); f.running.Wait() })
+	f.lim = limits.New(4096, 0, 0, 0, 0)
+	f.lim.ServeFollowers()
 	log := slog.New(slog.DiscardHandler)
-	call := func(ctx context.Context, addr, verb, path string, body []byte) (*http1.Message, error) {
-		return store.Call(ctx, addr, verb, path, body, nil, lim)
-	}
-	members, addresses := memberAddresses(b)
+	var members map[string]string
+	members, f.addresses = memberAddresses(b)
 	for name, addr := range members {
-		s, err := store.Open(store.Config{Name: name, Dir: filepath.Join(b.TempDir(), name), Listen: addr, Members: members}, lim, &pace.Tally{}, log)
+		s, err := store.Open(store.Config{Name: name, Dir: filepath.Join(b.TempDir(), name), Listen: addr, Members: members}, f.lim, &pace.Tally{}, log)
 		if err != nil {
 			b.Fatal(err)
 		}
 		service := settingsync.NewService(settingsync.ServiceConfig{Name: name, Store: s, Base: func() settings.Rules { return f.base },
-			Call: call, Limits: lim, Log: log})
+			Call: f.call, Limits: f.lim, Log: log})
 		s.Mount(settingsync.Name, service)
 		f.services = append(f.services, service)
-		running.Go(func() { _ = s.Run(ctx) })
-		running.Go(func() { _ = service.Run(ctx) })
+		f.running.Go(func() { _ = s.Run(f.ctx) })
+		f.running.Go(func() { _ = service.Run(f.ctx) })
 	}
 	for n := 0; ; n++ { // until the store has a leader
 		_, err := f.services[0].Apply(b.Context(), settingsync.ApplyRequest{Changes: []settings.Change{{Key: "general", Value: json.RawMessage(`{"overShareWorth":1}`)}}})
@@ -135,14 +161,6 @@
 			break
 		}
 	}
-	f.expect(processes)
-	for i := range processes {
-		name := fmt.Sprint("p", i)
-		follower := settingsync.NewFollower(settingsync.FollowerConfig{Process: name, Life: 1, Target: merging{name, f}, Limits: lim, Log: log,
-			Upstream: settingsync.NewRemote(addresses, call, lim.SettingsCall-lim.SettingsPoll)}, settings.NewDocument())
-		running.Go(func() { _ = follower.Run(ctx) })
-	}
-	<-f.done // all follow by now
 	return f
 }
 
@@ -160,3 +178,63 @@
 	}
 	return members, addresses
 }
+
+// BenchmarkIdlePoll makes polls that tell nothing, each on a connection of its own, and counts the bytes of HTTP in each direction. The
+// time is that of both sides. A process makes one each SettingsPoll.
+func BenchmarkIdlePoll(b *testing.B) {
+	f := newBenchMembers(b, 4)
+	proxy := newCountingProxy(b, f.addresses[0])
+	remote := settingsync.NewRemote([]string{proxy.ln.Addr().String()}, f.call, f.lim.SettingsCall)
+	first, err := remote.Poll(b.Context(), settings.Report{Process: "dispatcher-000"}, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	proxy.up.Store(0)
+	proxy.down.Store(0)
+	for n := uint64(1); b.Loop(); n++ {
+		report := settings.Report{Process: "dispatcher-000", Life: time.Now().UnixMilli(), Number: n, Held: first.Version, InForce: first.Version}
+		if _, err := remote.Poll(b.Context(), report, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(proxy.up.Load())/float64(b.N), "up-B")
+	b.ReportMetric(float64(proxy.down.Load())/float64(b.N), "down-B")
+}
+
+// countingProxy carries connections to a member.
+type countingProxy struct {
+	ln       net.Listener
+	up, down atomic.Int64
+}
+
+func newCountingProxy(b *testing.B, target string) *countingProxy {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = ln.Close() })
+	p := &countingProxy{ln: ln}
+	go func() {
+		for {
+			from, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			go count(&p.up, to, from)
+			go count(&p.down, from, to)
+		}
+	}()
+	return p
+}
+
+// count carries one direction until it ends.
+func count(n *atomic.Int64, to, from net.Conn) {
+	moved, _ := io.Copy(to, from)
+	n.Add(moved)
+	_, _ = to.Close(), from.Close()
+}
