--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -20,14 +20,13 @@
 
 // settingsFleet is members of a store that act on its settings, and processes beside them that follow.
 type settingsFleet struct {
-	fleet           // the members first
-	members, others int
+	fleet // the members first
 }
 
-// newSettingsFleet starts members, and then followers, which are none. Each follower may have a link of its own to each member.
+// newSettingsFleet starts members, and then followers, which are none, once a test has prepared them.
 func newSettingsFleet(t *testing.T, members, followers int, prepare func(f *settingsFleet)) *settingsFleet {
 	t.Helper()
-	f := &settingsFleet{fleet: makeFleet(t, members, 20*time.Millisecond), members: members, others: followers}
+	f := &settingsFleet{fleet: makeFleet(t, members, 20*time.Millisecond)}
 	var addresses []string
 	for _, s := range f.fleet {
 		s.extra += "settings:\n  enabled: true\n  cache: settings.json\n"
@@ -341,6 +340,7 @@
 	if !late.takes("draft", "00000000000000d0") {
 		t.Error("a process that never ran before does not take the class from its start on")
 	}
+	late.kill()
 	for _, s := range f.fleet {
 		s.kill()
 	}
@@ -362,6 +362,21 @@
 	f.fleet[1].start()
 	f.fleet[2].start()
 	follower.until("it takes the class again", func() bool { return follower.takes("draft", "00000000000000d7") })
+	// One that no member has heard since their starts is still told as missing, until it is forgotten.
+	f.fleet[1].until("f9 is told as missing", func() bool {
+		out, err := f.fleet[1].settings("status")
+		return err == nil && strings.Contains(out, "not yet in force at f9") && strings.Contains(out, "not heard")
+	})
+	if out, err := f.fleet[2].settings("forget", "f8"); err == nil {
+		t.Errorf("a process that never was is forgotten: %s", out)
+	}
+	if out, err := f.fleet[2].settings("forget", "f9"); err != nil {
+		t.Errorf("forget: %v %s", err, out)
+	}
+	f.fleet[1].until("f9 is told no longer", func() bool {
+		out, err := f.fleet[1].settings("status")
+		return err == nil && strings.Contains(out, "in force at 4 of 4 processes")
+	})
 }
 
 // A process whose base configuration does not go with a change keeps what it has and is told by name with its reason, while the
