Refuse a change of more classes than there are places for their rules before it is accepted

A change that passed the validation of the merged settings could be one that no process had places for, as former rules hold theirs until their jobs are over: it was accepted, and in force nowhere for as long as that. The member that is asked now tries it on its own rules. Test: TestValidateCountsPlaces.

--- a/cmd/gatetack/reload.go
+++ b/cmd/gatetack/reload.go
@@ -52,11 +52,20 @@
 	return node.Span(longest)
 }
 
-// Base is the base configuration's part that the store's settings lie over.
-func (t *tuner) Base() settings.Rules {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return rulesOf(&t.base)
+// Validate says whether this process could put a document in force now: the merged settings must be usable, and the classes whose rules
+// they change must find places beside those that open jobs still hold.
+func (t *tuner) Validate(d *settings.Document) error {
+	base := t.current()
+	if err := settings.Validate(rulesOf(base), d); err != nil {
+		return err
+	}
+	if err := layOver(base, d); err != nil {
+		return err
+	}
+	if _, _, err := t.core.Rules().Retune(base.Settings, base.Names, time.Now(), t.lim.Retired); err != nil {
+		return &settings.InvalidError{Item: "the merged settings", Got: err.Error(), Expected: "settings that can be put in force now"}
+	}
+	return nil
 }
 
 // PutInForce has the core act on the settings of the store from now on.
--- a/cmd/gatetack/reload_test.go
+++ b/cmd/gatetack/reload_test.go
@@ -111,7 +111,7 @@
 	if got, want := quotas(tune.core), []float64{200 + rounds - 1, 200 + rounds - 1, 100 + rounds - 1}; !slices.Equal(got, want) {
 		t.Errorf("quotas in force: %v, expected %v", got, want)
 	}
-	if got := tune.Base().Settings.Tenants[0].Quota; got != 100+rounds-1 {
+	if got := tune.current().Settings.Tenants[0].Quota; got != 100+rounds-1 {
 		t.Errorf("the base's quota is %v", got)
 	}
 }
@@ -138,11 +138,49 @@
 	if _, err := tune.follow(t.Context(), configOf(t, 1, 1)); err == nil || !strings.Contains(err.Error(), "tenant/tenant-0001: portion: absent") {
 		t.Errorf("a base without the tenant of an item: %v", err)
 	}
-	if !reflect.DeepEqual(tune.core.Rules(), before) || tune.document != good || len(tune.Base().Tenants) != 2 {
+	if !reflect.DeepEqual(tune.core.Rules(), before) || tune.document != good || len(tune.current().Names.Tenants) != 2 {
 		t.Error("something has changed")
 	}
 }
 
+// A change of more classes than there are places, beside those that jobs of the former rules may hold, is refused before it is accepted.
+func TestValidateCountsPlaces(t *testing.T) {
+	const classes = 200
+	tune := startTuner(t, configOf(t, 1, 1))
+	document := func(version uint64, changed int) *settings.Document {
+		u := settings.Update{Version: version, Snapshot: true}
+		for i := range classes {
+			worth := 1
+			if i < changed {
+				worth = 2
+			}
+			u.Changes = append(u.Changes, settings.Change{Key: fmt.Sprintf("class/c%03d", i),
+				Value: json.RawMessage(fmt.Sprintf(`{"deadline":5000,"effect":"free","worth":%d}`, worth))})
+		}
+		d, err := settings.NewDocument().Apply(u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	if err := tune.Validate(document(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if err := tune.PutInForce(t.Context(), document(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if err := tune.Validate(document(2, 54)); err != nil {
+		t.Errorf("as many as there are places: %v", err)
+	}
+	before := tune.core.Rules()
+	if err := tune.Validate(document(2, 55)); err == nil || !strings.Contains(err.Error(), "256 rules would stand at a time, expected 255 at most") {
+		t.Errorf("one more: %v", err)
+	}
+	if tune.core.Rules() != before {
+		t.Error("a validation has changed what is in force")
+	}
+}
+
 // BenchmarkPutInForce changes one quota and has the core act on it.
 func BenchmarkPutInForce(b *testing.B) {
 	for _, tenants := range []int{4, 50, 450} {
--- a/cmd/gatetack/serve.go
+++ b/cmd/gatetack/serve.go
@@ -94,7 +94,7 @@
 	if feed != nil {
 		tune.document = feed.inForce
 		if members != nil {
-			if err := feed.serve(members, c, f, tune.Base, log); err != nil {
+			if err := feed.serve(members, c, f, tune.Validate, log); err != nil {
 				return err
 			}
 		}
--- a/cmd/gatetack/settings_serve.go
+++ b/cmd/gatetack/settings_serve.go
@@ -69,12 +69,13 @@
 }
 
 // serve mounts the calls for settings on this process's member of the store, and has the process follow it.
-func (s *settingsFeed) serve(member *store.Store, c *config.Config, f *config.File, base func() settings.Rules, log *slog.Logger) error {
+func (s *settingsFeed) serve(member *store.Store, c *config.Config, f *config.File, validate func(*settings.Document) error, log *slog.Logger) error {
 	call, err := memberCaller(f.Store.Keys, c.Limits, log)
 	if err != nil {
 		return err
 	}
-	s.service = settingsync.NewService(settingsync.ServiceConfig{Name: c.Name, Store: member, Base: base, Call: call, Limits: c.Limits, Log: log})
+	s.service = settingsync.NewService(settingsync.ServiceConfig{Name: c.Name, Store: member, Validate: validate, Call: call,
+		Limits: c.Limits, Log: log})
 	member.Mount(settingsync.Name, s.service)
 	s.follower.Upstream = s.service
 	return nil
--- a/internal/settingsync/accept.go
+++ b/internal/settingsync/accept.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return settings.Validate(s.cfg.Base(), next)
+	return s.cfg.Validate(next)
 }
 
 // transaction writes the changes and the head, if the head is of a version.
--- a/internal/settingsync/fake_test.go
+++ b/internal/settingsync/fake_test.go
@@ -119,10 +119,12 @@
 	}
 }
 
+func validate(d *settings.Document) error { return settings.Validate(testRules(), d) }
+
 // startService runs a service until the test ends.
 func startService(t *testing.T, store *fakeStore) *Service {
 	t.Helper()
-	s := NewService(ServiceConfig{Name: "n0", Store: store, Base: testRules, Limits: testLimits(), Log: slog.New(slog.DiscardHandler)})
+	s := NewService(ServiceConfig{Name: "n0", Store: store, Validate: validate, Limits: testLimits(), Log: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
--- a/internal/settingsync/rollout_bench_test.go
+++ b/internal/settingsync/rollout_bench_test.go
@@ -148,7 +148,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		service := settingsync.NewService(settingsync.ServiceConfig{Name: name, Store: s, Base: func() settings.Rules { return f.base },
+		service := settingsync.NewService(settingsync.ServiceConfig{Name: name, Store: s, Validate: func(d *settings.Document) error { return settings.Validate(f.base, d) },
 			Call: f.call, Limits: f.lim, Log: log})
 		s.Mount(settingsync.Name, service)
 		f.services = append(f.services, service)
--- a/internal/settingsync/service.go
+++ b/internal/settingsync/service.go
@@ -29,12 +29,12 @@
 
 // ServiceConfig is what a Service needs.
 type ServiceConfig struct {
-	Name   string // of this member
-	Store  Store
-	Base   func() settings.Rules // this member's base configuration, against which changes are validated
-	Call   Caller
-	Limits limits.Limits
-	Log    *slog.Logger
+	Name     string // of this member
+	Store    Store
+	Validate func(*settings.Document) error // whether this member could put a document in force
+	Call     Caller
+	Limits   limits.Limits
+	Log      *slog.Logger
 }
 
 // Service answers for the settings on one member of the store.
