Show the scale runs' figures on the capacity page, written from their result files

Cause: what the whole fleet used was in result files alone, and the page said not measured of urgent starts. Change: a table of the scale runs (starts, urgent within 2.2 s, ends, rules, a dispatcher's and an executor's use), their runs, and the line of urgent work; read by internal/scale/result, so a file that can not be used fails the page's test with its field. Figures: of docs/capacity/scalerun-*.json, whose commands stand on the page.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -27,6 +27,8 @@
 	"faults": faultsTable,
 	"mix":    mixTable,
 	"runs":   runsTable,
+
+	"scaleruns": scaleRunsTable,
 }
 
 // Rewrite gives the page with all its tables written anew.
@@ -251,6 +253,15 @@
 
 func runsTable(all *Results) (string, error) {
 	var rows [][]string
+	for _, name := range all.scaleNames() {
+		r := all.ScaleRuns[name]
+		state := "whole"
+		if r.Partial {
+			state = "partial: " + r.PartialWhy
+		}
+		rows = append(rows, []string{"`" + name + "`", "`" + r.Commit + "`", "`" + r.Command + "`", fmt.Sprint(r.Description.Seed), r.Began.Format("2006-01-02 15:04"),
+			fmt.Sprintf("%d cores, %s GiB, %s", r.Machine.Cores, short(math.Round(float64(r.Machine.MemoryMB)/102.4)/10), r.Machine.Go), state})
+	}
 	for _, name := range all.Names() {
 		r := all.Files[name].Run
 		state := "whole"
--- a/internal/capacity/result.go
+++ b/internal/capacity/result.go
@@ -13,6 +13,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gatetack/internal/scale/result"
 )
 
 // Machine is what the figures were measured on.
@@ -59,8 +61,9 @@
 
 // Results are all result files by their names, and all series by their ids.
 type Results struct {
-	Files map[string]Result
-	byID  map[string]located
+	Files     map[string]Result
+	ScaleRuns map[string]*result.Result
+	byID      map[string]located
 }
 
 type located struct {
@@ -99,10 +102,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("capacity: %w", err)
 	}
-	all := &Results{Files: map[string]Result{}, byID: map[string]located{}}
+	all := &Results{Files: map[string]Result{}, ScaleRuns: map[string]*result.Result{}, byID: map[string]located{}}
 	for _, entry := range entries {
 		name := entry.Name()
-		if entry.IsDir() || !strings.HasSuffix(name, resultSuffix) || strings.HasPrefix(name, scaleRunPrefix) {
+		if entry.IsDir() || !strings.HasSuffix(name, resultSuffix) {
+			continue
+		}
+		if strings.HasPrefix(name, scaleRunPrefix) {
+			if all.ScaleRuns[name], err = result.Read(filepath.Join(dir, name)); err != nil {
+				return nil, fmt.Errorf("capacity: %w", err)
+			}
 			continue
 		}
 		data, err := os.ReadFile(filepath.Join(dir, name))
--- a/internal/capacity/targettable.go
+++ b/internal/capacity/targettable.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // targetTable has every line of the operators' figures, what is made of it here and what carries it.
 func targetTable(all *Results) (string, error) {
@@ -29,7 +32,7 @@
 		{fmt.Sprintf("%s tasks running", short(Target.Running)), "as many records that may not be lost", "limits `StoreValues`, `StoreBytes` below"},
 		{fmt.Sprintf("gangs of up to %d", GangMost), "all tasks start together or none, over several executors", "**no mechanism**: arrays start one by one, wide jobs take slots of one executor"},
 		{fmt.Sprintf("%s teams with quotas", short(Target.Tenants)), "tenants with limit, reserved share and borrowing", "processor of a job, by tenants: " + missing("decision.job.tenants")},
-		{fmt.Sprintf("urgent work starts within %v s", UrgentWithin), "from submission to the told start, at full load, also beside a gang that waits", notMeasured},
+		{fmt.Sprintf("urgent work starts within %v s", UrgentWithin), "from submission to the told start, at full load, also beside a gang that waits", urgentText(all)},
 		{fmt.Sprintf("%d regions with %d zones", Regions, Zones), "413 executors a zone; links between regions are lost for minutes", "**no mechanism**: one raft log spans all; a region that is cut off writes nothing"},
 		{fmt.Sprintf("%s changes of configuration a day, in force everywhere within %v s", short(Target.ChangesDay), ChangeWithin),
 			"one each 5.8 s in the mean, each to 320 processes", "time: " + notMeasured + "; processor in each process: " + missing("settings.retune.tenants")},
@@ -40,3 +43,16 @@
 	}
 	return table([]string{"the operators' figure", "what it is taken to be", "how it stands"}, rows), nil
 }
+
+// urgentText says what part of urgent work started in time in the scale runs.
+func urgentText(all *Results) string {
+	var parts []string
+	for _, name := range all.scaleNames() {
+		r := all.ScaleRuns[name]
+		parts = append(parts, fmt.Sprintf("%s (%s running at most, `%s`)", urgentStarts(r), short(float64(r.Running.Peak)), name))
+	}
+	if len(parts) == 0 {
+		return notMeasured
+	}
+	return strings.Join(parts, "; ")
+}
