Answer polls at once where more processes follow a member than it has connections for

With one of three members lost 150 of 300 processes follow each other one, which has 118 connections for them: those past that were refused at the door for as long as the others waited. Past three quarters polls are answered at once, and a follower that is paces itself. Tests: TestMoreFollowersThanMayWait, TestFollowerThatIsAnsweredAtOnce.

--- a/internal/settingsync/follower.go
+++ b/internal/settingsync/follower.go
@@ -111,7 +111,8 @@
 	if f.anew {
 		report.Held = 0
 	}
-	u, err := f.cfg.Upstream.Poll(ctx, report, f.wait())
+	began, wait := time.Now(), f.wait()
+	u, err := f.cfg.Upstream.Poll(ctx, report, wait)
 	if err != nil {
 		return err
 	}
@@ -123,6 +124,10 @@
 	f.anew, f.failures = false, 0
 	if f.replica.Document().Version() != before { // what is new is tried at once
 		f.refusals, f.retryAt = 0, time.Time{}
+		return nil
+	}
+	if left := wait - time.Since(began); left > 0 { // the member has no room for those who wait
+		pause(ctx, jittered(left))
 	}
 	return nil
 }
--- a/internal/settingsync/handler.go
+++ b/internal/settingsync/handler.go
@@ -47,13 +47,22 @@
 	if request.Process == "" {
 		return answer(400, failure{Error: "process: absent, expected the name of the process that follows"})
 	}
-	u, err := s.Poll(ctx, request.Report, time.Duration(request.WaitMs)*time.Millisecond)
+	wait := time.Duration(request.WaitMs) * time.Millisecond
+	if waiting := s.waiting.Add(1); waiting > s.mostWaiting() {
+		wait = 0
+	}
+	defer s.waiting.Add(-1)
+	u, err := s.Poll(ctx, request.Report, wait)
 	if err != nil {
 		return s.refuse("a poll", err)
 	}
 	return answer(200, u)
 }
 
+// mostWaiting bounds the polls of other processes that wait here at a time, so that connections are left for those that come: where more
+// follow than there are connections, as when another member is lost, some are answered at once and come again after their wait.
+func (s *Service) mostWaiting() int64 { return int64(s.cfg.Limits.StoreFollowers) * 3 / 4 }
+
 func (s *Service) handleApply(ctx context.Context, body []byte) http1.Response {
 	var request ApplyRequest
 	if err := decodeStrict(body, &request); err != nil {
--- a/internal/settingsync/service.go
+++ b/internal/settingsync/service.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -49,6 +50,7 @@
 	changed chan struct{} // closed at the next version
 
 	newcomers chan settings.Report // of processes that are to be put on the roster
+	waiting   atomic.Int64         // polls of other processes
 }
 
 // NewService returns a service. It answers polls once Run has caught up with the store.
--- a/internal/settingsync/settingsync_test.go
+++ b/internal/settingsync/settingsync_test.go
@@ -369,6 +369,47 @@
 	}
 }
 
+// handled is an upstream at a service by its calls, as for another process, without the wire.
+type handled struct{ service *Service }
+
+func (h handled) Poll(ctx context.Context, r settings.Report, wait time.Duration) (settings.Update, error) {
+	remote := NewRemote([]string{"n0"}, func(ctx context.Context, _, verb, path string, body []byte) (*http1.Message, error) {
+		answer := h.service.Handle(ctx, &http1.Message{Method: verb, Target: path, Body: body})
+		return &http1.Message{Status: answer.Status, Body: answer.Body}, nil
+	}, time.Second)
+	return remote.Poll(ctx, r, wait)
+}
+
+// More processes follow a member than may wait there: the others are answered at once and come again, and all get what is accepted.
+func TestMoreFollowersThanMayWait(t *testing.T) {
+	store := newFakeStore()
+	s := startService(t, store)
+	s.cfg.Limits.StoreFollowers = 4
+	targets := make([]*fakeTarget, 12)
+	for i := range targets {
+		targets[i] = &fakeTarget{}
+		startFollower(t, fmt.Sprint("p", i), handled{s}, targets[i], "")
+	}
+	for n := range 5 {
+		version := apply(t, s, one("class/a", fmt.Sprintf(`{"worth":%d}`, n+2)))
+		for _, target := range targets {
+			waitFor(t, "each has it in force", func() bool { return target.latest() == version })
+		}
+	}
+}
+
+// A follower that is answered at once with nothing new does not come again before half of its wait is over.
+func TestFollowerThatIsAnsweredAtOnce(t *testing.T) {
+	const polls = 10
+	up := &scripted{}
+	began := time.Now()
+	startFollower(t, "p", up, &fakeTarget{}, "")
+	waitFor(t, "it has polled", func() bool { return up.last().Number > polls })
+	if least := polls * testLimits().SettingsPoll / 2; time.Since(began) < least {
+		t.Errorf("%d polls in under %v", polls, least)
+	}
+}
+
 // A process that was heard stays on the roster, also for a member that was started anew, until it is forgotten.
 func TestRoster(t *testing.T) {
 	store := newFakeStore()
