Wait until every thread of a stopped owner stands still before its jobs are asked for

TestLateOwnerDoesNoHarm failed in 3 of about 16 runs beside other work (load 14 to 29): 'a held job of the stopped node can be released'. Followed by each answer to that call: the owner was told to stop, and one of its threads still carried the first release out and put it on record; its answer was lost with the stop, and each further release was told, truly, that nothing is on hold. A race of the test: it waits now until all threads stand still, and so does whoever asks whether a process is stopped.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -119,6 +120,7 @@
 		due[p] = old.take(t, fmt.Sprintf(template, p, fmt.Sprintf(`,"startTime":%q`, at.UTC().Format(time.RFC3339Nano))))
 	}
 	old.signal(syscall.SIGSTOP)
+	old.until("it stands still", old.stopped) // else it can still do what it is asked, and its answer is lost
 
 	// Any other node takes calls for them, and passes them to whoever has them now.
 	for i, id := range mapValues(held) {
@@ -296,11 +298,18 @@
 	return out
 }
 
-// stopped says whether the process stands still, as it does at a point where it is to stop.
+// stopped says whether the process stands still, as it does at a point where it is to stop: each of its threads, for one goes on for
+// a moment after another was stopped.
 func (s *site) stopped() bool {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.process.Process.Pid))
-	_, rest, _ := strings.Cut(string(stat), ") ")
-	return err == nil && strings.HasPrefix(rest, "T")
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", s.process.Process.Pid))
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if err != nil || !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
 }
 
 // An owner stands still at a named point of its work for longer than its lease and is let go on once another has its duty: a
