Keep a connection whose request is read and not parsed yet where another needs its place

Cause: to make place, the server closed an idle connection of least worth once the kernel held no bytes of it; those that its reader had taken and its parser had not were seen by nobody.

Change: what the reader has taken and the parser has not is counted, and looked at after the kernel, as bytes go. Left: bytes that come between the look and the close.

--- a/internal/http1/admit.go
+++ b/internal/http1/admit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gatetack/internal/pace"
-	"gatetack/internal/sock"
 )
 
 // unreadLooks bounds how many connections with unread bytes are passed over where one is looked for to make place.
@@ -53,7 +52,7 @@
 	var passed [unreadLooks]*conn
 	for look := range passed {
 		least := s.leastBut(passed[:look])
-		if least == nil || least.phase != idle || sock.Quiet(least.Conn) {
+		if least == nil || least.phase != idle || least.quiet() {
 			return least
 		}
 		passed[look] = least
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gatetack/internal/pace"
+	"gatetack/internal/sock"
 )
 
 // conn is one client's connection. One goroutine reads, when it is asked to, and one parses, handles and
@@ -20,6 +22,8 @@
 	asked bool  // a read is under way, and the ring and its arrivals are the reader's
 	times arrivals
 
+	unparsed atomic.Int64 // bytes that the reader has taken and the parser has not
+
 	// What the reader does while a request is handled.
 	mu      sync.Mutex
 	handled bool // one is
@@ -82,6 +86,7 @@
 		if c.in.Free() > 0 {
 			var n int
 			n, err = c.in.Fill(c.Paced)
+			c.unparsed.Add(int64(n))
 			c.times.came(n, time.Now())
 		} else {
 			err = c.drop()
@@ -97,13 +102,19 @@
 func (c *conn) parse(p *Parser) (*Message, error) {
 	before := c.in.Len()
 	m, err := p.Feed(c.in)
-	at := c.times.take(before - c.in.Len())
+	taken := before - c.in.Len()
+	c.unparsed.Add(int64(-taken))
+	at := c.times.take(taken)
 	if m != nil {
 		m.Came = at
 	}
 	return m, err
 }
 
+// quiet says that nothing has come that is not parsed yet, neither in the kernel nor with the reader. Bytes go from the first to the
+// second, so they are looked for in this order.
+func (c *conn) quiet() bool { return sock.Quiet(c.Conn) && c.unparsed.Load() == 0 }
+
 // drop takes in bytes for which there is no place, not faster than a flood may cost.
 func (c *conn) drop() error {
 	b := buffers.Get().(*[]byte)
--- a/internal/http1/ending.go
+++ b/internal/http1/ending.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"time"
-
-	"gatetack/internal/sock"
 )
 
 // This file is how connections end: when clients are to go elsewhere, between requests, after a last answer, and with the server.
@@ -38,7 +36,7 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		// One with bytes that nobody has read yet is not idle: a request is coming on it, or its client's end.
-		if c.phase == idle && (all || c.served || time.Since(c.since) >= s.lim.DoorWait) && sock.Quiet(c.Conn) {
+		if c.phase == idle && (all || c.served || time.Since(c.since) >= s.lim.DoorWait) && c.quiet() {
 			s.shut(c)
 		}
 	}
