--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -121,7 +121,7 @@
 		Unit: "core seconds", Budget: fixedBudget(NodeCores * ChangeWithin), BudgetIs: "2.9% of a core for 6 s", Mechanism: "`internal/node`"},
 	{Role: "distributor of settings", What: "processor of the day's changes, in each process", SeriesID: "settings.retune.tenants", Size: tenants, Rate: changesPerSecond, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`internal/settings`, `brain`"},
-	{Role: "distributor of settings", What: "time until a change is in force at the last process", Mechanism: "`internal/settings`, `internal/settingsync`"},
+	{Role: "distributor of settings", What: "time until a change is in force at the last process", Mechanism: "`internal/settings`, `internal/settingsync`; smaller runs: [design](design/settings.md)"},
 	{Role: "control on an executor's machine", What: "bytes in: starts and answers to callbacks", SeriesID: "executor.in.starts", Size: startsOfSite, Scale: 1,
 		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`internal/executor`"},
 	{Role: "control on an executor's machine", What: "bytes out: callbacks and answers to starts", SeriesID: "executor.out.starts", Size: startsOfSite, Scale: 1,
