--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -31,11 +31,12 @@
 func zoneRows(s Size) float64          { return s.Executors / Zones }
 func changesPerSecond(s Size) float64  { return s.ChangesDay / secondsPerDay }
 func stepsPerSecond(Size) float64      { return ownerSteps }
-func storeWrites(s Size) float64       { return taskWrites(s) + leaseWrites(s) }
+func storeWrites(s Size) float64       { return taskWrites(s) + renewalsPerLease*leaseWrites(s) }
 func allTasksOfProcess(s Size) float64 { return s.Running / s.Processes }
 
 const (
-	leaseSeconds = 3
+	leaseSeconds     = 3
+	renewalsPerLease = 3 // as the owner's loop makes them
 	// measuredExecutors share the starts of the one process whose executors are measured.
 	measuredExecutors = 8
 	ownerSteps        = 10 // of the owner's loop, a second
@@ -69,8 +70,6 @@
 		Unit: "bytes", Budget: fixedBudget(NodeBytes), BudgetIs: "64 MB", Mechanism: "all packages of the program"},
 	{Role: "hub", What: "processor, by executors", SeriesID: "hub.start.executors", Size: executors, Rate: starts, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
-	{Role: "hub", What: "processor, by processes", SeriesID: "hub.start.processes", Size: processes, Rate: starts, Scale: perMicro,
-		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
 	{Role: "hub", What: "processor, by running tasks", SeriesID: "hub.start.running", Size: running, Rate: starts, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(NodeCores), BudgetIs: "2.9% of a core", Mechanism: "`brain/peers.go`"},
 	{Role: "hub", What: "bytes out", SeriesID: "hub.out.executors", Size: executors, Rate: starts, Scale: 1,
@@ -86,7 +85,7 @@
 	{Role: "each process that asks the hub", What: "bytes in", SeriesID: "hub.out.executors", Size: executors, Rate: startsPerProcess, Scale: 1,
 		Unit: "bytes/s", Budget: fixedBudget(NodeTraffic), BudgetIs: "4 KB/s", Mechanism: "`brain/peers.go`, `internal/peer`"},
 	{Role: "store member as leader", What: "writes of tasks and leases", SeriesID: "store.rate.held", Size: running, Need: storeWrites,
-		Unit: "writes/s", Budget: func(s Size, f Fit) float64 { return f.At(s.Running) }, BudgetIs: "writes/s that are taken", Mechanism: "`internal/store`, one raft log"},
+		Unit: "writes/s", Budget: func(s Size, f Fit) float64 { return f.At(s.Running) }, BudgetIs: "taken", Mechanism: "`internal/store`, one raft log"},
 	{Role: "store member as leader", What: "processor", SeriesID: "store.leader.held", Size: running, Rate: storeWrites, Scale: perMicro,
 		Unit: "cores", Budget: fixedBudget(SetAsideCores), BudgetIs: "8 cores of a set-aside machine", Mechanism: "`internal/store`"},
 	{Role: "store member as leader", What: "bytes out to two members", SeriesID: "store.leader.out.held", Size: running, Rate: storeWrites, Scale: 1,
