--- a/internal/http1/moments_test.go
+++ b/internal/http1/moments_test.go
@@ -87,18 +87,18 @@
 	}
 }
 
-// Where all connections are in use, one on which bytes have come that nobody has read yet makes no place, though it seems idle and
-// is the oldest: another that is idle does. Where none is, nothing is closed.
-func TestUnreadConnectionMakesNoPlace(t *testing.T) {
+// admitter gives what has a server with room for so many connections admit one more, of which nobody reads yet, and its client.
+func admitter(t *testing.T, room int) func() (net.Conn, *conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
+	t.Cleanup(func() { _ = ln.Close() })
 	small := lim
-	small.ClientConns = 2
+	small.ClientConns = room
 	s := NewServer(small, nil, nil, quietLog)
-	admit := func(bytes string) *conn {
+	return func() (net.Conn, *conn) {
 		t.Helper()
 		client := dial(t, ln.Addr().String())
 		taken, err := ln.Accept()
@@ -107,24 +107,54 @@
 		}
 		c := newConn(taken, lim.Ring, lim.Pace.ClientIn, lim.Pace.ClientOut, 0)
 		s.admit(c)
+		return client, c
+	}
+}
+
+// Where all connections are in use, one on which bytes have come that nobody has read yet makes no place, though it seems idle and
+// is the oldest: another that is idle does. Where none is, nothing is closed.
+func TestUnreadConnectionMakesNoPlace(t *testing.T) {
+	admit := admitter(t, 2)
+	admitWith := func(bytes string) *conn {
+		t.Helper()
+		client, c := admit()
 		if _, err := io.WriteString(client, bytes); err != nil {
 			t.Fatal(err)
 		}
 		if bytes != "" {
-			waitFor(t, "the bytes have come", func() bool { return !sock.Quiet(taken) })
+			waitFor(t, "the bytes have come", func() bool { return !sock.Quiet(c.Conn) })
 		}
 		return c
 	}
-	oldest, idler := admit(get[:1]), admit("")
-	next := admit(get)
+	oldest, idler := admitWith(get[:1]), admitWith("")
+	next := admitWith(get)
 	if oldest.phase != idle || idler.phase != closed {
 		t.Errorf("phases %d and %d", oldest.phase, idler.phase)
 	}
-	if _ = admit(""); oldest.phase != idle || next.phase != idle {
+	if _ = admitWith(""); oldest.phase != idle || next.phase != idle {
 		t.Errorf("phases %d and %d where all have unread bytes", oldest.phase, next.phase)
 	}
 }
 
+// A connection whose request its reader has taken, and which is not parsed yet, makes no place for another.
+func TestUnparsedConnectionMakesNoPlace(t *testing.T) {
+	admit := admitter(t, 1)
+	client, oldest := admit()
+	go oldest.read(func() {})
+	defer close(oldest.want)
+	oldest.ask()
+	if _, err := io.WriteString(client, get); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the reader has told", func() bool { return len(oldest.got) == 1 })
+	if !sock.Quiet(oldest.Conn) {
+		t.Fatal("bytes are left in the kernel")
+	}
+	if _, _ = admit(); oldest.phase == closed {
+		t.Error("closed with a whole request in its ring")
+	}
+}
+
 // A server that ends takes what waits in its listener's queue and answers it, and only then closes the listener: here the queue is
 // not empty when the end begins, since there is room for one connection at a time.
 func TestFinishAnswersWhatWaits(t *testing.T) {
