--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,7 +13,7 @@
 )
 
 func (d *Dispatcher) sendAttempt(job *job, executor *executor) {
-	executor.slowStart.credit -= job.slots * job.work / d.serviceTimes.kindSpeed(executor.endpoint.kind)
+	d.chargeSlowStart(job, executor)
 	shared := d.sharesConnection(executor)
 	if executor.outlier.unresponsive {
 		d.delayNextRetry(executor)
@@ -27,6 +27,9 @@
 	}
 	sent.openedConnection = executor.connections.take(shared)
 	job.attempts = append(job.attempts, sent)
+	if !d.settings.NotesStart && sent.hadFreeSlots {
+		d.observeRun(job, &job.attempts[len(job.attempts)-1])
+	}
 	job.inFlight++
 	if len(executor.inFlight.jobs) == 0 {
 		d.outliers.busy = append(d.outliers.busy, executor)
@@ -66,6 +69,7 @@
 		return
 	}
 	executor := attempt.executor
+	d.endObservedRun(job, attempt, event.Outcome == Served)
 	d.resolve(job, attempt)
 	d.noteMayHaveRun(job, attempt, event.Outcome)
 	d.judgeOutcome(job, attempt, event.Outcome)
@@ -127,6 +131,7 @@
 		return
 	}
 	attempt.startedAt = d.now
+	d.observeRun(job, attempt)
 	d.serviceTimes.learnStart(d.now - attempt.sentAt)
 	executor.countUnstarted(d.now)
 	d.needsPlacement = true
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -68,6 +68,8 @@
 	slots             float64               // that this node may use
 	fairSlots         float64               // our part of all slots
 	nextEstimate      float64               // the slots are not estimated anew before
+	fleetSlots        float64               // of all executors that are ready, as far as reports showed them
+	nextFleetSlots    float64               // these are not counted anew before
 	widestRequest     float64               // most slots that a job asked for
 	meanPeerOccupancy float64               // part of an executor's slots that other nodes hold, as reports tell
 	kindSlots         [machineKinds]float64 // most slots of an executor of each kind
@@ -85,6 +87,23 @@
 	return group
 }
 
+// countFleetSlots gives how many slots the executors that are ready have, as far as reports showed them. In a large
+// fleet they are counted less often, because a count looks at all.
+func (d *Dispatcher) countFleetSlots() float64 {
+	capacity := &d.capacity
+	if d.now < capacity.nextFleetSlots {
+		return capacity.fleetSlots
+	}
+	capacity.nextFleetSlots = d.now + d.tickInterval()*max(1, float64(len(d.endpoints.listed))/fullScanLimit)
+	capacity.fleetSlots = 0
+	for _, executor := range d.endpoints.listed {
+		if executor.endpoint.condition == Ready {
+			capacity.fleetSlots += max(executor.load.slots, capacity.kindSlots[executor.endpoint.kind])
+		}
+	}
+	return capacity.fleetSlots
+}
+
 // capacityTotals are sums over the executors of the list, in slots.
 type capacityTotals struct {
 	own         float64 // held by this node
--- a/internal/dispatch/hedging.go
+++ b/internal/dispatch/hedging.go
@@ -9,6 +9,7 @@
 	}
 	executor := attempt.executor
 	attempt.ackOverdue, attempt.writtenOff, d.needsPlacement = true, true, true
+	d.endObservedRun(job, attempt, false)
 	executor.inFlight.slots -= job.slots
 	executor.countUnstarted(d.now)
 	overdue := 0
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -61,6 +61,7 @@
 	fetchesKey       bool    // the executor likely had to fetch the data of the job's key
 	openedConnection bool    // it was sent on a new connection
 	resolved         bool    // its outcome has come
+	runObserved      bool    // its run counts in the estimate of slot-time
 	writtenOff       bool    // it counts as holding no slots: its executor is unresponsive, or it is overdue
 	errored          bool    // it ended in an error
 	ackOverdue       bool    // its executor has not said in the usual time that it has taken the job
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -250,6 +250,7 @@
 		for i := range job.attempts {
 			if attempt := &job.attempts[i]; attempt.isOpen(executor) {
 				attempt.writtenOff = true
+				d.endObservedRun(job, attempt, false)
 				executor.inFlight.slots -= job.slots
 			}
 		}
--- a/internal/dispatch/servicetime.go
+++ b/internal/dispatch/servicetime.go
@@ -31,6 +31,7 @@
 	meanSlotTime float64 // mean of slots times run time
 	startDelay   float64 // mean time from a send to its start note
 	minStartLag  float64 // usual time from a send to its start note where there were free slots
+	slotTime     slotTimeEstimate
 }
 
 func newServiceTimes(env *environment) serviceTimes {
@@ -44,6 +45,15 @@
 	return s
 }
 
+// meanDeadline is the mean of the classes' deadlines.
+func (s *serviceTimes) meanDeadline() float64 {
+	sum := 0.0
+	for i := range s.settings.Classes {
+		sum += s.settings.Classes[i].Deadline
+	}
+	return sum / float64(len(s.settings.Classes))
+}
+
 // classStats are the means of a class's requests.
 type classStats struct{ work, slots float64 }
 
--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -201,7 +201,7 @@
 	slots := max(1, executor.load.slots, d.capacity.kindSlots[executor.endpoint.kind])
 	rate := d.slowStartSafetyFactor() * part * d.settings.OverloadMultiple * share * slots
 	maxCredit := rate * d.settings.OverloadWindow * slowStartBurst
-	budget.accrue(d.now, rate, maxCredit, d.serviceTimes.meanSlotTime)
+	budget.accrue(d.now, rate, maxCredit, d.serviceTimes.meanSlotTime*d.slowStartCostScale())
 	return budget.credit > min(furtherWork, slowStartKnownSafety*maxCredit)
 }
 
@@ -225,7 +225,27 @@
 	}
 	budget.opened = true
 	budget.creditAt = max(budget.startedAt, d.now-slowStartBurst*d.settings.OverloadWindow)
-	budget.credit = -d.random()*d.serviceTimes.meanSlotTime - d.workSentSince(executor, sentFrom)
+	budget.credit = -d.random()*d.serviceTimes.meanSlotTime*d.slowStartCostScale() - d.workSentSince(executor, sentFrom)
+	d.logf("slow start opened executor=%d age_ms=%.0f listed_age_ms=%.0f ended_mean_ms=%.0f estimated_mean_ms=%.0f",
+		executor.id, d.now-budget.startedAt, d.now-budget.listedStart, d.serviceTimes.meanSlotTime, d.estimatedSlotTime())
+}
+
+// chargeSlowStart charges the budget of an executor that warms up for a job that goes there.
+func (d *Dispatcher) chargeSlowStart(job *job, executor *executor) {
+	budget := &executor.slowStart
+	if budget.startedAt > 0 && d.now < budget.until {
+		budget.credit -= job.slots * job.work / d.serviceTimes.kindSpeed(executor.endpoint.kind) * d.slowStartCostScale()
+	}
+}
+
+// slowStartCostScale is by how much requests take longer than the mean of those that have ended. All nodes err alike
+// with that mean, and would send a cold executor several times its budget. Where it is known what all nodes have in
+// flight at the executor, that bounds what it gets, and the mean will do.
+func (d *Dispatcher) slowStartCostScale() float64 {
+	if d.peerLoadsKnown() {
+		return 1
+	}
+	return max(1, d.estimatedSlotTime()/max(d.serviceTimes.meanSlotTime, 1))
 }
 
 // slowStartSafetyFactor is the part of a budget that is used: more while an aggregator tells what all nodes hold
