Slow start: executors that are listed late have the age that earlier starts bear out

Callers saw refusals and late answers while many executors were replaced: a start listed before the last confirmed list was taken to be now, though changes of other executors confirm the list before a late row comes (logged: age 0, listed age 2 s). The delays of the last starts now tell by how much; no constant error of a clock changes their differences, a step back shows as a difference longer than a slow start, and the least delay is believed as far as a budget's margin bears it.

--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -181,16 +181,18 @@
 // applyRow brings an executor up to date with its row, and makes it if it is new.
 func (d *Dispatcher) applyRow(row *EndpointUpdate) *executor {
 	executor := d.endpoints.byID[row.Executor]
+	predecessorHeard := 0.0
 	if executor == nil {
 		executor = d.newExecutor(row.Executor)
 	} else if row.StartedAt != executor.slowStart.listedStart {
 		// A new process. The start may be an earlier one: the clock that told them may have been stepped back.
+		predecessorHeard = executor.outlier.lastHeard
 		d.forgetProcess(executor)
 	}
 	endpoint := &executor.endpoint
 	endpoint.zone, endpoint.kind, endpoint.cell = int(row.Zone), int(row.Kind), row.Cell
 	executor.group = d.capacity.groupOf(row.Kind, row.Zone)
-	d.slowStart.noteStart(executor, row.StartedAt)
+	d.slowStart.noteStart(executor, row.StartedAt, predecessorHeard)
 	endpoint.condition, endpoint.row = row.Condition, *row
 	d.slowStart.track(executor)
 	d.slowStartAllows(executor, 0) // the budget runs from now on, and not from our next job
--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -12,8 +12,9 @@
 // The start of a process comes with the list, on the wall clock of the machine that keeps the list. That clock, or
 // ours, may be wrong by hours or be stepped at any moment. A start is therefore compared with the last one for
 // equality only, to tell one process from the next, and is turned into a time of our own monotonic clock once, when
-// it is notified. A start that appears in a change of a confirmed list happened after that list was confirmed and
-// before now; a time outside of these bounds is not believed.
+// it is notified. A start that appears in a change of a confirmed list mostly happened after that list was confirmed
+// and before now. Discovery lists some executors late, and changes of others confirm the list in between: such a start
+// is believed as far as the delays of earlier ones bear it out (listclock.go), and otherwise taken to be now.
 
 const (
 	// slowStartSafety is the part of a budget that is used: heavy tails need the rest.
@@ -52,6 +53,7 @@
 type slowStartTracker struct {
 	*environment
 
+	listClock         listClock
 	confirmedAt       float64               // when discovery last confirmed a list that holds executors, 0 for never
 	newestListedStart float64               // of the list at hand, on the list's clock
 	removed           map[uint32]knownStart // of executors that left the list a short while ago
@@ -83,18 +85,34 @@
 }
 
 // noteStart takes in the start that the list tells of an executor. One that is known already keeps its estimated time.
-func (s *slowStartTracker) noteStart(executor *executor, listed float64) {
+// A new process started after its predecessor was last heard of.
+func (s *slowStartTracker) noteStart(executor *executor, listed, predecessorHeard float64) {
 	if listed == executor.slowStart.listedStart {
 		return
 	}
 	start := &executor.slowStart
 	start.listedStart, start.startedAt, start.opened = listed, s.estimateStart(listed), false
 	start.until = start.startedAt + s.settings.SlowStartWithin
-	if start.startedAt > 0 && s.confirmedAt > 0 {
-		// The list's clock may be off by less than would show. A budget that ends too early lets all nodes send at once
-		// what waits for it, so that it ends as if the process had started when this node was notified.
-		start.until = s.now + s.settings.SlowStartWithin
+	if start.startedAt <= 0 || s.confirmedAt == 0 {
+		return
+	}
+	// The list's clock may be off by less than would show. A budget that ends too early lets all nodes send at once
+	// what waits for it, so that it ends as if the process had the least age that earlier starts bear out.
+	age := s.listClock.observe(s.now, listed, s.toleratedAgeError(), s.settings.SlowStartWithin)
+	if age.known {
+		start.startedAt = min(start.startedAt, max(s.now-age.likely, predecessorHeard))
+	}
+	start.until = max(s.now-age.least, predecessorHeard) + s.settings.SlowStartWithin
+}
+
+// toleratedAgeError is the error of an executor's age that makes its coldest budget no larger than it would be without
+// the part of slowStartSafety that is left out.
+func (s *slowStartTracker) toleratedAgeError() float64 {
+	from := s.settings.SlowStartFrom
+	if from >= 1 {
+		return 0
 	}
+	return s.settings.SlowStartWithin * from / (1 - from) * (1/slowStartSafety - 1)
 }
 
 // estimateStart gives the time on our clock of a start that has just been notified, 0 for one that was long ago.
