Keys: a renewal that is killed between its renames leaves a pair that fits

A kill between the renames of node.key and node.pem left two that do not go together, and no process of that node started until keys were issued again (test at each rename: after the second one, before the mend).

--- a/internal/pki/authority.go
+++ b/internal/pki/authority.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 )
 
@@ -104,8 +105,13 @@
 	if err != nil {
 		return err
 	}
-	// The certificate is committed last. A process that reads a key and a certificate which do not match keeps those that
-	// it has.
-	return replaceAll(files, content{filepath.Join(out, caCertFile), pub, publicMode}, encodedKey,
-		encodeCert(out, certFile, der))
+	// A kill between the renames of the key and of the certificate leaves two that do not go together. The renewal's
+	// file, which is complete before, holds both; readPair takes them from there.
+	cert := encodeCert(out, certFile, der)
+	renewal := content{filepath.Join(out, renewalFile), slices.Concat(encodedKey.data, cert.data), privateMode}
+	err = replaceAll(files, content{filepath.Join(out, caCertFile), pub, publicMode}, renewal, encodedKey, cert)
+	if err != nil {
+		return err
+	}
+	return files.Remove(renewal.path)
 }
--- a/internal/pki/files_test.go
+++ b/internal/pki/files_test.go
@@ -56,6 +56,50 @@
 	}
 }
 
+// killedFS ends the process that writes, as far as the files show it, at one of its renames.
+type killedFS struct {
+	atomicfile.FS
+	renames int // that are still made
+}
+
+var errKilled = errors.New("killed")
+
+func (k *killedFS) Rename(from, to string) error {
+	if k.renames == 0 {
+		panic(errKilled) // nothing after this is done, nor cleaned up
+	}
+	k.renames--
+	return k.FS.Rename(from, to)
+}
+
+// A renewal that is killed between any two of its renames leaves a key and a certificate that go together. The key and
+// its certificate were renamed one after the other: after a kill between the two ("tls: private key does not match
+// public key") no process of that node started until somebody issued the keys again. The renewal's file has both.
+func TestRenewalThatIsKilledLeavesAPairThatFits(t *testing.T) {
+	for renames := range 5 {
+		ca, nodes := newFolders(t, "n0")
+		files = &killedFS{FS: atomicfile.OS, renames: renames}
+		func() {
+			defer func() {
+				files = atomicfile.OS
+				if reason := recover(); reason != nil && reason != any(errKilled) {
+					panic(reason)
+				}
+			}()
+			if err := Issue(ca, nodes[0], "n0", time.Hour, time.Now()); err != nil {
+				t.Error(err)
+			}
+		}()
+		if _, err := Open(nodes[0], func(error) {}); err != nil {
+			t.Errorf("killed after %d renames: a process does not start: %v", renames, err)
+		}
+		before := serialIn(t, nodes[0])
+		if err := Issue(ca, nodes[0], "n0", time.Hour, time.Now()); err != nil || serialIn(t, nodes[0]) == before {
+			t.Errorf("killed after %d renames: not renewed afterwards: %v", renames, err)
+		}
+	}
+}
+
 // An authority that could not be made whole can be made again.
 func TestAuthorityOnAFailingDiskCanBeMadeAgain(t *testing.T) {
 	for _, op := range []atomicfiletest.Op{atomicfiletest.Write, atomicfiletest.Sync, atomicfiletest.Rename} {
--- a/internal/pki/pki.go
+++ b/internal/pki/pki.go
@@ -12,7 +12,8 @@
 	caKeyFile   = "ca.key"
 	certFile    = "node.pem"
 	keyFile     = "node.key"
-	revokedFile = "revoked" // serial numbers, one a line; # begins a comment
+	renewalFile = "node.renewal" // key and certificate of a renewal that is under way
+	revokedFile = "revoked"      // serial numbers, one a line; # begins a comment
 )
 
 // Errors of certificates and keys.
--- a/internal/pki/ring.go
+++ b/internal/pki/ring.go
@@ -42,13 +42,28 @@
 	return out
 }
 
+// readPair returns a node's key and certificate. Where their files do not go together because a renewal was interrupted
+// between the two, the renewal's own file has both.
+func readPair(dir string) (tls.Certificate, error) {
+	certPath, keyPath := filepath.Join(dir, certFile), filepath.Join(dir, keyFile)
+	pair, err := tls.LoadX509KeyPair(certPath, keyPath)
+	if err == nil {
+		return pair, nil
+	}
+	renewalPath := filepath.Join(dir, renewalFile)
+	if renewed, errRenewal := tls.LoadX509KeyPair(renewalPath, renewalPath); errRenewal == nil {
+		return renewed, nil
+	}
+	return tls.Certificate{}, fmt.Errorf("keys: %s: %w", dir, err)
+}
+
 func (r *Ring) read() error {
 	if err := checkPrivate(filepath.Join(r.dir, keyFile)); err != nil {
 		return err
 	}
-	pair, err := tls.LoadX509KeyPair(filepath.Join(r.dir, certFile), filepath.Join(r.dir, keyFile))
+	pair, err := readPair(r.dir)
 	if err != nil {
-		return fmt.Errorf("keys: %s: %w", r.dir, err)
+		return err
 	}
 	root, err := os.ReadFile(filepath.Join(r.dir, caCertFile))
 	if err != nil {
