Store: errors of accept are handled as the fronts do, not by 5 ms for any

Each aborted connection delayed those behind it on the store's address by 5 ms (200 of them a heartbeat by a second), and running out of descriptors was not logged. Cause: a second accept loop, older than the rule of http1/accept.go. http1.AcceptRetry serves both now.

--- a/internal/http1/accept.go
+++ b/internal/http1/accept.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"syscall"
@@ -67,11 +68,56 @@
 	return acceptBackoff
 }
 
+// AcceptRetry is how an accept loop goes on after errors of accept: at once after those of one connection, with a
+// descriptor freed where there is none, after a pause that grows where memory is short or the reason is not known. It
+// belongs to one loop.
+type AcceptRetry struct {
+	FreeDescriptor func(context.Context)                // closes a connection, or waits until one ends; nil: pause
+	Sleep          func(context.Context, time.Duration) // nil for the clock's
+	Log            *slog.Logger
+
+	backoff time.Duration // of the last failure, if accept has failed since it last succeeded
+}
+
+// Succeeded ends a row of failures.
+func (r *AcceptRetry) Succeeded() { r.backoff = 0 }
+
+// Failed takes in an error of accept, and returns once accept may be called again. It returns an error if the listener
+// was closed.
+func (r *AcceptRetry) Failed(ctx context.Context, err error) error {
+	switch classifyAcceptError(err) {
+	case acceptSkipped, acceptDeadline:
+		r.Log.Debug("accept failed", "err", err)
+	case acceptListenerClosed:
+		return fmt.Errorf("accepting: %w", err)
+	case acceptNoDescriptor:
+		r.Log.Warn("accept failed", "err", err)
+		if r.FreeDescriptor == nil {
+			r.pause(ctx, descriptorWait)
+			return nil
+		}
+		r.FreeDescriptor(ctx)
+	case acceptBackoff:
+		r.backoff = min(max(acceptBackoffMin, 2*r.backoff), acceptBackoffMax)
+		r.Log.Warn("accept failed", "err", err, "backoff", r.backoff)
+		r.pause(ctx, r.backoff)
+	}
+	return nil
+}
+
+func (r *AcceptRetry) pause(ctx context.Context, d time.Duration) {
+	if r.Sleep == nil {
+		sleep(ctx, d)
+		return
+	}
+	r.Sleep(ctx, d)
+}
+
 // acceptLoop accepts connections and has each of them served, until the context ends, the listener is closed, or
 // a server that ends has accepted all that waited.
 func (s *Server) acceptLoop(ctx context.Context, ln net.Listener, serve func(*conn)) error {
 	defer close(s.acceptDone)
-	backoff := acceptBackoffMin
+	retry := AcceptRetry{FreeDescriptor: s.freeDescriptor, Sleep: s.sleep, Log: s.log}
 	for {
 		last := s.prepareFinalAccept(ln)
 		accepted, err := ln.Accept()
@@ -79,28 +125,20 @@
 			return nil
 		}
 		if err == nil {
-			backoff = acceptBackoffMin
+			retry.Succeeded()
 			serve(s.register(accepted))
 			s.waitForDescriptor(ctx)
 			continue
 		}
-		switch classifyAcceptError(err) {
-		case acceptSkipped:
-			s.log.Debug("accept failed", "err", err)
-		case acceptDeadline:
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if last {
 				s.StopAccepting()
 				return nil
 			}
-		case acceptListenerClosed:
-			return fmt.Errorf("accepting: %w", err)
-		case acceptNoDescriptor:
-			s.log.Warn("accept failed", "err", err)
-			s.freeDescriptor(ctx)
-		case acceptBackoff:
-			s.log.Warn("accept failed", "err", err, "backoff", backoff)
-			s.sleep(ctx, backoff)
-			backoff = min(2*backoff, acceptBackoffMax)
+			continue
+		}
+		if err := retry.Failed(ctx, err); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/store/mux.go
+++ b/internal/store/mux.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/hashicorp/raft"
 	"golang.org/x/sync/errgroup"
 
+	"gatetack/internal/http1"
 	"gatetack/internal/limits"
 	"gatetack/internal/pki"
 )
@@ -28,14 +30,16 @@
 	once        sync.Once
 	raftOpen    atomic.Bool // raft's streams are accepted
 	raftStreams streams     // raft's calls to other members
+	acceptRetry http1.AcceptRetry
 }
 
 const raftStreamByte = 0x01
 
-func newMux(ln net.Listener, ring *pki.Ring, lim limits.Limits) *mux {
+func newMux(ln net.Listener, ring *pki.Ring, lim limits.Limits, log *slog.Logger) *mux {
 	done := make(chan struct{})
 	return &mux{Listener: ln, keys: ring, lim: lim, raftConns: make(chan net.Conn), done: done,
-		callConns: &connQueue{addr: ln.Addr(), in: make(chan net.Conn), done: make(chan struct{})}}
+		callConns:   &connQueue{addr: ln.Addr(), in: make(chan net.Conn), done: make(chan struct{})},
+		acceptRetry: http1.AcceptRetry{Log: log}}
 }
 
 func (m *mux) run(ctx context.Context) error {
@@ -46,12 +50,12 @@
 		for {
 			c, err := m.Listener.Accept()
 			if err != nil {
-				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				if ctx.Err() != nil || m.acceptRetry.Failed(ctx, err) != nil {
 					return nil
 				}
-				time.Sleep(5 * time.Millisecond)
 				continue
 			}
+			m.acceptRetry.Succeeded()
 			select {
 			case slots <- struct{}{}:
 			default:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -94,7 +94,7 @@
 		lim:          lim,
 		log:          log,
 		fsm:          newFSM(lim),
-		mux:          newMux(under, cfg.Keys, lim),
+		mux:          newMux(under, cfg.Keys, lim, log),
 		unresponsive: map[raft.ServerID]bool{},
 	}
 	if err := s.open(); err != nil {
