review: case 1, callbacks of nested JSON starve a node of its clients and its memory

Looked at: what reaches a parser from any client, and what bounds it. The platform's front gives a callback's body to a recursive JSON check with no bound on depth; the batch front bounds it. 100 clients with 64 KB of "[" are enough.

--- a/review/testdata/standins/case1/main.go
+++ b/review/testdata/standins/case1/main.go
@@ -1,109 +1,116 @@
-// Case 1: one process of a node replaces the other while a tile-charge runs, and a bad client sends the id of that open
-// request. TROUBLE=0: no process is replaced; the bad client does the same.
+// Case 1: bad clients send what can't be read, a callback whose body is 64 KB of opening brackets, while usual clients
+// send tile-charges. TROUBLE=0: there are no bad clients. FLAT=1: their bodies are as long, and of letters.
 package main
 
 import (
-	"net"
+	"fmt"
 	"os"
-	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"review/kit"
 )
 
 const (
-	id      = "9b1f03aa5c7e2d41"
-	running = 3 * time.Second
+	badClients   = 100
+	usualClients = 10
+	pause        = 300 * time.Millisecond // between two usual clients' requests
+	expires      = 7500 * time.Millisecond
+	grace        = 550 * time.Millisecond // half a second, and 50 ms of the protocol
+	memoryMB     = 192                    // told to the node
 )
 
-// platform holds the clients' listening socket, which every process of the node inherits.
-func platform(c *kit.Case) (listen string, socket *os.File) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.Fail("%v", err)
-	}
-	socket, err = ln.(*net.TCPListener).File()
-	if err != nil {
-		c.Fail("%v", err)
-	}
-	listen = ln.Addr().String()
-	_ = ln.Close() // the duplicate goes on listening
-	return listen, socket
-}
-
 func main() {
 	c := kit.New()
-	listen, socket := platform(c)
-	var mu sync.Mutex
-	delivered := 0
-	box := func(name string) *kit.Box {
-		return c.NewBox(name, func() string { return listen }, func(j *kit.Job) bool {
-			go func() {
-				j.Tell(kit.Started)
-				time.Sleep(running)
-				mu.Lock()
-				delivered++
-				mu.Unlock()
-				c.Note("%s: the tile of %s is delivered and billed", j.Box.Name, j.ID)
-				j.Tell(kit.Done("tile of the job that " + j.Box.Name + " received at " + j.At.Format("05.000")))
-			}()
-			return true
-		})
-	}
-	a, b := box("s-5be2a07c"), box("s-0badcafe")
-	discovery := c.NewDiscovery(a, b)
-	common := filepath.Join(c.Temp, "common") // $TMPDIR of both processes
-	if err := os.Mkdir(common, 0o700); err != nil {
-		c.Fail("%v", err)
-	}
-	o := kit.Options{Name: "n0", Listen: listen, Operator: c.Addr(), Discovery: discovery.Addr, Settings: kit.Tallinn,
-		Known: discovery.List(), TempDir: common, Passed: socket}
-	old := c.Start(o)
-	old.AwaitReady(10 * time.Second)
+	var n *kit.Node
+	box := c.NewBox("s-5be2a07c", func() string { return n.Listen }, func(j *kit.Job) bool {
+		go func() {
+			j.Tell(kit.Started)
+			time.Sleep(500 * time.Millisecond)
+			j.Tell(kit.Done("tile"))
+		}()
+		return true
+	})
+	discovery := c.NewDiscovery(box)
+	n = c.Start(kit.Options{Name: "n0", Listen: c.Addr(), Discovery: discovery.Addr, Settings: kit.Tallinn, Known: discovery.List()})
+	n.AwaitReady(10 * time.Second)
 
-	head := map[string]string{"X-Trace-Id": id, "X-Customer": "pohjakaart", "X-Expires-In-Ms": "7500"}
-	usual := make(chan kit.Reply, 1)
-	c.Note("usual client: POST /tile-charge id=%s", id)
-	go func() { usual <- kit.Call("POST", "http://"+listen+"/tile-charge", head, "scene", 9*time.Second) }()
-	time.Sleep(300 * time.Millisecond)
-	if len(a.Jobs())+len(b.Jobs()) != 1 {
-		c.Fail("the usual client's job did not reach an executor")
+	var peak atomic.Int64
+	go watchMemory(n, &peak)
+	var stop atomic.Bool
+	var bad sync.WaitGroup
+	if c.Trouble {
+		body := strings.Repeat("[", 65000) // a body holds at most 64 KiB
+		if os.Getenv("FLAT") == "1" {
+			body = strings.Repeat("x", 65000)
+		}
+		c.Note("%d bad clients: POST /callback with %d bytes %q..., again as soon as it is answered", badClients, len(body), body[:8])
+		for range badClients {
+			bad.Go(func() { floods(c, n, body, &stop) })
+		}
 	}
+	time.Sleep(time.Second)
 
-	if c.Trouble {
-		o.Operator = c.Addr()
-		next := c.Start(o)
-		awaitYes(c, o.Operator, next)
-		c.Note("SIGTERM to the old process")
-		old.Signal(syscall.SIGTERM)
+	var usual sync.WaitGroup
+	var lost, served atomic.Int32
+	for i := range usualClients {
+		usual.Go(func() {
+			r, took := send(c, n, i)
+			if r.Status == 200 {
+				served.Add(1)
+			}
+			if r.Err != nil || took > expires+grace {
+				lost.Add(1)
+			}
+		})
+		time.Sleep(pause)
 	}
-	time.Sleep(300 * time.Millisecond)
-	c.Note("bad client: POST /tile-charge with the id of the open request, id=%s", id)
-	bad := kit.Call("POST", "http://"+listen+"/tile-charge", head, "scene", 9*time.Second)
-	c.Note("answer to the bad client: %v", bad)
-	c.Note("answer to the usual client: %v", <-usual)
-	time.Sleep(running + time.Second)
+	usual.Wait()
+	stop.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	mb := peak.Load() >> 10
+	c.End(lost.Load() > 0 || mb > memoryMB,
+		"%d of %d tile-charges of usual clients got no answer until half a second after their time (%d served); the node's memory was %d MB at the most, of %d",
+		lost.Load(), usualClients, served.Load(), mb, memoryMB)
+}
 
-	attempts := append(a.Jobs(), b.Jobs()...)
-	mu.Lock()
-	defer mu.Unlock()
-	c.End(len(attempts) > 1 || bad.Status == 200,
-		"%d attempts of the tile-charge %s, begun while the first ran; %d tiles delivered and billed; the bad client was answered %d (owed: 4xx, 5xx or a close)",
-		len(attempts), id, delivered, bad.Status)
+// send sends a usual client's request, and waits for its answer for as long as one may come.
+func send(c *kit.Case, n *kit.Node, i int) (kit.Reply, time.Duration) {
+	id := fmt.Sprintf("9b1f03aa5c7e2d%02x", i)
+	head := map[string]string{"X-Trace-Id": id, "X-Customer": "pohjakaart", "X-Expires-In-Ms": strconv.FormatInt(expires.Milliseconds(), 10)}
+	c.Note("usual client %d: POST /tile-charge id=%s", i, id)
+	begin := time.Now()
+	r := kit.Call("POST", "http://"+n.Listen+"/tile-charge", head, "scene", expires+grace)
+	took := time.Since(begin)
+	c.Note("usual client %d: after %.2f s: %v", i, took.Seconds(), r)
+	return r, took
+}
+
+// floods sends the same request again and again, each on a connection of its own.
+func floods(c *kit.Case, n *kit.Node, body string, stop *atomic.Bool) {
+	for first := true; !stop.Load(); first = false {
+		r := kit.Call("POST", "http://"+n.Listen+"/callback", nil, body, 6*time.Second)
+		if first {
+			c.Note("bad client: %v", r)
+		}
+	}
 }
 
-// awaitYes waits until the new process says yes at its second address.
-func awaitYes(c *kit.Case, operator string, next *kit.Node) {
-	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if r := kit.Call("GET", "http://"+operator+"/v1/readyz", nil, "", time.Second); r.Status == 200 {
-			c.Note("the new process says yes")
+// watchMemory reads the process's resident memory and keeps the highest figure, in KB.
+func watchMemory(n *kit.Node, peak *atomic.Int64) {
+	for ; !n.Ended(); time.Sleep(20 * time.Millisecond) {
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.Pid()))
+		if err != nil {
 			return
 		}
-		if next.Ended() {
-			break
+		for line := range strings.Lines(string(status)) {
+			if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+				kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+				peak.Store(max(peak.Load(), kb))
+			}
 		}
 	}
-	c.Fail("the new process did not say yes")
 }
--- a/review/testdata/standins/case3/main.go
+++ b/review/testdata/standins/case3/main.go
@@ -1,120 +1,109 @@
-// Case 3: an executor hangs in the middle of a keyed job of the batch front. TROUBLE=0: it does not hang.
+// Case 3: one process of a node replaces the other while a tile-charge runs, and a bad client sends the id of that open
+// request. TROUBLE=0: no process is replaced; the bad client does the same.
 package main
 
 import (
-	"fmt"
+	"net"
+	"os"
+	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"review/kit"
 )
 
 const (
-	window = 40 * time.Second       // of snapshot-build in the settings
-	slack  = 200 * time.Millisecond // 50 ms of the protocol, and 0.15 s between a node's clock and its write
-	run    = 600 * time.Millisecond
-	hang   = 62 * time.Second
+	id      = "9b1f03aa5c7e2d41"
+	running = 3 * time.Second
 )
 
-// group is the executors together: they drop a repeat of a key for the window. A cancel stops nothing.
-type group struct {
-	c       *kit.Case
-	mu      sync.Mutex
-	seen    map[string]time.Time
-	hung    *kit.Box  // the executor that hangs
-	until   time.Time // and until when
-	effects int
-}
-
-// take is what an executor does with a job that it has received.
-func (g *group) take(j *kit.Job) bool {
-	g.mu.Lock()
-	if wait := time.Until(g.until); g.hung == j.Box && wait > 0 {
-		g.c.Note("%s: hangs, and answers nothing to %s", j.Box.Name, j.ID)
-		g.mu.Unlock()
-		time.Sleep(wait)
-		g.mu.Lock()
+// platform holds the clients' listening socket, which every process of the node inherits.
+func platform(c *kit.Case) (listen string, socket *os.File) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.Fail("%v", err)
 	}
-	defer g.mu.Unlock()
-	if first, repeat := g.seen[j.Key]; repeat && j.At.Sub(first) < window {
-		g.c.Note("%s: drops %s, a repeat of key %s", j.Box.Name, j.ID, j.Key)
-		return true
+	socket, err = ln.(*net.TCPListener).File()
+	if err != nil {
+		c.Fail("%v", err)
 	}
-	g.seen[j.Key] = j.At
-	work := run
-	if g.c.Trouble && g.hung == nil {
-		g.hung, g.until, work = j.Box, time.Now().Add(hang), hang
-	}
-	go func() {
-		j.Tell(kit.Started)
-		if work == hang {
-			g.c.Note("%s: hangs in the middle of %s", j.Box.Name, j.ID)
-		}
-		time.Sleep(work)
-		g.mu.Lock()
-		g.effects++
-		g.mu.Unlock()
-		g.c.Note("%s: %s is done, EFFECT of key %s", j.Box.Name, j.ID, j.Key)
-		j.Tell(kit.Done("snapshot"))
-	}()
-	return true
+	listen = ln.Addr().String()
+	_ = ln.Close() // the duplicate goes on listening
+	return listen, socket
 }
 
 func main() {
 	c := kit.New()
-	listen, batch := c.Addr(), c.Addr()
-	g := &group{c: c, seen: map[string]time.Time{}}
-	node := func() string { return listen }
-	a, b := c.NewBox("s-5be2a07c", node, g.take), c.NewBox("s-0badcafe", node, g.take)
-	for _, x := range []*kit.Box{a, b} {
-		x.Zone, x.Type = "austin-north", "big-iron"
+	listen, socket := platform(c)
+	var mu sync.Mutex
+	delivered := 0
+	box := func(name string) *kit.Box {
+		return c.NewBox(name, func() string { return listen }, func(j *kit.Job) bool {
+			go func() {
+				j.Tell(kit.Started)
+				time.Sleep(running)
+				mu.Lock()
+				delivered++
+				mu.Unlock()
+				c.Note("%s: the tile of %s is delivered and billed", j.Box.Name, j.ID)
+				j.Tell(kit.Done("tile of the job that " + j.Box.Name + " received at " + j.At.Format("05.000")))
+			}()
+			return true
+		})
 	}
+	a, b := box("s-5be2a07c"), box("s-0badcafe")
 	discovery := c.NewDiscovery(a, b)
-	n := c.Start(kit.Options{Name: "n0", Listen: listen, Discovery: discovery.Addr, Settings: kit.Austin, Known: discovery.List(),
-		File: fmt.Sprintf("batch:\n  listen: %s\n  dir: %s/batch\n", batch, c.Temp)})
-	n.AwaitReady(10 * time.Second)
-
-	front := "http://" + batch + "/drmaa2/v1"
-	r := kit.Call("POST", front+"/arrays", nil, `{"jobTemplate":{"jobCategory":"snapshot-build","accountingId":"pecan-retail",
-		"remoteCommand":"/snapshot-build/7","payload":"flags"},"endIndex":1}`, 5*time.Second)
-	c.Note("client: POST /arrays -> %v", r)
-	if r.Status != 201 {
-		c.Fail("the array was not accepted")
+	common := filepath.Join(c.Temp, "common") // $TMPDIR of both processes
+	if err := os.Mkdir(common, 0o700); err != nil {
+		c.Fail("%v", err)
 	}
-	job := r.JSON("jobArrayId") + "-1"
-	last := ""
-	for begin := time.Now(); time.Since(begin) < hang+3*time.Second; time.Sleep(250 * time.Millisecond) {
-		r := kit.Call("GET", front+"/jobs/"+job, nil, "", 5*time.Second)
-		if state := r.JSON("jobState") + " " + r.JSON("jobSubState"); state != last {
-			last = state
-			c.Note("client: GET /jobs/%s -> %v", job, r)
-		}
-		if !c.Trouble && r.JSON("jobState") == "DONE" {
-			break
-		}
+	o := kit.Options{Name: "n0", Listen: listen, Operator: c.Addr(), Discovery: discovery.Addr, Settings: kit.Tallinn,
+		Known: discovery.List(), TempDir: common, Passed: socket}
+	old := c.Start(o)
+	old.AwaitReady(10 * time.Second)
+
+	head := map[string]string{"X-Trace-Id": id, "X-Customer": "pohjakaart", "X-Expires-In-Ms": "7500"}
+	usual := make(chan kit.Reply, 1)
+	c.Note("usual client: POST /tile-charge id=%s", id)
+	go func() { usual <- kit.Call("POST", "http://"+listen+"/tile-charge", head, "scene", 9*time.Second) }()
+	time.Sleep(300 * time.Millisecond)
+	if len(a.Jobs())+len(b.Jobs()) != 1 {
+		c.Fail("the usual client's job did not reach an executor")
 	}
-	if len(a.Jobs())+len(b.Jobs()) == 0 {
-		c.Fail("no attempt reached an executor")
+
+	if c.Trouble {
+		o.Operator = c.Addr()
+		next := c.Start(o)
+		awaitYes(c, o.Operator, next)
+		c.Note("SIGTERM to the old process")
+		old.Signal(syscall.SIGTERM)
 	}
-	judge(c, g, append(a.Jobs(), b.Jobs()...))
+	time.Sleep(300 * time.Millisecond)
+	c.Note("bad client: POST /tile-charge with the id of the open request, id=%s", id)
+	bad := kit.Call("POST", "http://"+listen+"/tile-charge", head, "scene", 9*time.Second)
+	c.Note("answer to the bad client: %v", bad)
+	c.Note("answer to the usual client: %v", <-usual)
+	time.Sleep(running + time.Second)
+
+	attempts := append(a.Jobs(), b.Jobs()...)
+	mu.Lock()
+	defer mu.Unlock()
+	c.End(len(attempts) > 1 || bad.Status == 200,
+		"%d attempts of the tile-charge %s, begun while the first ran; %d tiles delivered and billed; the bad client was answered %d (owed: 4xx, 5xx or a close)",
+		len(attempts), id, delivered, bad.Status)
 }
 
-// judge checks that each attempt came within the window of the first, which an executor has started.
-func judge(c *kit.Case, g *group, attempts []*kit.Job) {
-	first := attempts[0]
-	for _, j := range attempts {
-		if j.At.Before(first.At) {
-			first = j
+// awaitYes waits until the new process says yes at its second address.
+func awaitYes(c *kit.Case, operator string, next *kit.Node) {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if r := kit.Call("GET", "http://"+operator+"/v1/readyz", nil, "", time.Second); r.Status == 200 {
+			c.Note("the new process says yes")
+			return
 		}
-	}
-	late := 0
-	for _, j := range attempts {
-		if after := j.At.Sub(first.At); j.Key == first.Key && after > window+slack {
-			late++
-			c.Note("%s was sent %.1f s after the first attempt, whose window is %v", j.ID, after.Seconds(), window)
+		if next.Ended() {
+			break
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c.End(late > 0, "%d attempts of one keyed job, %d of them after the window; its effect happened %d times", len(attempts), late, g.effects)
+	c.Fail("the new process did not say yes")
 }
