Count no parentheses in quoted text as the nesting of a filter

A filter of 4 KB could grow its goroutine's stack to 8 MB, from any number of clients of the batch front.

Change: it leaves out quoted text, as the lexer reads it. Before: TestNestingHiddenByQuotedTextIsRejected fails on the old code with 1 MB and 8 MB of stack; after: it passes, and quoted parentheses are no nesting.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -109,15 +109,24 @@
 	return f, nil
 }
 
+// checkDepth returns an error for parentheses that are nested deeper than maxDepth. Those in quoted text do not count.
 func checkDepth(text string) error {
-	depth := 0
-	for i, c := range text {
-		switch c {
-		case '(':
+	depth, quote := 0, byte(0)
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quote == '"' && c == '\\':
+			i++
+		case quote != 0:
+			if c == quote {
+				quote = 0
+			}
+		case c == '"' || c == '\'':
+			quote = c
+		case c == '(':
 			if depth++; depth > maxDepth {
 				return &Error{i + 1, fmt.Sprintf("more than %d parentheses within one another", maxDepth)}
 			}
-		case ')':
+		case c == ')':
 			depth--
 		}
 	}
--- a/internal/filter/filter_test.go
+++ b/internal/filter/filter_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"gatetack/internal/testenv"
 	_ "gatetack/internal/testrand"
 )
 
@@ -155,3 +156,25 @@
 		}
 	})
 }
+
+// Guards against a short filter that exhausts the stack: parentheses in quoted text neither count as nesting nor hide it.
+func TestNestingHiddenByQuotedTextIsRejected(t *testing.T) {
+	const maxStackGrowth = 4 * MaxText
+	for _, text := range []string{
+		strings.Repeat(`(category = ')' and `, 200),
+		strings.Repeat(`(category = "\")" and `, 180),
+		`category = '` + strings.Repeat(")", 2000) + `' and ` + strings.Repeat("(", 2000),
+	} {
+		var err error
+		grown := testenv.StackGrowth(func() { _, err = Parse(schema, text) })
+		if invalid, ok := errors.AsType[*Error](err); !ok || !strings.Contains(invalid.Text, "parentheses within") {
+			t.Errorf("%.30s...: error %v, want one about nesting", text, err)
+		}
+		if grown > maxStackGrowth {
+			t.Errorf("%.30s...: the stack grew by %d bytes, want at most %d", text, grown, maxStackGrowth)
+		}
+	}
+	if _, err := Parse(schema, `category = '`+strings.Repeat("(", 100)+`'`); err != nil {
+		t.Errorf("quoted parentheses: %v", err)
+	}
+}
