Bound the depth of JSON before it is parsed; answer invalid callbacks with 400

The senders were answered 204, although a client that sends what can't be read is owed an error.

Cause: executor.Callback gave any body to gjson's validator, which calls itself for each level. Each body grew a stack to 8 MB, and the collector scanned these stacks.

Change: package boundedjson determines the depth first, without recursion, and refuses at the first bracket too many. A callback that is no object with id, from and state is answered 400. A watch validates an object once, at its end, and not again with every read after it.

--- a/internal/actorhost/http.go
+++ b/internal/actorhost/http.go
@@ -6,9 +6,8 @@
 	"errors"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"gatetack/internal/actor"
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 	"gatetack/internal/leaseholder"
 	"gatetack/internal/operr"
@@ -53,10 +52,10 @@
 	bad := func(text string) http1.Response {
 		return jsonResponse(400, map[string]any{"error": "INVALID_ARGUMENT", "message": text})
 	}
-	if (m.Method == "POST") && !gjson.ValidBytes(m.Body) {
-		return bad("the body is not JSON")
+	v, err := boundedjson.Parse(m.Body, boundedjson.DocumentDepth)
+	if m.Method == "POST" && err != nil {
+		return bad("body: " + err.Error())
 	}
-	v := gjson.ParseBytes(m.Body)
 	switch {
 	case len(p) == 0 && m.Method == "POST":
 		id := v.Get("id").String()
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/tidwall/gjson"
-
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/dispatch"
 	"gatetack/internal/http1"
 )
@@ -16,10 +15,10 @@
 // Nothing is sent again. The result "unsent" tells the client that it may submit the job again, so for a class with
 // at-most-once requests it has to be forced.
 func (f *Front) resolve(ctx context.Context, session, id string, body []byte) http1.Response {
-	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+	v, err := boundedjson.ParseObject(body, argumentsDepth)
+	if err != nil {
 		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
 	}
-	v := gjson.ParseBytes(body)
 	as, by, why := v.Get("as").String(), v.Get("by").String(), v.Get("why").String()
 	switch {
 	case as != "done" && as != "failed" && as != "unsent":
--- a/internal/batch/hard_test.go
+++ b/internal/batch/hard_test.go
@@ -13,6 +13,7 @@
 
 	"gatetack/internal/jobstore"
 	"gatetack/internal/node"
+	"gatetack/internal/testenv"
 )
 
 // manualCore is a core that accepts jobs and lets the test end them.
@@ -473,3 +474,23 @@
 		t.Errorf("%d jobs reached the core, %d are waiting", len(clients), f.queue.Waiting())
 	}
 }
+
+// Guards against calls of the batch front that cost megabytes of stack each: every call refuses a deeply nested body at
+// no more than a few times its own length.
+func TestNestedBodiesCostNoStack(t *testing.T) {
+	const length, maxStackGrowth = 65000, 4 * 65000
+	f := newFront(&fakeCore{}, &memoryStore{values: map[string][]byte{}}, time.Now())
+	for _, path := range []string{"/jobs", "/arrays", "/sessions", "/jobs/wait", "/jobs/" + f.ids.next() + "/resolve",
+		"/jobs/" + f.ids.next() + "/callback"} {
+		for _, body := range []string{strings.Repeat("[", length), `{"jobTemplate":` + strings.Repeat("[", length), strings.Repeat(`{"a":`, length/5)} {
+			status := 0
+			grown := testenv.StackGrowth(func() { status, _, _ = call(f, "POST", path, body) })
+			if status < 400 || status >= 500 {
+				t.Errorf("%s %.20s...: status %d, want an error of the client", path, body, status)
+			}
+			if grown > maxStackGrowth {
+				t.Errorf("%s %.20s...: the stack grew by %d bytes, want at most %d", path, body, grown, maxStackGrowth)
+			}
+		}
+	}
+}
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 )
 
@@ -81,14 +82,18 @@
 func (f *Front) resolveByCallback(ctx context.Context, id string, body []byte) http1.Response {
 	f.resolving.Lock()
 	defer f.resolving.Unlock()
-	if f.ownedElsewhere(id) || f.store == nil || !gjson.ValidBytes(body) {
+	v, err := boundedjson.ParseObject(body, boundedjson.MessageDepth)
+	if err != nil {
+		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
+	}
+	if f.ownedElsewhere(id) || f.store == nil {
 		return tryLater("it is not this node's job")
 	}
 	value, found, err := f.store.Get(ctx, kindJob, recordKey(id))
 	if err != nil {
 		return tryLater(err.Error())
 	}
-	r, v := parseRecord(value), gjson.ParseBytes(body)
+	r := parseRecord(value)
 	f.mu.Lock()
 	running := f.jobs[id] != nil
 	f.mu.Unlock()
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 	"gatetack/internal/jobstore"
 )
@@ -134,12 +135,13 @@
 	if r, ok := f.checkAccepting(ctx); !ok {
 		return r
 	}
-	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+	arguments, err := boundedjson.ParseObject(body, argumentsDepth)
+	if err != nil {
 		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
 	}
 	r := sessionRecord{Created: time.Now().UTC()}
 	var bad *argumentError
-	gjson.ParseBytes(body).ForEach(func(k, v gjson.Result) bool {
+	arguments.ForEach(func(k, v gjson.Result) bool {
 		name := k.String()
 		switch {
 		case name != "sessionName" && name != "contact":
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 	"gatetack/internal/jobqueue"
 	"gatetack/internal/jobstore"
@@ -271,11 +272,11 @@
 	if r, ok := f.checkAccepting(ctx); !ok {
 		return r
 	}
-	if nestingDepth(body) > 16 || !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+	root, err := boundedjson.ParseObject(body, templateDepth)
+	if err != nil {
 		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON, nested at most 16 levels deep")
 	}
 	x := arrayRecord{Begin: 1, End: -1, Step: 1, Session: session}
-	root := gjson.ParseBytes(body)
 	var bad *argumentError
 	var t *template
 	now := time.Now()
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/dispatch"
 	"gatetack/internal/http1"
 	"gatetack/internal/node"
@@ -63,36 +64,23 @@
 
 const maxPriority = 1024
 
+// Maximum depths of objects and lists in the bodies of calls.
+const (
+	templateDepth  = 16 // of a job template, alone or in a bulk submission
+	argumentsDepth = 4  // of the arguments of other calls
+)
+
 // parseTemplate reads a job template: jobCategory is the class, accountingId the tenant, remoteCommand the path, args
 // its query, deadlineTime the client's deadline, payload the body, and idempotencyKey the idempotency key.
 func (f *Front) parseTemplate(body []byte, now time.Time) (*template, *argumentError) {
-	if len(body) > 0 && nestingDepth(body) > 16 {
+	root, err := boundedjson.Parse(body, templateDepth)
+	if _, tooDeep := errors.AsType[*boundedjson.DepthError](err); tooDeep {
 		return nil, &argumentError{"INVALID_ARGUMENT", "body", "nested deeper than 16 levels"}
 	}
-	if !gjson.ValidBytes(body) {
-		return nil, &argumentError{"INVALID_ARGUMENT", "body", "not valid JSON"}
-	}
-	return f.readTemplate(gjson.ParseBytes(body), now)
-}
-
-// nestingDepth returns how deeply objects and lists are nested in JSON text, without recursion.
-func nestingDepth(b []byte) int {
-	depth, maxDepth, quoted := 0, 0, false
-	for i := 0; i < len(b); i++ {
-		switch c := b[i]; {
-		case quoted && c == '\\':
-			i++
-		case c == '"':
-			quoted = !quoted
-		case quoted:
-		case c == '{' || c == '[':
-			depth++
-			maxDepth = max(maxDepth, depth)
-		case c == '}' || c == ']':
-			depth--
-		}
+	if err != nil {
+		return nil, &argumentError{"INVALID_ARGUMENT", "body", err.Error()}
 	}
-	return maxDepth
+	return f.readTemplate(root, now)
 }
 
 func (f *Front) readTemplate(root gjson.Result, now time.Time) (*template, *argumentError) {
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -8,8 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/tidwall/gjson"
-
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 )
 
@@ -108,10 +107,10 @@
 
 // waitAny responds when one of several jobs has started or ended (waitAnyStarted, waitAnyTerminated).
 func (f *Front) waitAny(ctx context.Context, session string, body []byte) http1.Response {
-	if nestingDepth(body) > 4 || !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+	v, err := boundedjson.ParseObject(body, argumentsDepth)
+	if err != nil {
 		return problem(400, "INVALID_ARGUMENT", "body", "not an object of valid JSON")
 	}
-	v := gjson.ParseBytes(body)
 	ids, err := stringList(v.Get("jobs"), maxWaitIDs)
 	if err != nil || len(ids) == 0 {
 		return problem(400, "INVALID_ARGUMENT", "jobs", fmt.Sprintf("not a list of 1 to %d ids", maxWaitIDs))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/dispatch"
 	"gatetack/internal/limits"
 	"gatetack/internal/node"
@@ -47,10 +48,10 @@
 
 // Parse reads the JSON configuration of a node.
 func Parse(data []byte) (*Config, error) {
-	if !gjson.ValidBytes(data) {
-		return nil, errors.New("not valid JSON")
+	root, err := boundedjson.Parse(data, boundedjson.DocumentDepth)
+	if err != nil {
+		return nil, err
 	}
-	root := gjson.ParseBytes(data)
 	text := func(key string) string { return root.Get(key).String() }
 	c := &Config{Name: text("name"), Seed: parseSeed(text("seed")), Listen: text("listen"), Operator: text("operator"),
 		Discovery: text("discovery"), PeerListen: text("peer_listen"), PeersAll: text("peers_all"),
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -8,8 +8,7 @@
 	"net"
 	"time"
 
-	"github.com/tidwall/gjson"
-
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/endpointwatch"
 	"gatetack/internal/http1"
 	"gatetack/internal/node"
@@ -178,10 +177,11 @@
 		c.sink.ListConfirmed()
 		return nil
 	}
-	if !gjson.ValidBytes(b) {
-		return errors.New("a line of the endpoint list is not valid JSON")
+	value, err := boundedjson.Parse(b, boundedjson.DocumentDepth)
+	if err != nil {
+		return fmt.Errorf("a line of the endpoint list: %w", err)
 	}
-	l, err := node.ParseEndpointList(gjson.ParseBytes(b))
+	l, err := node.ParseEndpointList(value)
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -497,3 +498,25 @@
 		t.Errorf("the list was confirmed %d times, want 2", got)
 	}
 }
+
+// Guards against a line that is validated again with each byte that follows it: an object that is not valid fails at
+// its end, and not only with its line break.
+func TestInvalidObjectFailsAtItsEnd(t *testing.T) {
+	lines := 0
+	splitter := lineSplitter{maxBytes: 1 << 20, takeLine: func(b []byte) error {
+		lines++
+		if !json.Valid(b) {
+			return errors.New("not valid")
+		}
+		return nil
+	}}
+	for i, part := range []string{`{"index":41}`, " ", "\n", `{"index":42,`, `}`} {
+		err := splitter.feed([]byte(part))
+		if (err != nil) != (i == 4) {
+			t.Errorf("part %d, %q: error %v", i, part, err)
+		}
+	}
+	if lines != 2 {
+		t.Errorf("%d lines were handled, want 2", lines)
+	}
+}
--- a/internal/discovery/lines.go
+++ b/internal/discovery/lines.go
@@ -5,8 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/tidwall/gjson"
-
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/node"
 )
 
@@ -48,7 +47,7 @@
 			s.lineStart = len(s.buf)
 		case broken && s.unbroken && len(bytes.TrimSpace(s.buf)) == 0: // the line break of a line that was already handled
 			s.buf, s.unbroken = s.buf[:0], false
-		case broken || s.objectComplete():
+		case broken || s.objectEnded():
 			err = s.endLine()
 			s.unbroken = !broken
 		}
@@ -86,18 +85,19 @@
 // started reports whether a part of a line has arrived.
 func (s *lineSplitter) started() bool { return len(s.buf) > 0 }
 
-// objectComplete reports whether the buffer contains a complete object, even if its line break has not arrived: its
-// content counts as notified either way.
-func (s *lineSplitter) objectComplete() bool {
+// objectEnded reports whether the buffer contains an object up to its end, even if its line break has not arrived: its
+// content counts as notified either way. Whether the object is valid is left to takeLine, so that it is validated once.
+func (s *lineSplitter) objectEnded() bool {
 	t := bytes.TrimSpace(s.buf)
-	return s.depth == 0 && len(t) > 1 && t[0] == '{' && t[len(t)-1] == '}' && gjson.ValidBytes(t)
+	return s.depth == 0 && len(t) > 1 && t[0] == '{' && t[len(t)-1] == '}'
 }
 
 func isList(b []byte) bool {
-	if !gjson.ValidBytes(b) {
+	value, err := boundedjson.Parse(b, boundedjson.DocumentDepth)
+	if err != nil {
 		return false
 	}
-	_, err := node.ParseEndpointList(gjson.ParseBytes(b))
+	_, err = node.ParseEndpointList(value)
 	return err == nil
 }
 
--- a/internal/executor/callback.go
+++ b/internal/executor/callback.go
@@ -14,27 +14,20 @@
 // belongs to another process of the node that listens on the same socket.
 var ErrUnknownAttempt = errors.New("executor: callback of an attempt that is not active in this process")
 
-var errCallbackNotJSON = errors.New("executor: callback body is not valid JSON")
-
-// The states of a job in callbacks.
-const (
-	stateStarted  = "started"
-	stateRunning  = "running"
-	stateDone     = "done"
-	stateFailed   = "failed"
-	stateReturned = "returned"
-	stateLost     = "lost"
-)
-
-// Callback handles a callback of an executor. A callback that has no effect is no error, since it may be a repeat or
-// concern an attempt that has not been sent yet. ErrUnknownAttempt is returned if no active attempt has its ID and
-// executor.
+// Callback parses and handles the body of a callback. Its errors are those of ParseCallback and HandleCallback.
 func (c *Client) Callback(body []byte) error {
-	if !gjson.ValidBytes(body) {
-		return errCallbackNotJSON
+	message, err := ParseCallback(body, c.limits.IDBytes)
+	if err != nil {
+		return err
 	}
-	callback := gjson.ParseBytes(body)
-	attempt := c.attempts.withKey(attemptKey{callback.Get("id").String(), callback.Get("from").String()})
+	return c.HandleCallback(message)
+}
+
+// HandleCallback handles a callback of an executor. A callback that has no effect is no error, since it may be a repeat
+// or concern an attempt that has not been sent yet. ErrUnknownAttempt is returned if no active attempt has its ID and
+// executor.
+func (c *Client) HandleCallback(message *CallbackMessage) error {
+	attempt := c.attempts.withKey(attemptKey{message.TraceID, message.Executor})
 	if attempt == nil {
 		return ErrUnknownAttempt
 	}
@@ -43,21 +36,20 @@
 	}
 	c.endpoints.recordContact(attempt.Executor)
 	c.acks.acknowledge(attempt, time.Now()) // a callback in any state shows that the executor has the job
-	c.handleState(attempt, callback)
+	c.handleState(attempt, message)
 	return nil
 }
 
 // handleState reports the state in a callback.
-func (c *Client) handleState(attempt *activeAttempt, callback gjson.Result) {
-	report := c.reportFromJSON(callback.Get("load"))
-	switch state := callback.Get("state").String(); state {
+func (c *Client) handleState(attempt *activeAttempt, message *CallbackMessage) {
+	report := c.reportFromJSON(message.load)
+	switch message.State {
 	case stateStarted:
 		c.sink.Result(node.Result{Attempt: attempt.ID, Topic: dispatch.NotificationStarted})
 	case stateRunning:
-		share := callback.Get("share").Float()
-		c.sink.Result(node.Result{Attempt: attempt.ID, Topic: dispatch.NotificationProgress, Amount: share})
+		c.sink.Result(node.Result{Attempt: attempt.ID, Topic: dispatch.NotificationProgress, Amount: message.share})
 	case stateDone:
-		c.handleResult(attempt, report, callback.Get("result"))
+		c.handleResult(attempt, report, message.result)
 	case stateFailed:
 		c.finish(attempt, dispatch.Errored, report, nil)
 	case stateReturned:
@@ -67,7 +59,7 @@
 	case stateLost:
 		c.finish(attempt, dispatch.Reset, report, nil)
 	default:
-		c.log.Warn("callback with unknown state", "state", state,
+		c.log.Warn("callback with unknown state", "state", message.State,
 			"executor", attempt.key.executor, "job", attempt.key.traceID)
 	}
 }
--- a/internal/filter/filter_test.go
+++ b/internal/filter/filter_test.go
@@ -157,7 +157,8 @@
 	})
 }
 
-// Guards against a short filter that exhausts the stack: parentheses in quoted text neither count as nesting nor hide it.
+// Guards against a short filter that exhausts the stack: parentheses in quoted text neither count as nesting nor hide
+// it.
 func TestNestingHiddenByQuotedTextIsRejected(t *testing.T) {
 	const maxStackGrowth = 4 * MaxText
 	for _, text := range []string{
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -34,7 +34,7 @@
 // Callbacks handles the callbacks of executors.
 type Callbacks interface {
 	// Callback handles one callback. After a CallbackRejectedError the executor should repeat it; after any other
-	// error the callback is invalid and should not be repeated.
+	// error the callback is invalid.
 	Callback(body []byte) error
 }
 
@@ -78,13 +78,15 @@
 		return http1.Text(405, "callbacks come by POST")
 	}
 	err := f.callbacks.Callback(m.Body)
-	if err != nil {
-		f.log.Warn("callback failed", "err", err)
+	if err == nil {
+		return http1.Response{Status: 204, KnownClient: true}
 	}
 	if _, rejected := errors.AsType[*CallbackRejectedError](err); rejected {
+		f.log.Warn("callback not taken", "err", err)
 		return http1.Text(503, "not taken, call again")
 	}
-	return http1.Response{Status: 204, KnownClient: err == nil}
+	f.log.Debug("invalid callback", "err", err) // anyone can send any number of them
+	return http1.Text(400, "%v", err)
 }
 
 func (f *Front) handleHealth() http1.Response {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -149,15 +149,15 @@
 
 func (c callbacksThatFail) Callback([]byte) error { return c.err }
 
-// A callback that could not be handled gets an error response, so that the executor repeats it. An invalid callback
-// does not, since a repeat would be of no use.
+// A callback that could not be handled gets an error response, so that the executor repeats it. So does an invalid one:
+// its sender is owed an error.
 func TestRejectedCallbackIsNotAcknowledged(t *testing.T) {
 	for _, x := range []struct {
 		err    error
 		status int
 	}{
 		{nil, 204},
-		{errors.New("not JSON"), 204},
+		{errors.New("not JSON"), 400},
 		{&CallbackRejectedError{syscall.ENOSPC}, 503},
 		{fmt.Errorf("callback: %w", &CallbackRejectedError{syscall.EIO}), 503},
 	} {
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/tidwall/gjson"
 
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
 )
@@ -115,10 +116,11 @@
 	if err := t.Unmarshal(data); !errors.Is(err, kv.ErrUnknownFormat) {
 		return t, err
 	}
-	if !gjson.ValidBytes(data) {
-		return nil, errors.New("store: log entry in an unknown format")
+	value, err := boundedjson.Parse(data, boundedjson.MessageDepth)
+	if err != nil {
+		return nil, fmt.Errorf("store: log entry in an unknown format: %w", err)
 	}
-	op, err := decodeLegacyOp(gjson.ParseBytes(data))
+	op, err := decodeLegacyOp(value)
 	if err != nil {
 		return nil, err
 	}
@@ -167,10 +169,11 @@
 	state = kv.New(stateBounds(lim))
 	n := uint64(0)
 	for line := range bytes.Lines(append(head.Bytes(), rest...)) {
-		if !gjson.ValidBytes(line) {
-			return nil, fmt.Errorf("store: snapshot line %d: unknown format", n+1)
+		value, err := boundedjson.Parse(line, boundedjson.MessageDepth)
+		if err != nil {
+			return nil, fmt.Errorf("store: snapshot line %d: unknown format: %w", n+1, err)
 		}
-		op, err := decodeLegacyOp(gjson.ParseBytes(line))
+		op, err := decodeLegacyOp(value)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -5,8 +5,7 @@
 	"net/url"
 	"strconv"
 
-	"github.com/tidwall/gjson"
-
+	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 	"gatetack/internal/jobstore"
 	"gatetack/internal/kv"
@@ -24,7 +23,11 @@
 	case "/get", "/page", "/index":
 		return s.serveRead(ctx, u.Path, u.Query())
 	case "/members":
-		return s.handleChange(gjson.ParseBytes(body))
+		change, err := boundedjson.ParseObject(body, boundedjson.MessageDepth)
+		if err != nil {
+			return http1.Text(400, "change of the members: %v", err)
+		}
+		return s.handleChange(change)
 	}
 	return http1.Text(404, "no such call")
 }
