Share the open request IDs of a node's processes, so that a copy never runs twice

Change: the processes map one file of claims under TMPDIR. An id is claimed before a client's request is accepted and released when it is answered and no attempt is in flight. A claim is one atomic word with an end, so nothing is asked of the other process: one that hangs or was killed at any step keeps its claims until half a second after the deadlines. Markers tell the start of their process, so a pid that is used again is noticed, and whether its ids are shared. Beside a process that does not share them (an earlier build) requests are rejected, 9.7 s at most. Callbacks are stored for the other process only if it has their request open. Ruled out: files or messages per id (each waits for the other process or costs a system call), a lock (a stopped process would hold it).

Tests of the relay changed in form only: Forward takes the id, New its limits.

--- a/cmd/gatetack/callbacks.go
+++ b/cmd/gatetack/callbacks.go
@@ -16,14 +16,18 @@
 // to an attempt that has ended. A callback that cannot be stored is rejected, so that the executor retries it.
 type callbackRouter struct {
 	executors *executor.Client
+	maxID     int                         // length of an ID in a callback
 	relay     *callbackrelay.Relay        // nil: the node has no second process
 	batch     atomic.Pointer[batch.Front] // nil until the batch front is open
 }
 
 // Callback delivers the body of one callback.
 func (r *callbackRouter) Callback(body []byte) error {
-	err := r.executors.Callback(body)
-	if !errors.Is(err, executor.ErrUnknownAttempt) {
+	message, err := executor.ParseCallback(body, r.maxID)
+	if err != nil {
+		return err
+	}
+	if err := r.executors.HandleCallback(message); !errors.Is(err, executor.ErrUnknownAttempt) {
 		return err
 	}
 	if front := r.batch.Load(); front != nil {
@@ -32,14 +36,14 @@
 	if r.relay == nil {
 		return nil
 	}
-	if _, err := r.relay.Forward(body); err != nil {
+	if _, err := r.relay.Forward(message.TraceID, body); err != nil {
 		return &platform.CallbackRejectedError{Err: err}
 	}
 	return nil
 }
 
-// deliverStored delivers a callback that the other process stored. It reports whether the callback belongs to an
-// attempt of this process.
+// deliverStored delivers a callback that the other process stored. It reports whether the callback needs no other
+// process: it belongs to an attempt of this one, or is invalid.
 func (r *callbackRouter) deliverStored(body []byte) bool {
 	return !errors.Is(r.executors.Callback(body), executor.ErrUnknownAttempt)
 }
--- a/cmd/gatetack/callbacks_test.go
+++ b/cmd/gatetack/callbacks_test.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"syscall"
 	"testing"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -14,6 +13,7 @@
 	"gatetack/internal/executor"
 	"gatetack/internal/node"
 	"gatetack/internal/platform"
+	"gatetack/internal/sharedids"
 	"gatetack/internal/testenv"
 )
 
@@ -24,12 +24,14 @@
 	if err := os.WriteFile(blocked, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	relay := callbackrelay.New(filepath.Join(blocked, "handover"), time.Millisecond, time.Minute, testenv.DiscardLog)
+	folder := filepath.Join(blocked, "handover")
+	ids := &replacement{IDs: sharedids.Open(folder, testenv.DiscardLog)}
+	relay := callbackrelay.New(folder, "n0", callbackrelay.Limits{}, ids, testenv.DiscardLog)
 	if err := relay.Register(); err == nil {
 		t.Fatal("Register succeeded below a regular file")
 	}
 	executors := executor.New(t.Context(), &errgroup.Group{}, testenv.Limits, node.Names{}, nil, nil, testenv.DiscardLog)
-	router := &callbackRouter{executors: executors, relay: relay}
+	router := &callbackRouter{executors: executors, maxID: testenv.Limits.IDBytes, relay: relay}
 	callback := []byte(`{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"done","result":"tile"}`)
 	err := router.Callback(callback)
 	if _, ok := errors.AsType[*platform.CallbackRejectedError](err); !ok || !errors.Is(err, syscall.ENOTDIR) {
--- a/cmd/gatetack/process_fronts.go
+++ b/cmd/gatetack/process_fronts.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"time"
 
 	"gatetack/internal/actorhost"
 	"gatetack/internal/batch"
-	"gatetack/internal/callbackrelay"
 	"gatetack/internal/http1"
 	"gatetack/internal/lease"
 	"gatetack/internal/leaseholder"
@@ -23,10 +20,6 @@
 	"gatetack/internal/platform"
 )
 
-// handoverFolder is the subdirectory of the system's temporary directory in which two processes of a node exchange
-// callbacks.
-const handoverFolder = "gatetack-handover"
-
 // Divisors of a front's connections that yield the number of its overflow connections, which get a single response.
 const (
 	operatorOverflowDivisor = 4
@@ -46,12 +39,12 @@
 	if err != nil {
 		return err
 	}
-	p.callbacks = &callbackRouter{executors: p.executors}
-	if cfg.PassedSocket >= 0 {
-		p.startRelay()
-	}
+	p.callbacks = &callbackRouter{executors: p.executors, maxID: cfg.Limits.IDBytes}
 	p.clients = http1.NewServer(
 		cfg.Limits, platform.New(p.core, p.callbacks, cfg.Limits, p.log), p.core.SlowPeers(), p.log)
+	if cfg.PassedSocket >= 0 {
+		p.startReplacement()
+	}
 	p.lifetime.start(p.core.Run)
 	p.lifetime.start(p.endpoints.Run)
 	p.lifetime.start(func(ctx context.Context) error {
@@ -61,18 +54,6 @@
 	return nil
 }
 
-// startRelay starts to exchange callbacks with the other process of this node during a replacement.
-func (p *process) startRelay() {
-	folder := filepath.Join(os.TempDir(), handoverFolder)
-	relay := callbackrelay.New(folder, p.config.Limits.DrainCheckInterval, p.config.Limits.ShutdownGrace, p.log)
-	if err := relay.Register(); err != nil { // Run retries
-		p.log.Error("callback directory not usable", "err", err)
-	}
-	p.lifetime.onEnd(func() { _ = relay.Close() })
-	p.callbacks.relay = relay
-	p.lifetime.start(func(ctx context.Context) error { return relay.Run(ctx, p.callbacks.deliverStored) })
-}
-
 // startOperator opens the operator's front.
 func (p *process) startOperator(ctx context.Context) error {
 	listener, err := net.Listen("tcp", p.config.Operator)
--- a/internal/callbackrelay/callbackrelay.go
+++ b/internal/callbackrelay/callbackrelay.go
@@ -4,6 +4,9 @@
 // attempt that it does not know stores it in a directory that both share ($TMPDIR), from which the other process takes
 // it. Nothing is stored while only one process runs.
 //
+// Each process has a marker in the directory, which tells the others that it is running and whether they can see which
+// requests it has open.
+//
 // A Relay's scans and their state belong to the goroutine of Run; Forward is safe for concurrent use.
 package callbackrelay
 
@@ -19,11 +22,8 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"gatetack/internal/atomicfile"
 	"gatetack/internal/operr"
 )
@@ -31,7 +31,7 @@
 // Prefixes and suffixes of file names in the directory. Processes of two versions of the program share the directory,
 // so these must not change.
 const (
-	markerPrefix   = "p" // p<pid>, empty: a process of the node is running
+	markerPrefix   = "p" // p<pid>: a process of the node is running
 	callbackPrefix = "c" // c<pid>-...: a callback that the process with that pid stored for another one
 	legacyTemp     = ".part"
 )
@@ -43,90 +43,92 @@
 
 // Relay forwards callbacks to, and takes callbacks from, the other processes of the node.
 type Relay struct {
-	files    Directory
-	dir      string
-	pid      int
-	name     string // prefix of the names of this process's callbacks; unique even if a later process has the same pid
-	sequence atomic.Uint64
-	interval time.Duration // between scans of the directory
-	ttl      time.Duration // a stored callback that no process takes is deleted after it
-	log      *slog.Logger
-
-	firstSeen map[string]time.Time // by file name, on the monotonic clock; used by Run only
-	failing   bool                 // whether the last scan failed; used by Run only
+	files      Directory
+	dir        string
+	node       string // name of the node
+	pid        int
+	startTicks uint64 // of this process
+	name       string // prefix of the names of this process's callbacks; unique even if a later process has the same pid
+	sequence   atomic.Uint64
+	limits     Limits
+	ids        OpenIDs
+	log        *slog.Logger
+
+	// Used by Start and Run only.
+	firstSeen      map[string]time.Time // by file name, on the monotonic clock
+	uncertainSince map[string]time.Time // by name of a marker; see observeOthers
+	registered     marker               // as last written
+	startedAt      time.Time
+	scanned        bool // a scan has succeeded
+	failing        bool // whether the last scan failed
+}
+
+// Limits bound a relay.
+type Limits struct {
+	Interval       time.Duration // between scans of the directory
+	TTL            time.Duration // a stored callback that no process takes is deleted after it
+	ReplaceTimeout time.Duration // by which the process that is replaced has ended
 }
 
-// New returns a relay for a directory. The directory is created when needed, and need not be usable yet.
-func New(dir string, interval, ttl time.Duration, log *slog.Logger) *Relay {
-	return newRelay(osDirectory{atomicfile.OS}, dir, os.Getpid(), interval, ttl, log)
+// OpenIDs are the IDs of the open requests of this node's processes. Its methods are safe for concurrent use.
+type OpenIDs interface {
+	// Shared reports whether the other processes can see the IDs of all open requests of this one.
+	Shared() bool
+	// OpenElsewhere reports whether another process has a request of an ID open, as far as that can be seen.
+	OpenElsewhere(id string) bool
+	// ObserveOthers takes what is known of the other processes, after each scan.
+	ObserveOthers(Others)
 }
 
-func newRelay(files Directory, dir string, pid int, interval, ttl time.Duration, log *slog.Logger) *Relay {
+// New returns a relay of a node for a directory. The directory is created when needed, and need not be usable yet.
+func New(dir, node string, limits Limits, ids OpenIDs, log *slog.Logger) *Relay {
+	r := newRelay(osDirectory{atomicfile.OS}, dir, os.Getpid(), limits, ids, log)
+	r.node = node
+	return r
+}
+
+func newRelay(files Directory, dir string, pid int, limits Limits, ids OpenIDs, log *slog.Logger) *Relay {
 	name := fmt.Sprintf("%s%d-%x-", callbackPrefix, pid, rand.Uint64())
 	return &Relay{
-		files:     files,
-		dir:       dir,
-		pid:       pid,
-		name:      name,
-		interval:  interval,
-		ttl:       ttl,
-		log:       log,
-		firstSeen: map[string]time.Time{},
+		files:      files,
+		dir:        dir,
+		pid:        pid,
+		startTicks: startTicks(pid),
+		name:       name,
+		limits:     limits,
+		ids:        ids,
+		log:        log,
+		firstSeen:  map[string]time.Time{},
 	}
 }
 
-// Register creates the marker that this process is running. If it fails, the node serves nevertheless and Run tries
-// again; until then the other process stores nothing for this one.
-func (r *Relay) Register() error {
-	if err := r.files.MkdirAll(r.dir, directoryMode); err != nil {
-		return fmt.Errorf("handover: %w", err)
-	}
-	if err := atomicfile.Write(r.files, r.marker(), nil, fileMode); err != nil {
-		return fmt.Errorf("handover: %w", err)
+// Start makes the first scan and registers the process, so that its first request is accepted knowing the other
+// processes. If Start fails, the node serves nevertheless and Run tries again.
+func (r *Relay) Start(take func(body []byte) bool) error {
+	r.startedAt = time.Now()
+	err := r.scan(take)
+	r.logScan(err)
+	if err != nil {
+		r.ids.ObserveOthers(Others{Running: 1})
 	}
-	return nil
+	return err
 }
 
-// Close removes the marker that this process is running.
-func (r *Relay) Close() error { return r.files.Remove(r.marker()) }
-
-func (r *Relay) marker() string { return filepath.Join(r.dir, markerPrefix+strconv.Itoa(r.pid)) }
-
-// othersRunning reports whether another process of the node is running. It removes the markers of processes that have
-// ended.
-func (r *Relay) othersRunning() (bool, error) {
-	entries, err := r.files.ReadDir(r.dir)
-	if err != nil {
-		return false, err
-	}
-	running := false
-	for _, entry := range entries {
-		pid, err := strconv.Atoi(strings.TrimPrefix(entry.Name(), markerPrefix))
-		if err != nil || pid == r.pid || !strings.HasPrefix(entry.Name(), markerPrefix) {
-			continue
+// Forward stores a callback that this process does not know for another process of the node, and reports whether it
+// did. It does if the request of this ID is open in another process, or may be. Its error is a NotStoredError: the
+// callback may belong to another process, and was not stored.
+func (r *Relay) Forward(id string, body []byte) (bool, error) {
+	if !r.ids.OpenElsewhere(id) {
+		entries, err := r.files.ReadDir(r.dir)
+		if err != nil {
+			return false, &NotStoredError{err}
 		}
-		if errors.Is(unix.Kill(pid, 0), syscall.ESRCH) {
-			_ = r.files.Remove(filepath.Join(r.dir, entry.Name()))
-			continue
+		if r.others(entries).ShareIDs {
+			return false, nil // no process has the request open
 		}
-		running = true
-	}
-	return running, nil
-}
-
-// Forward stores a callback that this process does not know for another process of the node, and reports whether one
-// is running. Its error is a NotStoredError: another process, to which the callback may belong, is running or may be
-// running, and the callback was not stored.
-func (r *Relay) Forward(body []byte) (bool, error) {
-	running, err := r.othersRunning()
-	if err != nil {
-		return false, &NotStoredError{err}
 	}
-	if !running {
-		return false, nil
-	}
-	path := filepath.Join(r.dir, r.name+strconv.FormatUint(r.sequence.Add(1), 10))
-	if err := atomicfile.Write(r.files, path, body, fileMode); err != nil {
+	name := r.name + strconv.FormatUint(r.sequence.Add(1), 10)
+	if err := atomicfile.Write(r.files, filepath.Join(r.dir, name), body, fileMode); err != nil {
 		return false, &NotStoredError{err}
 	}
 	return true, nil
@@ -135,7 +137,7 @@
 // Run takes callbacks that other processes stored until the context ends. take reports whether a callback belongs to
 // this process.
 func (r *Relay) Run(ctx context.Context, take func(body []byte) bool) error {
-	tick := time.NewTicker(r.interval)
+	tick := time.NewTicker(r.limits.Interval)
 	defer tick.Stop()
 	for {
 		select {
@@ -143,7 +145,11 @@
 		case <-ctx.Done():
 			return nil
 		}
-		r.logScan(r.scan(take))
+		err := r.scan(take)
+		r.logScan(err)
+		if err != nil && !r.scanned && time.Since(r.startedAt) >= r.limits.ReplaceTimeout {
+			r.ids.ObserveOthers(Others{ShareIDs: true}) // a process that was running at the start has ended by now
+		}
 	}
 }
 
@@ -159,15 +165,17 @@
 }
 
 // scan handles all files in the directory once. It registers the process again if its marker is missing, because the
-// directory was not usable or was emptied.
+// directory was not usable or was emptied, or if its content has changed.
 func (r *Relay) scan(take func(body []byte) bool) error {
 	entries, err := r.files.ReadDir(r.dir)
 	if errors.Is(err, fs.ErrNotExist) {
-		return r.Register()
+		entries, err = nil, nil // nobody has registered
 	}
 	if err != nil {
 		return err
 	}
+	r.scanned = true
+	r.observeOthers(r.others(entries), time.Now())
 	registered, present := false, map[string]time.Time{}
 	for _, entry := range entries {
 		if entry.Name() == filepath.Base(r.marker()) {
@@ -179,7 +187,7 @@
 		}
 	}
 	r.firstSeen = present
-	if !registered {
+	if !registered || r.registered != r.currentMarker() {
 		return r.Register()
 	}
 	return nil
@@ -204,7 +212,7 @@
 		r.firstSeen[name] = now
 		return true
 	}
-	if now.Sub(seen) <= r.ttl {
+	if now.Sub(seen) <= r.limits.TTL {
 		return true
 	}
 	return r.files.Remove(path) != nil
--- a/internal/callbackrelay/callbackrelay_test.go
+++ b/internal/callbackrelay/callbackrelay_test.go
@@ -16,8 +16,27 @@
 	"gatetack/internal/testenv"
 )
 
+const testID = "9b1f03aa5c7e2d41"
+
 // testCallback is a callback as an executor sends it.
-const testCallback = `{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"done","result":"tile"}`
+const testCallback = `{"id":"` + testID + `","from":"s-0badcafe","state":"done","result":"tile"}`
+
+var testLimits = Limits{
+	Interval:       time.Millisecond,
+	TTL:            time.Minute,
+	ReplaceTimeout: time.Minute,
+}
+
+// fakeIDs are the IDs of a process that does not share them, unless a test sets them.
+type fakeIDs struct {
+	shared   bool
+	open     string // an ID that is open in another process
+	observed Others
+}
+
+func (f *fakeIDs) Shared() bool                 { return f.shared }
+func (f *fakeIDs) OpenElsewhere(id string) bool { return id == f.open }
+func (f *fakeIDs) ObserveOthers(others Others)  { f.observed = others }
 
 // faultyDirectory injects faults into the directory calls, in addition to those of files.
 type faultyDirectory struct {
@@ -53,7 +72,7 @@
 // register returns a registered relay with a pid. Tests use the parent's pid for the other process of the node.
 func register(t *testing.T, files Directory, dir string, pid int) *Relay {
 	t.Helper()
-	r := newRelay(files, dir, pid, time.Millisecond, time.Minute, testenv.DiscardLog)
+	r := newRelay(files, dir, pid, testLimits, &fakeIDs{}, testenv.DiscardLog)
 	if err := r.Register(); err != nil {
 		t.Fatal(err)
 	}
@@ -83,18 +102,18 @@
 func TestForwardedCallbackIsTakenOnce(t *testing.T) {
 	dir := t.TempDir()
 	old := register(t, osDirectory{atomicfile.OS}, dir, os.Getpid())
-	if stored, err := old.Forward([]byte("x")); stored || err != nil {
+	if stored, err := old.Forward(testID, []byte("x")); stored || err != nil {
 		t.Fatalf("a callback was stored while the process was alone: %v", err)
 	}
 	if err := os.WriteFile(filepath.Join(dir, "p999999999"), nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if stored, err := old.Forward([]byte("x")); stored || err != nil {
+	if stored, err := old.Forward(testID, []byte("x")); stored || err != nil {
 		t.Fatalf("a callback was stored for a process that has ended: %v", err)
 	}
 	// The new process has another pid and the same directory.
 	next := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
-	if stored, err := next.Forward([]byte(testCallback)); !stored || err != nil {
+	if stored, err := next.Forward(testID, []byte(testCallback)); !stored || err != nil {
 		t.Fatalf("nothing was stored while another process is running: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,14 +156,14 @@
 			old := register(t, osDirectory{atomicfile.OS}, dir, os.Getpid())
 			next := register(t, files, dir, os.Getppid())
 			files.Fail(x.op, 1, x.cause)
-			stored, err := next.Forward([]byte(testCallback))
+			stored, err := next.Forward(testID, []byte(testCallback))
 			if _, ok := errors.AsType[*NotStoredError](err); stored || !ok || !errors.Is(err, x.cause) {
 				t.Fatalf("stored %v, error %v, want a NotStoredError of %v", stored, err, x.cause)
 			}
 			if got := scanned(t, old); len(got) != 0 {
 				t.Errorf("taken: %q", got)
 			}
-			if stored, err := next.Forward([]byte(testCallback)); !stored || err != nil {
+			if stored, err := next.Forward(testID, []byte(testCallback)); !stored || err != nil {
 				t.Fatalf("second call: stored %v, error %v", stored, err)
 			}
 			if got := scanned(t, old); len(got) != 1 || got[0] != testCallback {
@@ -159,11 +178,11 @@
 	files := newFaultyDirectory()
 	r := register(t, files, t.TempDir(), os.Getpid())
 	files.list = syscall.EIO
-	if _, err := r.Forward([]byte(testCallback)); !errors.Is(err, syscall.EIO) {
+	if _, err := r.Forward(testID, []byte(testCallback)); !errors.Is(err, syscall.EIO) {
 		t.Fatalf("got %v, want EIO", err)
 	}
 	files.list = nil
-	if _, err := r.Forward([]byte(testCallback)); err != nil {
+	if _, err := r.Forward(testID, []byte(testCallback)); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -181,7 +200,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			dir, files := filepath.Join(t.TempDir(), "handover"), newFaultyDirectory()
 			x.fail(files)
-			r := newRelay(files, dir, os.Getpid(), time.Millisecond, time.Minute, testenv.DiscardLog)
+			r := newRelay(files, dir, os.Getpid(), testLimits, &fakeIDs{}, testenv.DiscardLog)
 			if err := r.Register(); err == nil {
 				t.Fatal("Register succeeded on a failing directory")
 			}
@@ -194,7 +213,7 @@
 				t.Errorf("taken: %q", got)
 			}
 			other := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
-			if stored, err := other.Forward([]byte(testCallback)); !stored || err != nil {
+			if stored, err := other.Forward(testID, []byte(testCallback)); !stored || err != nil {
 				t.Errorf("the process is not seen as running: stored %v, error %v", stored, err)
 			}
 		})
@@ -216,7 +235,7 @@
 	if got := scanned(t, r); len(got) != 0 {
 		t.Errorf("taken: %q", got)
 	}
-	r.ttl = -1
+	r.limits.TTL = -1
 	scanned(t, r)
 	entries, err := os.ReadDir(dir)
 	if err != nil || len(entries) != 1 || entries[0].Name() != filepath.Base(r.marker()) {
@@ -230,7 +249,7 @@
 	dir := t.TempDir()
 	old := register(t, osDirectory{atomicfile.OS}, dir, os.Getpid())
 	next := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
-	if stored, err := next.Forward([]byte(testCallback)); !stored || err != nil {
+	if stored, err := next.Forward(testID, []byte(testCallback)); !stored || err != nil {
 		t.Fatal(err)
 	}
 	hourAgo := time.Now().Add(-time.Hour)
@@ -253,7 +272,7 @@
 	earlier := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
 	later := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
 	for _, r := range []*Relay{earlier, later} {
-		if stored, err := r.Forward([]byte(testCallback)); !stored || err != nil {
+		if stored, err := r.Forward(testID, []byte(testCallback)); !stored || err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -270,7 +289,7 @@
 	dir, files := t.TempDir(), newFaultyDirectory()
 	old := register(t, files, dir, os.Getpid())
 	next := register(t, osDirectory{atomicfile.OS}, dir, os.Getppid())
-	if stored, err := next.Forward([]byte(testCallback)); !stored || err != nil {
+	if stored, err := next.Forward(testID, []byte(testCallback)); !stored || err != nil {
 		t.Fatal(err)
 	}
 	files.read = syscall.EIO
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -126,6 +126,9 @@
 	ShutdownGrace time.Duration
 	// DrainCheckInterval is the time between checks of the drain state. They close idle connections of a drained node.
 	DrainCheckInterval time.Duration
+	// ReplaceTimeout is how long after the start of a process the one that it replaces may still be running: it is told to
+	// end as soon as the new one is ready, and is killed at the end of its ShutdownGrace.
+	ReplaceTimeout time.Duration
 	// RetiredClassTTL is how long after a change of settings jobs of a removed class are still accepted.
 	RetiredClassTTL time.Duration
 	// QuietPeriod is the time without a new request after which a node that shuts down exits.
@@ -158,6 +161,9 @@
 	killAfter      = 3 * time.Second
 	killGrace      = 700 * time.Millisecond
 	shutdownMargin = 200 * time.Millisecond
+
+	// A process that replaces another is ready within readyTimeout, or is killed.
+	readyTimeout = 6 * time.Second
 )
 
 // listTimeouts are the protocol's: changes count as notified after 6 s without a byte, 2 s after discovery's own wait
@@ -249,7 +255,8 @@
 		PushedListRetryInterval: 100 * time.Millisecond, DrainSendGrace: drainGrace / 2,
 		ReadyTimeout: 5 * time.Second, ResponseMargin: 30 * time.Millisecond,
 		ShutdownGrace: killAfter + killGrace - shutdownMargin, QuietPeriod: 700 * time.Millisecond,
-		DrainCheckInterval: 20 * time.Millisecond, RetiredClassTTL: 3 * time.Second,
+		DrainCheckInterval: 20 * time.Millisecond, ReplaceTimeout: readyTimeout + killAfter + killGrace,
+		RetiredClassTTL:  3 * time.Second,
 		SettingsPollWait: 2 * time.Second, SettingsCallTimeout: 3 * time.Second,
 		SettingsBackoff:      Backoff{50 * time.Millisecond, 2 * time.Second},
 		SettingsRetryBackoff: Backoff{time.Second, 30 * time.Second},
--- a/internal/node/carriers.go
+++ b/internal/node/carriers.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"gatetack/internal/idclaims"
+)
 
 // Executors carries out the actions that concern executors. None of its methods blocks.
 type Executors interface {
@@ -32,3 +36,14 @@
 	// SendGossip sends a message to one node, or to all nodes if the number is dispatch.AllPeers.
 	SendGossip(to uint16, data []byte)
 }
+
+// TraceIDs knows which trace IDs other processes of this node have open. None of its methods waits for another process.
+type TraceIDs interface {
+	// Claim claims a trace ID until its job is released, and at most until end. It returns idclaims.ErrOpen if the ID is
+	// open in any process of the node, and another error if that is not known.
+	Claim(traceID string, now, end time.Time) (idclaims.Claim, error)
+	// Known reports whether it is known which IDs are open in the other processes. It is safe for concurrent use.
+	Known() bool
+	// Release ends a claim.
+	Release(idclaims.Claim)
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -49,6 +49,7 @@
 	executors Executors
 	endpoints EndpointSource
 	peers     Peers
+	traceIDs  TraceIDs // nil if no other process has this node's listening socket
 }
 
 // intake passes events from other goroutines to the goroutine of Run.
@@ -126,9 +127,13 @@
 
 // Connect sets the adapters that carry out the core's actions. It must be called before Run.
 func (c *Core) Connect(e Executors, l EndpointSource, p Peers) {
-	c.adapters = adapters{executors: e, endpoints: l, peers: p}
+	c.adapters.executors, c.adapters.endpoints, c.adapters.peers = e, l, p
 }
 
+// ShareTraceIDs makes the core accept only trace IDs that no other process of this node has open. It must be called
+// before Run.
+func (c *Core) ShareTraceIDs(ids TraceIDs) { c.adapters.traceIDs = ids }
+
 // Run handles events and steps the dispatch module until the context ends.
 func (c *Core) Run(ctx context.Context) error {
 	defer close(c.intake.stopped)
--- a/internal/node/job.go
+++ b/internal/node/job.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"gatetack/internal/idclaims"
 	"gatetack/internal/precheck"
 )
 
@@ -14,7 +15,9 @@
 	client     Client
 	acceptedAt time.Time
 	deadline   time.Time
-	rules      *Rules      // in force when the job was accepted
+	rules      *Rules         // in force when the job was accepted
+	claim      idclaims.Claim // of its trace ID, if claimed is set
+	claimed    bool
 	answered   atomic.Bool // true also after the client has left; other goroutines read it
 	inFlight   int         // number of attempts
 	mayHaveRun bool
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -1,24 +1,43 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"gatetack/internal/dispatch"
+	"gatetack/internal/idclaims"
 )
 
-// shuttingDownReason is the reason given to jobs that are answered because the node shuts down.
-const shuttingDownReason = "the node leaves"
+// claimMargin is how long a client's request counts as open after its deadline if its process does not release it. An
+// answer may come half a second late.
+const claimMargin = 500 * time.Millisecond
+
+// Reasons given to jobs that are answered without a decision of the module.
+const (
+	shuttingDownReason = "the node leaves"
+	openTraceIDReason  = "a job of this id is still open"
+	replacementReason  = "the node's process is being replaced"
+)
 
 // addJob adds a job that a front submitted. A second job with the trace ID of an open job fails: callbacks name a job
-// by its trace ID alone, so it could get the result of the first.
+// by its trace ID alone, so it could get the result of the first, and both could run.
 func (c *Core) addJob(j *job, now time.Time) {
 	c.counters.Accepted++
 	if j.request.TraceID == "" || c.jobs.byTrace[j.request.TraceID] != nil {
-		c.answer(j, Answer{End: Failed, Reason: "a job of this id is still open"})
+		c.answer(j, Answer{End: Failed, Reason: openTraceIDReason})
 		return
 	}
 	if c.jobs.shuttingDown {
-		c.answer(j, Answer{End: Rejected, RetryAfter: FromMs(c.settings.MaxRetryAfter), Reason: shuttingDownReason})
+		c.reject(j, shuttingDownReason)
+		return
+	}
+	switch err := c.claimTraceID(j, now); {
+	case errors.Is(err, idclaims.ErrOpen):
+		c.answer(j, Answer{End: Failed, Reason: openTraceIDReason})
+		return
+	case err != nil:
+		c.log.Debug("trace ID not claimed", "job", j.request.TraceID, "err", err)
+		c.reject(j, replacementReason)
 		return
 	}
 	j.rules = c.rules.Load()
@@ -27,6 +46,23 @@
 	c.startTimer(j.deadline.Add(-c.limits.ResponseMargin), jobDeadline(j.id))
 }
 
+// claimTraceID claims the trace ID of a job among all processes of this node. An attempt can be in flight until the
+// client's deadline; the claim is kept for claimMargin longer if the process does not release it.
+func (c *Core) claimTraceID(j *job, now time.Time) error {
+	if c.adapters.traceIDs == nil || !j.request.ClientTraceID {
+		return nil
+	}
+	var err error
+	j.claim, err = c.adapters.traceIDs.Claim(j.request.TraceID, now, j.deadline.Add(claimMargin))
+	j.claimed = err == nil
+	return err
+}
+
+// reject rejects a job that was not passed to the module.
+func (c *Core) reject(j *job, reason string) {
+	c.answer(j, Answer{End: Rejected, RetryAfter: FromMs(c.settings.MaxRetryAfter), Reason: reason})
+}
+
 // requestEvent converts a job to the module's request event.
 func requestEvent(j *job, now time.Time) dispatch.Event {
 	request := &j.request
@@ -79,6 +115,9 @@
 func (c *Core) release(j *job) {
 	if j.answered.Load() && j.inFlight == 0 && c.jobs.byID[j.id] == j {
 		c.jobs.remove(j)
+		if j.claimed {
+			c.adapters.traceIDs.Release(j.claim)
+		}
 	}
 }
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -137,11 +137,12 @@
 	}
 }
 
-// Ready reports whether the node can serve: it does not hold jobs, and its endpoint list contains a ready executor.
+// Ready reports whether the node can serve: it does not hold jobs, its endpoint list contains a ready executor, and it
+// is known which requests the node's other processes have open.
 // Without a list from discovery the node counts as ready after ReadyBy: if discovery is down, a node that rejects what
 // it cannot send is of more use than none.
 func (c *Core) Ready() bool {
-	if c.status.holdsJobs.Load() {
+	if c.status.holdsJobs.Load() || c.adapters.traceIDs != nil && !c.adapters.traceIDs.Known() {
 		return false
 	}
 	return c.status.hasReadyExecutor.Load() ||
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -19,6 +19,9 @@
 	ZonePrices    []float64 // by zone index; empty for the price of crossing zones in the settings
 	Retry         bool      // the client marks the request as a retry
 
+	// ClientTraceID is set if the client chose TraceID. Other clients can then send the same to any process of this node.
+	ClientTraceID bool
+
 	// Passed on to the executor unchanged.
 	TraceID, IdempotencyKey string
 	Method, Target          string
--- a/internal/platform/job.go
+++ b/internal/platform/job.go
@@ -23,6 +23,7 @@
 func parseJob(m *http1.Message, class int, names *node.Names, maxID int) (node.Job, error) {
 	job := node.Job{
 		Class:          class,
+		ClientTraceID:  true,
 		TraceID:        m.Get("X-Trace-Id"),
 		IdempotencyKey: m.Get("Idempotency-Key"),
 		Method:         m.Method,
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -44,7 +44,7 @@
 
 // testNode is a node under test with its process, executors and discovery.
 type testNode struct {
-	t              *testing.T
+	t              testing.TB
 	ctx            context.Context
 	g              *errgroup.Group
 	dir            string
@@ -69,7 +69,7 @@
 // defaultSettings are the settings as they stand in the first message of the simulator.
 const defaultSettings = testenv.Settings
 
-func newTestNode(t *testing.T, executorCount int, run time.Duration) *testNode {
+func newTestNode(t testing.TB, executorCount int, run time.Duration) *testNode {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &errgroup.Group{}
 	ports, err := testenv.FreeAddrs(3)
