Bound the callbacks that a process stores for the other process of its node

While one process replaces the other, any client could make the node write a file of up to 64 KB with each callback; files count as the node's memory and stayed for 3.5 s.

Change: what one process has stored at a time is at most a 32nd of the memory limit and 256 files; above that executors get 503 and call again. TestStoredCallbacksAreBounded fails without the bound: all callbacks are stored. The memory of a node under such a flood was not measured.

--- a/cmd/gatetack/callbacks_test.go
+++ b/cmd/gatetack/callbacks_test.go
@@ -25,8 +25,9 @@
 		t.Fatal(err)
 	}
 	folder := filepath.Join(blocked, "handover")
+	limits := callbackrelay.Limits{StoredBytes: 1 << 10, StoredFiles: 1}
 	ids := &replacement{IDs: sharedids.Open(folder, testenv.DiscardLog)}
-	relay := callbackrelay.New(folder, "n0", callbackrelay.Limits{}, ids, testenv.DiscardLog)
+	relay := callbackrelay.New(folder, "n0", limits, ids, testenv.DiscardLog)
 	if err := relay.Register(); err == nil {
 		t.Fatal("Register succeeded below a regular file")
 	}
--- a/cmd/gatetack/replacement.go
+++ b/cmd/gatetack/replacement.go
@@ -30,6 +30,8 @@
 		Interval:       lim.DrainCheckInterval,
 		TTL:            lim.ShutdownGrace,
 		ReplaceTimeout: lim.ReplaceTimeout,
+		StoredBytes:    lim.RelayBytes,
+		StoredFiles:    lim.RelayFiles,
 	}, shared, p.log)
 	_ = relay.Start(p.callbacks.deliverStored) // it logs its error, and Run tries again
 	p.lifetime.onEnd(func() { _ = relay.Close() })
--- a/internal/callbackrelay/callbackrelay.go
+++ b/internal/callbackrelay/callbackrelay.go
@@ -2,7 +2,8 @@
 // processes have the same listening socket. Once the old process accepts no connections, all callbacks of executors
 // reach the new process, including those for attempts of the old one. A process that receives a callback for an
 // attempt that it does not know stores it in a directory that both share ($TMPDIR), from which the other process takes
-// it. Nothing is stored while only one process runs.
+// it. Nothing is stored while only one process runs, and what is stored at a time is bounded: files in the directory
+// count as memory of the node.
 //
 // Each process has a marker in the directory, which tells the others that it is running and whether they can see which
 // requests it has open.
@@ -53,6 +54,7 @@
 	limits     Limits
 	ids        OpenIDs
 	log        *slog.Logger
+	stored     storedBytes // of callbacks that this process stored and that are still in the directory
 
 	// Used by Start and Run only.
 	firstSeen      map[string]time.Time // by file name, on the monotonic clock
@@ -68,6 +70,8 @@
 	Interval       time.Duration // between scans of the directory
 	TTL            time.Duration // a stored callback that no process takes is deleted after it
 	ReplaceTimeout time.Duration // by which the process that is replaced has ended
+	StoredBytes    int           // of the callbacks that one process has stored at a time
+	StoredFiles    int           // number of these callbacks
 }
 
 // OpenIDs are the IDs of the open requests of this node's processes. Its methods are safe for concurrent use.
@@ -128,9 +132,14 @@
 		}
 	}
 	name := r.name + strconv.FormatUint(r.sequence.Add(1), 10)
+	if !r.stored.reserve(name, len(body), r.limits) {
+		return false, &NotStoredError{errStoredLimit}
+	}
 	if err := atomicfile.Write(r.files, filepath.Join(r.dir, name), body, fileMode); err != nil {
+		r.stored.release(name)
 		return false, &NotStoredError{err}
 	}
+	r.stored.wrote(name)
 	return true, nil
 }
 
@@ -187,6 +196,7 @@
 		}
 	}
 	r.firstSeen = present
+	r.stored.keep(present)
 	if !registered || r.registered != r.currentMarker() {
 		return r.Register()
 	}
--- a/internal/callbackrelay/callbackrelay_test.go
+++ b/internal/callbackrelay/callbackrelay_test.go
@@ -25,6 +25,8 @@
 	Interval:       time.Millisecond,
 	TTL:            time.Minute,
 	ReplaceTimeout: time.Minute,
+	StoredBytes:    1 << 20,
+	StoredFiles:    64,
 }
 
 // fakeIDs are the IDs of a process that does not share them, unless a test sets them.
--- a/internal/callbackrelay/marker_test.go
+++ b/internal/callbackrelay/marker_test.go
@@ -1,6 +1,7 @@
 package callbackrelay
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -171,6 +172,36 @@
 	}
 }
 
+// Guards against a node that spends memory on any number of callbacks: what is stored until the other process takes it
+// is bounded in bytes and files.
+func TestStoredCallbacksAreBounded(t *testing.T) {
+	dir := t.TempDir()
+	old, _ := sharing(t, dir, os.Getppid())
+	r, ids := sharing(t, dir, os.Getpid())
+	ids.open = testID
+	r.limits.StoredFiles, r.limits.StoredBytes = 3, 2*len(testCallback)
+	for i, want := range []bool{true, true, false} { // bounded by bytes
+		if stored, err := r.Forward(testID, []byte(testCallback)); stored != want || (err == nil) != want {
+			t.Errorf("callback %d: stored %v, error %v", i, stored, err)
+		}
+	}
+	r.limits.StoredBytes = 1 << 20
+	for i, want := range []bool{true, false} { // bounded by number
+		stored, err := r.Forward(testID, []byte(testCallback))
+		if stored != want || !want && !errors.Is(err, errStoredLimit) {
+			t.Errorf("callback %d: stored %v, error %v", i, stored, err)
+		}
+	}
+	if got := scanned(t, old); len(got) != 3 {
+		t.Errorf("%d callbacks were taken, want 3", len(got))
+	}
+	r.scanOnly(t)
+	r.scanOnly(t)
+	if stored, err := r.Forward(testID, []byte(testCallback)); !stored || err != nil {
+		t.Errorf("after the others were taken: stored %v, error %v", stored, err)
+	}
+}
+
 // Beside a process that shares its IDs, only callbacks of requests that are open there are stored.
 func TestOnlyCallbacksOfOpenRequestsAreStored(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -143,6 +143,10 @@
 	// Slow peers.
 	SlowPeers slowpeer.Policy
 
+	// Callbacks that a process has stored for another process of this node, at a time.
+	RelayBytes int
+	RelayFiles int
+
 	// The process.
 	Cores       int
 	MemoryBytes int64 // memory limit of the garbage collector
@@ -256,7 +260,7 @@
 		ReadyTimeout: 5 * time.Second, ResponseMargin: 30 * time.Millisecond,
 		ShutdownGrace: killAfter + killGrace - shutdownMargin, QuietPeriod: 700 * time.Millisecond,
 		DrainCheckInterval: 20 * time.Millisecond, ReplaceTimeout: readyTimeout + killAfter + killGrace,
-		RetiredClassTTL:  3 * time.Second,
+		RelayBytes: memoryMB << 20 / 32, RelayFiles: 256, RetiredClassTTL: 3 * time.Second,
 		SettingsPollWait: 2 * time.Second, SettingsCallTimeout: 3 * time.Second,
 		SettingsBackoff:      Backoff{50 * time.Millisecond, 2 * time.Second},
 		SettingsRetryBackoff: Backoff{time.Second, 30 * time.Second},
