Divide the node's budgets and limits among its processes while one replaces another

While both processes of a node run, an executor that is warming up could get the node's budget from each, and the node could hold twice its connections, bodies and memory.

Cause: slow start's budget is a node's share of what all nodes may send, and each process took it as its own; limits are divided among the parts of one process. The module is told with EvProcesses and divides the budget and what has accumulated; clients' connections and bodies, connections to executors and the collector's memory limit are divided as well, for as long as both run.

TestProcessesShareTheLimits and TestProcessesShareTheConnectionsToExecutors hold the limits.

--- a/cmd/gatetack/replacement.go
+++ b/cmd/gatetack/replacement.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 
 	"gatetack/internal/callbackrelay"
 	"gatetack/internal/sharedids"
@@ -14,16 +15,18 @@
 const handoverFolder = "gatetack-handover"
 
 // replacement is what this process shares with the process that it replaces, or that replaces it: clients and executors
-// see one node, so an ID that is open in one of the processes is open in both.
+// see one node, so the IDs of open requests and the node's budgets and limits hold for both processes together.
 type replacement struct {
 	*sharedids.IDs
+	process   *process
+	processes int // of this node that were running at the last scan, this one included
 }
 
-// startReplacement starts to share this node's requests and callbacks with its other processes. The process
+// startReplacement starts to share this node's requests, budgets and callbacks with its other processes. The process
 // must not have accepted a connection before.
 func (p *process) startReplacement() {
 	folder := filepath.Join(os.TempDir(), handoverFolder)
-	shared := &replacement{sharedids.Open(folder, p.log)}
+	shared := &replacement{IDs: sharedids.Open(folder, p.log), process: p, processes: 1}
 	p.core.ShareTraceIDs(shared)
 	lim := &p.config.Limits
 	relay := callbackrelay.New(folder, p.config.Name, callbackrelay.Limits{
@@ -43,4 +46,15 @@
 func (r *replacement) ObserveOthers(others callbackrelay.Others) {
 	r.Refresh()
 	r.IDs.ObserveOthers(others.ShareIDs)
+	processes := others.Running + 1
+	if processes == r.processes {
+		return
+	}
+	r.processes = processes
+	p := r.process
+	p.log.Info("processes of this node", "running", processes)
+	p.core.SetProcesses(processes)
+	p.executors.SetProcesses(processes)
+	p.clients.SetProcesses(processes)
+	debug.SetMemoryLimit(p.config.Limits.MemoryBytes / int64(processes))
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,6 +25,7 @@
 	aggregatorServer aggregatorServer
 	rejections       rejectionLog
 
+	processes      float64 // of this node that send at the same time
 	nextTick       float64
 	lastTimerToken uint32
 }
@@ -51,6 +52,7 @@
 	env := &environment{settings: s, randomState: seed, logBudget: maxLogBurst}
 	d := &Dispatcher{
 		environment:  env,
+		processes:    1,
 		jobs:         jobTable{byID: map[uint32]*job{}},
 		admission:    admission{environment: env},
 		capacity:     fleetCapacity{widestRequest: 1},
@@ -111,6 +113,8 @@
 		if job := d.jobs.byID[event.Job]; job != nil {
 			d.finishJob(job)
 		}
+	case EvProcesses:
+		d.setProcesses(event.Amount)
 	case EvStreamStarted:
 		d.handleStreamStart(event)
 	case EvGossip:
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -33,6 +33,8 @@
 //     executor; an executor that they omit has been removed. StartedAt changes when the executor's process restarts
 //     under the same number.
 //   - A ListDelta without entries confirms that the list is still current.
+//   - While several processes of the node send at the same time, each of them gets their number with EvProcesses: they
+//     share the budgets that hold for the node.
 //   - ActHealthCheck leads to one EvHealthCheck, and ActPollList to one EvEndpoints (ListFailed if the call failed).
 //     These two, ActGossip and ActCancel are only emitted where the settings allow them. ActClose and ActFetch are not
 //     used.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -14,6 +14,7 @@
 	EvOutcome                             // Job, Attempt, Executor, Outcome, Elapsed, Final, Report
 	EvRequest                             // Job, Class, Tenant, Key, TimeLeft, Work, Slots, Memory, Flags
 	EvHealthCheck                         // Executor, Outcome, Elapsed, Report
+	EvProcesses                           // Amount: processes of this node that send at the same time
 )
 
 // ListForm says what an EvEndpoints event carries.
--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -220,7 +220,7 @@
 	if !budget.opened {
 		d.openSlowStartBudget(executor)
 	}
-	nodeShare := min(d.fleetShare(), maxSlowStartShare/float64(d.settings.Nodes))
+	nodeShare := min(d.fleetShare(), maxSlowStartShare/float64(d.settings.Nodes)) / d.processes
 	slots := max(1, executor.load.slots, d.capacity.kindSlots[executor.endpoint.kind])
 	rate := d.slowStartSafetyFactor() * nodeShare * d.settings.OverloadMultiple * fraction * slots
 	maxCredit := rate * d.settings.OverloadWindow * slowStartBurst
@@ -239,6 +239,23 @@
 	b.creditAt = now
 }
 
+// setProcesses sets how many processes of this node send at the same time, while one replaces another. They share the
+// node's budgets equally: executors do not distinguish them. What a process has accumulated is divided as well, because
+// a new process starts with its share of what can be accumulated.
+func (d *Dispatcher) setProcesses(count float64) {
+	if count < 1 {
+		return
+	}
+	if remaining := d.processes / count; remaining < 1 {
+		for _, executor := range d.slowStart.warmingUp() {
+			if budget := &executor.slowStart; budget.credit > 0 {
+				budget.credit *= remaining
+			}
+		}
+	}
+	d.processes = count
+}
+
 // openSlowStartBudget initializes the budget of a process that has just been notified. Requests sent between its
 // start and the notification count against the budget, because the executor has already received them.
 func (d *Dispatcher) openSlowStartBudget(executor *executor) {
--- a/internal/dispatch/slowstart_sum_test.go
+++ b/internal/dispatch/slowstart_sum_test.go
@@ -15,6 +15,7 @@
 	skew       float64 // fraction of the traffic that arrives at the first node; the rest is spread evenly
 	late       int     // number of nodes that start in the middle of the slow start
 	stopped    int     // number of nodes that stop at that time
+	replaced   bool    // the nodes that start late are processes that replace others; both send from then on
 }
 
 // simulate returns by how much the requests that all nodes sent within any window exceeded the budget and the
@@ -64,6 +65,11 @@
 			for i := f.nodes - f.stopped; i < f.nodes; i++ {
 				nodes[i] = nil
 			}
+			for _, d := range nodes {
+				if f.replaced {
+					d.Step(now, []Event{{Kind: EvProcesses, Amount: 2}}, nil)
+				}
+			}
 		}
 		in := make([][]Event, f.nodes)
 		for n := f.load * quota * step / 1000; n > 0; n-- {
@@ -133,3 +139,21 @@
 		}
 	}
 }
+
+// Guards against an executor that is warming up and gets the budget of a node twice while one process of the node
+// replaces another: both processes together stay within it.
+func TestSlowStartBudgetHoldsForBothProcessesOfANode(t *testing.T) {
+	for _, n := range []int{1, 3, 8} {
+		for _, load := range []float64{0.8, 2.5, 5} {
+			f := servedFleet{nodes: 2 * n, configured: n, load: load, late: n, replaced: true}
+			t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+				t.Parallel()
+				for seed := int64(1); seed <= 20; seed++ {
+					if excess, _ := f.simulate(t, seed); excess > 0 {
+						t.Errorf("seed %d: %.1f requests over the budget in one window", seed, excess)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/executor/client.go
+++ b/internal/executor/client.go
@@ -72,3 +72,6 @@
 		sleep:       sleep,
 	}
 }
+
+// SetProcesses sets how many processes of this node share the limit of connections to executors, this one included.
+func (c *Client) SetProcesses(count int) { c.pool.setBudget(c.limits.ExecutorConns / max(count, 1)) }
--- a/internal/executor/connfault_test.go
+++ b/internal/executor/connfault_test.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -203,3 +205,40 @@
 	defer c.attempts.mu.Unlock()
 	return len(c.attempts.byID)
 }
+
+// Guards against a node that holds its connections to executors twice while one of its processes replaces the other: a
+// process that gets a smaller share closes idle connections above it and opens no others.
+func TestProcessesShareTheConnectionsToExecutors(t *testing.T) {
+	lim := testenv.Limits
+	lim.ExecutorConns = 4
+	c, _ := newClient(t, lim)
+	c.pool.dial = func(context.Context, string, string) (net.Conn, error) {
+		here, _ := net.Pipe()
+		return here, nil
+	}
+	open := func(addr string) error {
+		conn, err := c.pool.get(t.Context(), addr)
+		if err == nil {
+			c.pool.release(conn)
+		}
+		return err
+	}
+	for i := range lim.ExecutorConns {
+		if err := open(fmt.Sprintf("10.0.0.%d:1", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.SetProcesses(2)
+	if used := c.pool.open.Used(); used != lim.ExecutorConns/2 {
+		t.Errorf("%d connections are open, want %d", used, lim.ExecutorConns/2)
+	}
+	c.SetProcesses(1)
+	for i := range 2 {
+		if err := open(fmt.Sprintf("10.0.1.%d:1", i)); err != nil {
+			t.Errorf("connection %d after the other process has ended: %v", i, err)
+		}
+	}
+	if used := c.pool.open.Used(); used != lim.ExecutorConns {
+		t.Errorf("%d connections are open, want %d", used, lim.ExecutorConns)
+	}
+}
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -137,6 +137,15 @@
 	p.closeOldestIdle()
 }
 
+// setBudget changes the limit of all connections, and closes idle ones above it.
+func (p *pool) setBudget(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open.SetBudget(connections)
+	for p.open.Used() > connections && p.closeOldestIdle() {
+	}
+}
+
 // closeOldestIdle closes the connection that has been idle the longest, and reports whether there was one. The caller
 // holds the lock.
 func (p *pool) closeOldestIdle() bool {
--- a/internal/http1/accept_test.go
+++ b/internal/http1/accept_test.go
@@ -242,3 +242,28 @@
 	}
 	<-done
 }
+
+// Guards against a node that holds its connections and bodies twice while one of its processes replaces the other: each
+// of two processes has half of the limits, and the one that remains has all of them.
+func TestProcessesShareTheLimits(t *testing.T) {
+	lim := limits.New(256, 32, 0, 0, 0)
+	s := NewServer(lim, nil, nil, quietLog)
+	connections := lim.ClientConns + lim.OverflowConns + lim.RejectConns
+	for _, processes := range []int{1, 2, 1} {
+		s.SetProcesses(processes)
+		if !s.reserveBody(lim.TotalBodyBytes/processes) || s.reserveBody(1) {
+			t.Errorf("%d processes: the bodies are not limited to their share", processes)
+		}
+		s.reserveBody(-lim.TotalBodyBytes / processes)
+		clear(s.conns)
+		for range connections / processes {
+			if s.descriptorsExhausted() {
+				t.Fatalf("%d processes: exhausted with %d connections", processes, len(s.conns))
+			}
+			s.conns[&conn{}] = struct{}{}
+		}
+		if !s.descriptorsExhausted() {
+			t.Errorf("%d processes: not exhausted with %d connections", processes, len(s.conns))
+		}
+	}
+}
--- a/internal/http1/eviction.go
+++ b/internal/http1/eviction.go
@@ -33,7 +33,7 @@
 func (s *Server) admit(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open >= s.limits.ClientConns {
+	if s.open >= s.share(s.limits.ClientConns) {
 		s.evictLocked(0)
 	}
 	s.conns[c] = struct{}{}
@@ -41,9 +41,9 @@
 	c.phaseSince = time.Now()
 	s.lastActive = c.phaseSince
 	switch {
-	case s.open > s.limits.ClientConns+s.limits.OverflowConns:
+	case s.open > s.share(s.limits.ClientConns+s.limits.OverflowConns):
 		c.service = rejectOnly
-	case s.open > s.limits.ClientConns:
+	case s.open > s.share(s.limits.ClientConns):
 		c.service = singleResponse
 	}
 	if s.limits.SlowPeers.SharePerAddress {
--- a/internal/http1/registry.go
+++ b/internal/http1/registry.go
@@ -77,7 +77,7 @@
 func (s *Server) descriptorsExhausted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns) >= s.limits.ClientConns+s.limits.OverflowConns+s.limits.RejectConns
+	return len(s.conns) >= s.share(s.limits.ClientConns+s.limits.OverflowConns+s.limits.RejectConns)
 }
 
 // retire starts to close a connection on which no request is being handled. The session closes it after a last read, so
@@ -116,7 +116,7 @@
 func (s *Server) slowReaders() (slow []*conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pressure := s.limits.SlowPeers.Pressure(s.open, s.limits.ClientConns)
+	pressure := s.limits.SlowPeers.Pressure(s.open, s.share(s.limits.ClientConns))
 	for c := range s.conns {
 		if !c.unreadResponse {
 			continue
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -38,6 +38,7 @@
 
 	handling  atomic.Int64 // requests being handled
 	bodyBytes atomic.Int64 // bytes reserved for request bodies
+	processes atomic.Int32 // that share the limits; 0 for this one alone
 }
 
 // lifecycle is the state of the server's shutdown.
@@ -106,13 +107,20 @@
 // reserveBody reserves n bytes of the total for request bodies and reports whether they were available. A negative n
 // releases a reservation. Without the total, hundreds of connections with a large body each would exhaust the memory.
 func (s *Server) reserveBody(n int) bool {
-	if s.bodyBytes.Add(int64(n)) > int64(s.limits.TotalBodyBytes) && n > 0 {
+	if s.bodyBytes.Add(int64(n)) > int64(s.share(s.limits.TotalBodyBytes)) && n > 0 {
 		s.bodyBytes.Add(int64(-n))
 		return false
 	}
 	return true
 }
 
+// SetProcesses sets how many processes of a node share the server's limits, this one included. Connections above a lower
+// limit are closed as they become idle.
+func (s *Server) SetProcesses(count int) { s.processes.Store(int32(count)) }
+
+// share returns the part of a limit that this process may use.
+func (s *Server) share(limit int) int { return limit / int(max(s.processes.Load(), 1)) }
+
 // monitorUnreadResponses periodically closes the connections of clients that read their responses too slowly, until the
 // context ends.
 func (s *Server) monitorUnreadResponses(ctx context.Context) {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -70,6 +70,11 @@
 	c.post(moduleEvent{dispatch.Event{Kind: dispatch.EvGossip, From: from, Data: data}})
 }
 
+// SetProcesses takes how many processes of this node send at the same time, this one included.
+func (c *Core) SetProcesses(count int) {
+	c.post(moduleEvent{dispatch.Event{Kind: dispatch.EvProcesses, Amount: float64(count)}})
+}
+
 // Terminate ends a job that was never sent, or returns why it cannot. A job that was sent goes on, since executors
 // offer no way to stop it.
 func (c *Core) Terminate(ctx context.Context, id uint32) error {
--- a/internal/slowpeer/ledger.go
+++ b/internal/slowpeer/ledger.go
@@ -21,6 +21,9 @@
 	return &Ledger[K]{budget: max(budget, 0), minPerPeer: max(minPerPeer, 0), alpha: max(alpha, 0), usage: map[K]int{}}
 }
 
+// SetBudget changes the budget. If more than that is used, nothing is acquired until enough is released.
+func (l *Ledger[K]) SetBudget(budget int) { l.budget = max(budget, 0) }
+
 // Limit returns how much of the budget a peer may currently use.
 func (l *Ledger[K]) Limit() int {
 	free := l.budget - l.used
--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,7 @@
 type nodeProcess struct {
 	*exec.Cmd
 	operator string
+	logPath  string
 	exited   chan struct{}
 }
 
@@ -63,7 +65,7 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	p.Stderr = log
+	p.Stderr, p.logPath = log, log.Name()
 	if err := p.Start(); err != nil {
 		n.t.Fatal(err)
 	}
@@ -91,6 +93,15 @@
 	})
 }
 
+// awaitLog waits until the process has logged a text.
+func (p *nodeProcess) awaitLog(t *testing.T, text string) {
+	t.Helper()
+	testenv.Until(t, "log of process "+strconv.Itoa(p.Process.Pid)+" contains "+text, func() bool {
+		all, _ := os.ReadFile(p.logPath)
+		return strings.Contains(string(all), text)
+	})
+}
+
 func (p *nodeProcess) send(t *testing.T, sig syscall.Signal) {
 	t.Helper()
 	if err := p.Process.Signal(sig); err != nil {
@@ -208,9 +219,12 @@
 		return nil
 	})
 	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
-	n.startProcess()
+	replacing := n.startProcess()
+	replacing.awaitLog(t, `msg="processes of this node" running=2`) // they share the node's budgets and limits
+	old.awaitLog(t, `msg="processes of this node" running=2`)
 	old.send(t, syscall.SIGKILL)
 	<-old.exited
+	replacing.awaitLog(t, `msg="processes of this node" running=1`)
 	n.executors[0].Set(func(how *testenv.Behavior) { how.NoCallbacks = false })
 	var answers []int
 	n.until("the ID is accepted", func() bool {
