Tests of a replacement: wait until the stopped process accepts nothing, and for health

Two of the new tests failed at times beside load (2 of 13 runs): a stopped process can still accept for a moment, and a new one is healthy only once it has the list. Both are faults of the tests: the logs show the connection at the stopped process, and 503 'no executor is known'. They wait for every thread to be stopped, and for health on the connection itself; what they check is unchanged.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -114,8 +114,8 @@
 	return true
 }
 
-// SetProcesses sets how many processes of a node share the server's limits, this one included. Connections above a lower
-// limit are closed as they become idle.
+// SetProcesses sets how many processes of a node share the server's limits, this one included. Connections above a
+// lower limit are closed as others are accepted.
 func (s *Server) SetProcesses(count int) { s.processes.Store(int32(count)) }
 
 // share returns the part of a limit that this process may use.
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -301,8 +301,10 @@
 
 // isStopped reports whether every thread of the process is stopped. After a signal or at a failpoint, some threads run on for a
 // moment after others have stopped.
-func (s *testNode) isStopped() bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", s.process.Process.Pid))
+func (s *testNode) isStopped() bool { return isStopped(s.process.Process.Pid) }
+
+func isStopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	for _, path := range threads {
 		stat, err := os.ReadFile(path)
 		_, rest, _ := strings.Cut(string(stat), ") ")
--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -102,6 +102,13 @@
 	})
 }
 
+// stop stops the process and waits until it accepts no more connections.
+func (p *nodeProcess) stop(t *testing.T) {
+	t.Helper()
+	p.send(t, syscall.SIGSTOP)
+	testenv.Until(t, "the process is stopped", func() bool { return isStopped(p.Process.Pid) })
+}
+
 func (p *nodeProcess) send(t *testing.T, sig syscall.Signal) {
 	t.Helper()
 	if err := p.Process.Signal(sig); err != nil {
@@ -114,16 +121,18 @@
 	timeLeft = 7500 * time.Millisecond
 )
 
-// connectTo returns a connection that a process has accepted. No other process may accept connections meanwhile.
+// connectTo returns a connection to a process that is healthy. If several processes accept connections, it is to one of
+// them.
 func (n *replacedNode) connectTo() *testenv.Conn {
 	n.t.Helper()
 	c, err := testenv.Dial(n.listen)
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	if m, err := c.Do("GET", "/healthz", nil); err != nil || m.Status != 200 {
-		n.t.Fatalf("health check: %+v, %v", m, err)
-	}
+	n.until("the process of the connection is healthy", func() bool {
+		m, err := c.Do("GET", "/healthz", nil)
+		return err == nil && m.Status == 200
+	})
 	return c
 }
 
@@ -148,7 +157,7 @@
 			n.awaitHealthy()
 			toOld := n.connectTo()
 			n.startProcess()
-			old.send(t, syscall.SIGSTOP) // only the new process accepts now
+			old.stop(t) // only the new process accepts now
 			toNew := n.connectTo()
 			old.send(t, syscall.SIGCONT)
 			first, other := toOld, toNew
@@ -188,7 +197,7 @@
 		return nil
 	})
 	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
-	old.send(t, syscall.SIGSTOP)
+	old.stop(t)
 	n.startProcess()
 	n.awaitHealthy()
 	if s := status(t, n.connectTo(), openID, timeLeft); s != 500 {
