--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -224,7 +224,7 @@
 	slots := max(1, executor.load.slots, d.capacity.kindSlots[executor.endpoint.kind])
 	rate := d.slowStartSafetyFactor() * nodeShare * d.settings.OverloadMultiple * fraction * slots
 	maxCredit := rate * d.settings.OverloadWindow * slowStartBurst
-	budget.accrue(d.now, rate, maxCredit, d.serviceTimes.meanSlotTime*d.slowStartCostScale())
+	budget.accrue(d.now, rate, maxCredit, d.meanSlowStartCost())
 	return budget.credit > min(additionalWork, slowStartAggregatorSafety*maxCredit)
 }
 
@@ -266,7 +266,7 @@
 	}
 	budget.opened = true
 	budget.creditAt = max(budget.startedAt, d.now-slowStartBurst*d.settings.OverloadWindow)
-	budget.credit = -d.random()*d.serviceTimes.meanSlotTime*d.slowStartCostScale() - d.workSentSince(executor, sentSince)
+	budget.credit = -d.random()*d.meanSlowStartCost() - d.workSentSince(executor, sentSince)
 	d.logf("slow start opened executor=%d age_ms=%.0f listed_age_ms=%.0f ended_mean_ms=%.0f estimated_mean_ms=%.0f",
 		executor.id, d.now-budget.startedAt, d.now-budget.listedStart, d.serviceTimes.meanSlotTime, d.estimatedSlotTime())
 }
@@ -279,6 +279,11 @@
 	}
 }
 
+// meanSlowStartCost returns what a mean request of one slot costs a budget, in slot-time.
+func (d *Dispatcher) meanSlowStartCost() float64 {
+	return d.serviceTimes.meanSlotTime * d.slowStartCostScale()
+}
+
 // slowStartCostScale returns by which factor requests take longer than the mean of those that have ended. That mean
 // has the same bias at all nodes, which together would send a cold executor several times its budget. Where the
 // load of all nodes at the executor is known, that limits the sends, and the mean is accurate enough.
--- a/test/flood_test.go
+++ b/test/flood_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -120,7 +121,7 @@
 	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
 	_, _ = io.WriteString(c, request) // fails if the node closes the connection before it has read all
 	answer, err := io.ReadAll(io.LimitReader(c, 64))
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
 	return !strings.HasPrefix(string(answer), "HTTP/1.1 200")
