Shared ids: no file access under the lock, alone without a file, stale markers end

Now only the relay's goroutine touches the file, once a second. - A process that has no file accepted requests beside one that has, unseen in both directions. Without the file it accepts only while it is alone. - A marker of an earlier build whose pid belongs to an unrelated process counted as a second process for good, and halved the node's limits.

--- a/cmd/gatetack/replacement.go
+++ b/cmd/gatetack/replacement.go
@@ -45,7 +45,7 @@
 // ObserveOthers implements callbackrelay.OpenIDs.
 func (r *replacement) ObserveOthers(others callbackrelay.Others) {
 	r.Refresh()
-	r.IDs.ObserveOthers(others.ShareIDs)
+	r.IDs.ObserveOthers(stateOf(others))
 	processes := others.Running + 1
 	if processes == r.processes {
 		return
@@ -58,3 +58,14 @@
 	p.clients.SetProcesses(processes)
 	debug.SetMemoryLimit(p.config.Limits.MemoryBytes / int64(processes))
 }
+
+// stateOf returns what the markers of the other processes say about their open requests.
+func stateOf(others callbackrelay.Others) sharedids.Others {
+	switch {
+	case !others.ShareIDs:
+		return sharedids.Unknown
+	case others.Running > 0:
+		return sharedids.Sharing
+	}
+	return sharedids.None
+}
--- a/internal/callbackrelay/marker.go
+++ b/internal/callbackrelay/marker.go
@@ -65,12 +65,18 @@
 	return m.StartTicks == 0 || now == 0 || m.StartTicks == now
 }
 
+// markerFile is a marker with the name of its file.
+type markerFile struct {
+	marker
+	file string
+}
+
 // Others is what the markers tell about the other processes of this node.
 type Others struct {
 	Running  int  // number of those that are running
 	ShareIDs bool // all of them share the IDs of their open requests; also true if none is running
 
-	uncertain []string // names of the markers of those that do not
+	uncertain []markerFile // of those that do not
 }
 
 // Register writes the marker that this process is running. If it fails, the node serves nevertheless and Run tries
@@ -121,27 +127,31 @@
 		others.Running++
 		if !m.SharesIDs {
 			others.ShareIDs = false
-			others.uncertain = append(others.uncertain, entry.Name())
+			others.uncertain = append(others.uncertain, markerFile{m, entry.Name()})
 		}
 	}
 	return others
 }
 
 // observeOthers reports what a scan found. A process whose open requests are not known counts as one without any after
-// ReplaceTimeout: by then the platform has ended it, and its marker belongs to another process that uses its pid.
+// ReplaceTimeout: by then the platform has ended it. If it is not even known when it started, its marker is taken to
+// have outlived it, and its pid to belong to an unrelated process.
 func (r *Relay) observeOthers(others Others, now time.Time) {
-	known := map[string]time.Time{}
-	for _, name := range others.uncertain {
-		since, seen := r.uncertainSince[name]
+	since := map[string]time.Time{}
+	others.ShareIDs = true
+	for _, marker := range others.uncertain {
+		first, seen := r.uncertainSince[marker.file]
 		if !seen {
-			since = now
+			first = now
+		}
+		since[marker.file] = first
+		switch {
+		case now.Sub(first) < r.limits.ReplaceTimeout:
+			others.ShareIDs = false
+		case marker.StartTicks == 0:
+			others.Running--
 		}
-		known[name] = since
-	}
-	r.uncertainSince = known
-	others.ShareIDs = true
-	for _, since := range known {
-		others.ShareIDs = others.ShareIDs && now.Sub(since) >= r.limits.ReplaceTimeout
 	}
+	r.uncertainSince = since
 	r.ids.ObserveOthers(others)
 }
--- a/internal/callbackrelay/marker_test.go
+++ b/internal/callbackrelay/marker_test.go
@@ -90,8 +90,8 @@
 	}
 	r.uncertainSince["p1"] = time.Now().Add(-r.limits.ReplaceTimeout)
 	r.scanOnly(t)
-	if !ids.observed.ShareIDs {
-		t.Error("an empty marker does not count as shared after ReplaceTimeout")
+	if !ids.observed.ShareIDs || ids.observed.Running != 0 {
+		t.Errorf("observed %+v after ReplaceTimeout, want no other process", ids.observed)
 	}
 }
 
--- a/internal/node/traceids_test.go
+++ b/internal/node/traceids_test.go
@@ -14,7 +14,7 @@
 func processOf(t testing.TB, dir string) *fakeAdapters {
 	h := startFakeAdapters(t, readyEndpoint("s-1"))
 	ids := sharedids.Open(dir, slog.New(slog.DiscardHandler))
-	ids.ObserveOthers(true)
+	ids.ObserveOthers(sharedids.Sharing)
 	h.core.ShareTraceIDs(ids)
 	h.run(0)
 	return h
--- a/internal/sharedids/sharedids.go
+++ b/internal/sharedids/sharedids.go
@@ -25,22 +25,37 @@
 // ErrUnknown is returned by Claim while another process may have requests open whose IDs it does not share.
 var ErrUnknown = errors.New("sharedids: the open requests of the node's other process are not known")
 
-// IDs are the IDs that the processes of this node have open. It is safe for concurrent use.
+// retryInterval is the time between attempts to create and map the file.
+const retryInterval = time.Second
+
+// IDs are the IDs that the processes of this node have open. It is safe for concurrent use, except for Refresh.
 type IDs struct {
 	path      string
 	log       *slog.Logger
 	startedAt time.Time // when startMs was read
 	startMs   int64     // on the clock that all processes of the machine share
 
-	mu          sync.Mutex
-	table       *idclaims.Table // nil while the file cannot be mapped
-	file        os.FileInfo     // of the mapped file
-	shared      int             // open requests whose IDs are in the file
-	unshared    int             // open requests whose IDs are not
-	othersKnown bool            // no other process may have open requests whose IDs it does not share
-	failing     bool            // whether the last attempt to map the file failed
+	// Used by Refresh only. It accesses the file without holding the lock: a disk may hang.
+	file    os.FileInfo // of the mapped file
+	retryAt time.Time   // after an attempt to map the file that failed
+
+	mu       sync.Mutex
+	table    *idclaims.Table // nil while the file cannot be mapped
+	shared   int             // open requests whose IDs are in the file
+	unshared int             // open requests whose IDs are not
+	others   Others
 }
 
+// Others is what is known of the other processes of this node.
+type Others uint8
+
+// The states of the other processes.
+const (
+	Unknown Others = iota // another process may have open requests whose IDs it does not share
+	Sharing               // other processes are running, and share the IDs of all their open requests
+	None                  // no other process is running
+)
+
 // Open returns the IDs that are shared in a directory. It logs an error if the file cannot be used; Refresh tries
 // again. Until ObserveOthers is called, no ID can be claimed.
 func Open(dir string, log *slog.Logger) *IDs {
@@ -67,7 +82,7 @@
 func (s *IDs) Claim(id string, now, end time.Time) (idclaims.Claim, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.othersKnown {
+	if !s.known() {
 		return idclaims.Claim{}, ErrUnknown
 	}
 	if s.table == nil {
@@ -81,6 +96,10 @@
 	return claim, err
 }
 
+// known reports whether it is known which IDs are open. A process without the file knows only its own. The caller holds
+// the lock.
+func (s *IDs) known() bool { return s.others == None || s.others == Sharing && s.table != nil }
+
 // Release ends a claim that Claim returned without an error, once its request is no longer open.
 func (s *IDs) Release(claim idclaims.Claim) {
 	s.mu.Lock()
@@ -107,45 +126,56 @@
 	return s.table != nil && s.unshared == 0
 }
 
-// Known reports whether the open requests of all other processes are known, so that IDs can be claimed.
+// Known reports whether it is known which IDs are open in the other processes, so that IDs can be claimed.
 func (s *IDs) Known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.othersKnown
+	return s.known()
 }
 
-// ObserveOthers takes whether the open requests of all other processes are known. They are if no other process runs.
-func (s *IDs) ObserveOthers(known bool) {
+// ObserveOthers takes the state of the other processes.
+func (s *IDs) ObserveOthers(others Others) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known != s.othersKnown {
+	before := s.known()
+	s.others = others
+	if known := s.known(); known != before {
 		s.log.Info("open requests of other processes", "known", known)
 	}
-	s.othersKnown = known
 }
 
 // Refresh maps the file again if it was replaced or removed, as happens to temporary files, or could not be mapped
-// before. The open requests of this process are then not in the file.
+// before. The open requests of this process are then not in the file. Calls must not overlap.
 func (s *IDs) Refresh() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table != nil {
-		if current, err := os.Stat(s.path); err == nil && os.SameFile(current, s.file) {
+	if s.file != nil {
+		current, err := os.Stat(s.path)
+		replaced := errors.Is(err, fs.ErrNotExist) || err == nil && !os.SameFile(current, s.file)
+		if !replaced {
 			return
 		}
-		s.unshared, s.shared = s.unshared+s.shared, 0
-		s.table = nil
+		s.file = nil
+		s.setTable(nil)
+	}
+	if time.Now().Before(s.retryAt) {
+		return
 	}
 	table, file, err := openTable(s.path)
 	if err != nil {
-		if !s.failing {
-			s.log.Error("file of open request IDs not usable", "file", s.path, "err", err)
-		}
-		s.failing = true
+		s.log.Error("file of open request IDs not usable", "file", s.path, "err", err)
+		s.retryAt = time.Now().Add(retryInterval)
 		return
 	}
 	table.Purge(s.milliseconds(time.Now()))
-	s.table, s.file, s.failing = table, file, false
+	s.file = file
+	s.setTable(table)
+}
+
+// setTable replaces the table. Open requests are not in the new one.
+func (s *IDs) setTable(table *idclaims.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unshared, s.shared = s.unshared+s.shared, 0
+	s.table = table
 }
 
 // openTable opens the file, which it creates if necessary, and maps its table.
--- a/internal/sharedids/sharedids_test.go
+++ b/internal/sharedids/sharedids_test.go
@@ -20,10 +20,16 @@
 // open returns the IDs of a process that knows the others.
 func open(dir string) *IDs {
 	ids := Open(dir, testenv.DiscardLog)
-	ids.ObserveOthers(true)
+	ids.ObserveOthers(Sharing)
 	return ids
 }
 
+// refresh retries at once.
+func refresh(ids *IDs) {
+	ids.retryAt = time.Time{}
+	ids.Refresh()
+}
+
 // claim claims the test's ID for a second.
 func claim(ids *IDs) (idclaims.Claim, error) {
 	now := time.Now()
@@ -66,20 +72,24 @@
 	if _, err := claim(ids); !errors.Is(err, ErrUnknown) || ids.Known() {
 		t.Errorf("error %v, known %v, want %v", err, ids.Known(), ErrUnknown)
 	}
-	ids.ObserveOthers(true)
+	ids.ObserveOthers(Sharing)
 	if _, err := claim(ids); err != nil || !ids.Known() {
 		t.Errorf("error %v, known %v after the others were observed", err, ids.Known())
 	}
 }
 
-// A process without a usable file serves, and tells the others that its open requests cannot be seen: also after the
-// file becomes usable, until those requests have ended.
+// A process without a usable file serves while it is alone, and tells the others that its open requests cannot be seen:
+// also after the file becomes usable, until those requests have ended. Beside another process it knows too little.
 func TestRequestsWithoutFileAreNotShared(t *testing.T) {
 	blocked := filepath.Join(t.TempDir(), "file")
 	if err := os.WriteFile(blocked, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	ids := open(filepath.Join(blocked, "handover"))
+	if _, err := claim(ids); !errors.Is(err, ErrUnknown) || ids.Known() {
+		t.Errorf("beside another process: error %v, known %v", err, ids.Known())
+	}
+	ids.ObserveOthers(None)
 	held, err := claim(ids)
 	if err != nil || ids.Shared() {
 		t.Fatalf("error %v, shared %v", err, ids.Shared())
@@ -87,7 +97,10 @@
 	if err := os.Remove(blocked); err != nil {
 		t.Fatal(err)
 	}
-	ids.Refresh()
+	if ids.Refresh(); ids.file != nil {
+		t.Error("the file was tried again at once")
+	}
+	refresh(ids)
 	if ids.Shared() {
 		t.Error("a request from before the file was usable counts as shared")
 	}
--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -51,6 +51,16 @@
 
 // startProcess starts another process of the node and waits until it accepts connections.
 func (n *replacedNode) startProcess() *nodeProcess {
+	n.t.Helper()
+	p := n.startProcessWithoutWaiting()
+	n.until("the process accepts connections", func() bool {
+		m, err := testenv.Call(p.operator, "GET", "/v1/readyz", nil)
+		return err == nil && m.Status == 200
+	})
+	return p
+}
+
+func (n *replacedNode) startProcessWithoutWaiting() *nodeProcess {
 	n.t.Helper()
 	addrs, err := testenv.FreeAddrs(1)
 	if err != nil {
@@ -78,10 +88,6 @@
 		}
 		_ = log.Close()
 	})
-	n.until("the process accepts connections", func() bool {
-		m, err := testenv.Call(p.operator, "GET", "/v1/readyz", nil)
-		return err == nil && m.Status == 200
-	})
 	return p
 }
 
@@ -311,3 +317,43 @@
 		t.Errorf("answer after the end of the other process: %d", s)
 	}
 }
+
+// A replacing process that is killed at any moment of its start, with whatever it had written, neither holds up the
+// running process nor frees the ID that is open there, and the next one replaces it.
+func TestReplacingProcessKilledDuringItsStart(t *testing.T) {
+	const kills, step = 16, 4 * time.Millisecond
+	n := newReplacedNode(t, 2, 20*time.Millisecond)
+	n.disableCallbacks()
+	old := n.startProcess()
+	n.awaitHealthy()
+	toOld := n.connectTo()
+	n.g.Go(func() error {
+		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, time.Minute)...) // longer than the test
+		return nil
+	})
+	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
+	other := n.connectTo()
+	for _, b := range n.executors {
+		b.Set(func(how *testenv.Behavior) { how.NoCallbacks = false })
+	}
+	for i := range kills {
+		killed := n.startProcessWithoutWaiting()
+		time.Sleep(time.Duration(i) * step)
+		killed.send(t, syscall.SIGKILL)
+		<-killed.exited
+		if s := status(t, other, openID, timeLeft); s != 500 {
+			t.Errorf("kill after %v: a copy was answered %d", time.Duration(i)*step, s)
+		}
+		if s := status(t, other, fmt.Sprintf("00000000000001%02x", i), timeLeft); s != 200 {
+			t.Errorf("kill after %v: another request was answered %d", time.Duration(i)*step, s)
+		}
+	}
+	n.startProcess()
+	old.stop(t)
+	if s := status(t, n.connectTo(), openID, timeLeft); s != 500 {
+		t.Errorf("a copy at the next process was answered %d", s)
+	}
+	if got := n.starts()[openID]; len(got) != 1 {
+		t.Errorf("%d attempts, want 1", len(got))
+	}
+}
