A process that has ended counts as ended before its parent has waited for it

Found by reading: a signal to a process that has ended and was not waited for yet succeeds, so its marker counted as a second process, and the node's limits stayed halved. The state in /proc tells it. TestEndedProcessIsNotRunning fails without that (the process is then running until it is waited for). The test of a hanging process keeps its request open for longer than it may run beside load.

--- a/internal/callbackrelay/marker.go
+++ b/internal/callbackrelay/marker.go
@@ -45,24 +45,34 @@
 // startTicks returns when a process started, in ticks since the machine's start, or 0 if that cannot be read. Together
 // with its pid it identifies a process, because a pid can be used again.
 func startTicks(pid int) uint64 {
-	process, err := procfs.NewProc(pid)
+	stat, err := processStat(pid)
 	if err != nil {
 		return 0
 	}
-	stat, err := process.Stat()
+	return stat.Starttime
+}
+
+func processStat(pid int) (procfs.ProcStat, error) {
+	process, err := procfs.NewProc(pid)
 	if err != nil {
-		return 0
+		return procfs.ProcStat{}, err
 	}
-	return stat.Starttime
+	return process.Stat()
 }
 
+// zombie is the state of a process that has ended and that its parent has not waited for.
+const zombie = "Z"
+
 // isRunning reports whether the process that wrote a marker is still running, as far as that can be told.
 func (m marker) isRunning(pid int) bool {
 	if errors.Is(unix.Kill(pid, 0), syscall.ESRCH) {
 		return false
 	}
-	now := startTicks(pid)
-	return m.StartTicks == 0 || now == 0 || m.StartTicks == now
+	stat, err := processStat(pid)
+	if err != nil {
+		return true
+	}
+	return stat.State != zombie && (m.StartTicks == 0 || m.StartTicks == stat.Starttime)
 }
 
 // markerFile is a marker with the name of its file.
--- a/internal/callbackrelay/marker_test.go
+++ b/internal/callbackrelay/marker_test.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"gatetack/internal/atomicfile"
 	"gatetack/internal/testenv"
 )
@@ -214,3 +217,17 @@
 		}
 	}
 }
+
+// A process that has ended counts as ended, also before its parent has waited for it.
+func TestEndedProcessIsNotRunning(t *testing.T) {
+	ended := exec.Command("true")
+	if err := ended.Start(); err != nil {
+		t.Fatal(err)
+	}
+	m := marker{StartTicks: startTicks(ended.Process.Pid)}
+	testenv.Until(t, "the process has ended", func() bool { return !m.isRunning(ended.Process.Pid) })
+	if err := unix.Kill(ended.Process.Pid, 0); err != nil {
+		t.Errorf("the process is gone before it was waited for: %v", err)
+	}
+	_ = ended.Wait()
+}
--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -199,7 +199,7 @@
 	n.awaitHealthy()
 	toOld := n.connectTo()
 	n.g.Go(func() error {
-		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, timeLeft)...)
+		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, time.Minute)...) // longer than the test
 		return nil
 	})
 	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
