--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -123,8 +123,9 @@
 }
 
 const (
-	openID   = "9b1f03aa5c7e2d41"
-	timeLeft = 7500 * time.Millisecond
+	openID            = "9b1f03aa5c7e2d41"
+	timeLeft          = 7500 * time.Millisecond
+	longerThanTheTest = time.Minute
 )
 
 // connectTo returns a connection to a process that is healthy. If several processes accept connections, it is to one of
@@ -142,6 +143,16 @@
 	return c
 }
 
+// keepOpen sends a tile-charge with openID over a connection and returns once it runs. Its answer is not looked at.
+func (n *replacedNode) keepOpen(c *testenv.Conn, timeLeft time.Duration) {
+	n.t.Helper()
+	n.g.Go(func() error {
+		_, _ = c.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, timeLeft)...)
+		return nil
+	})
+	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
+}
+
 // status sends a tile-charge over a connection and returns the status of its answer.
 func status(t *testing.T, c *testenv.Conn, id string, timeLeft time.Duration) int {
 	t.Helper()
@@ -198,11 +209,7 @@
 	old := n.startProcess()
 	n.awaitHealthy()
 	toOld := n.connectTo()
-	n.g.Go(func() error {
-		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, time.Minute)...) // longer than the test
-		return nil
-	})
-	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
+	n.keepOpen(toOld, longerThanTheTest)
 	old.stop(t)
 	n.startProcess()
 	n.awaitHealthy()
@@ -229,11 +236,7 @@
 	old := n.startProcess()
 	n.awaitHealthy()
 	toOld, sentAt := n.connectTo(), time.Now()
-	n.g.Go(func() error {
-		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, left)...)
-		return nil
-	})
-	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
+	n.keepOpen(toOld, left)
 	replacing := n.startProcess()
 	replacing.awaitLog(t, `msg="processes of this node" running=2`) // they share the node's budgets and limits
 	old.awaitLog(t, `msg="processes of this node" running=2`)
@@ -327,11 +330,7 @@
 	old := n.startProcess()
 	n.awaitHealthy()
 	toOld := n.connectTo()
-	n.g.Go(func() error {
-		_, _ = toOld.Do("POST", "/tile-charge/cut", nil, testenv.JobFields(openID, time.Minute)...) // longer than the test
-		return nil
-	})
-	n.until("the request runs", func() bool { return len(n.starts()[openID]) == 1 })
+	n.keepOpen(toOld, longerThanTheTest)
 	other := n.connectTo()
 	for _, b := range n.executors {
 		b.Set(func(how *testenv.Behavior) { how.NoCallbacks = false })
