--- a/review/rig-2/standins.go
+++ b/review/rig-2/standins.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	starts  []start
 	deleted []string
+	pause   time.Duration // between two tries of a callback
 }
 
 func (p *play) newExecutor(name, node string, group int, run func(*executor, start)) *executor {
@@ -36,7 +37,8 @@
 	if err != nil {
 		p.noRun("%v", err)
 	}
-	x := &executor{p: p, name: name, addr: l.Addr().String(), zone: "tallinn", kind: "type-a", group: group, node: node, run: run}
+	x := &executor{p: p, name: name, addr: l.Addr().String(), zone: "tallinn", kind: "type-a", group: group, node: node, run: run,
+		pause: 300 * time.Millisecond}
 	go func() { _ = http.Serve(l, x) }()
 	return x
 }
@@ -107,7 +109,7 @@
 		if a.err == nil {
 			return
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(x.pause)
 	}
 }
 
