--- a/review/rig-2/outage.go
+++ b/review/rig-2/outage.go
@@ -19,7 +19,10 @@
 }
 
 // newGroup starts n nodes and waits until each of them has a leader and takes batch jobs.
-func (p *play) newGroup(n int, run func(*executor, start)) *group {
+func (p *play) newGroup(n int, run func(*executor, start)) *group { return p.newGroupWith(n, run, "") }
+
+// newGroupWith is newGroup with more lines in the operators' file of each node.
+func (p *play) newGroupWith(n int, run func(*executor, start), more string) *group {
 	g := &group{p: p}
 	var members []string
 	for i := range n {
@@ -32,7 +35,7 @@
 	}
 	for _, s := range g.nodes {
 		s.operatorsFile = fmt.Sprintf("batch:\n  listen: %s\nstore:\n  dir: store\n  listen: %s\n  members: {%s}\n  marks: marks\n",
-			s.batch, s.store, strings.Join(members, ", "))
+			s.batch, s.store, strings.Join(members, ", ")) + more
 		s.start()
 	}
 	for _, s := range g.nodes {
--- a/review/rig-2/standins.go
+++ b/review/rig-2/standins.go
@@ -78,7 +78,7 @@
 	}
 	x.starts = append(x.starts, s)
 	x.mu.Unlock()
-	x.p.logf("%s: attempt %d of %s, %s, body %q", x.name, s.nth+1, id, s.path, s.body)
+	x.p.logf("%s: attempt %d of %s, %s, body %.40q", x.name, s.nth+1, id, s.path, s.body)
 	w.WriteHeader(202)
 	go x.run(x, s)
 }
@@ -105,7 +105,7 @@
 	body := fmt.Sprintf(`{"id":%q,"from":%q,%s}`, id, x.name, rest)
 	for range 10 {
 		a := call(x.node, "POST", "/callback", []byte(body), 2*time.Second, "Content-Type", "application/json")
-		x.p.logf("%s: callback %s: %v", x.name, body, a)
+		x.p.logf("%s: callback %.180s: %v", x.name, body, a)
 		if a.err == nil {
 			return
 		}
