--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -31,7 +31,8 @@
 }
 
 // drain: three nodes share the inventory that each has in a file of its own. A box is marked as draining in the file of
-// n0, and all nodes follow. Then n1 is restarted.
+// n0, and all nodes follow. Then another node, which
+// does not lead the store, is killed and started again.
 func drain(p *play) {
 	var nodes []*node
 	var members []string
@@ -40,7 +41,7 @@
 		nodes = append(nodes, s)
 		members = append(members, fmt.Sprintf("%s: %q", s.name, s.store))
 	}
-	// The boxes call back the node that sent the job; here only n1 gets jobs.
+	// The boxes call back the node that sent the job; here only one node gets jobs.
 	user := nodes[1]
 	a := p.newExecutor("s-000000a1", user.listen, 1, serves(100*time.Millisecond))
 	b := p.newExecutor("s-000000b1", user.listen, 2, serves(100*time.Millisecond))
@@ -56,6 +57,12 @@
 	for _, s := range nodes {
 		p.must(s.name+" takes batch jobs", 30*time.Second, s.takesBatchJobs)
 	}
+	// A node that leads the store would have to wait for another leader after its restart.
+	if g := (&group{p: p, nodes: nodes}); g.leader() == 1 {
+		user = nodes[2]
+		a.node, b.node = user.listen, user.listen
+	}
+	p.logf("the clients use %s, which does not lead the store", user.name)
 	id := 0
 	// load is four clients for a while, each with one job at a time.
 	load := func(length time.Duration) {
