--- a/cmd/gatetack/settings_applier.go
+++ b/cmd/gatetack/settings_applier.go
@@ -60,7 +60,7 @@
 	if err := overlay(base, document); err != nil {
 		return err
 	}
-	if _, _, err := a.core.Rules().Update(base.Settings, base.Names, time.Now(), a.limits.RetiredClassTTL); err != nil {
+	if _, _, err := a.core.Rules().Update(base.Settings, base.Names, time.Now(), a.limits.RetiredClassTTL, node.NoneInUse); err != nil {
 		return &settings.InvalidError{Item: "the merged settings", Got: err.Error(),
 			Expected: "settings that can be put in force now"}
 	}
--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"gatetack/internal/jobqueue"
 	"gatetack/internal/jobstore"
 )
@@ -45,6 +43,9 @@
 	if err := a.readOpen(ctx); err != nil {
 		return 0, err
 	}
+	if err := a.readClassRules(ctx); err != nil {
+		return 0, err
+	}
 	for id, x := range a.arrays {
 		if err := x.reconcile(ctx, f); err != nil {
 			return 0, err
@@ -107,7 +108,7 @@
 
 // readTemplate parses the template of an array whose members are still to run, and reports whether it is valid.
 func (a *adoption) readTemplate(x *adoptedArray) bool {
-	t, bad := a.front.readTemplate(gjson.ParseBytes(x.r.Template), x.r.Submitted)
+	t, bad := a.front.readAccepted(x.r.Template, x.r.Submitted, x.r.Category, x.r.Class)
 	if bad != nil {
 		a.front.log.Warn("recorded array can not be adopted: invalid template", "array", x.r.ID, "field", bad.field, "why", bad.text)
 		return false
@@ -144,14 +145,14 @@
 	}
 	if x != nil && x.open[*r.Index] { // the member and its array's counts are written together
 		x.countEnded(r)
-		changes = append(changes, x.change())
+		changes = append(changes, x.changes()...)
 	}
 	return a.front.store.Write(ctx, changes...)
 }
 
 // queueJob collects a job that was never handed to the core, so that enqueue puts it in the queue.
 func (a *adoption) queueJob(r *Record) {
-	t, bad := a.front.parseTemplate(r.Template, r.Submitted)
+	t, bad := a.front.readAccepted(r.Template, r.Submitted, r.Category, r.Class)
 	if bad != nil {
 		return
 	}
--- a/internal/batch/adopt_test.go
+++ b/internal/batch/adopt_test.go
@@ -35,7 +35,7 @@
 // counts stores the array with the given counts.
 func (s *storedArray) counts(next, done, failed int, cut bool) {
 	s.array.Next, s.array.Done, s.array.Failed, s.array.Terminated = next, done, failed, cut
-	s.write(s.array.change())
+	s.write(s.array.changes()...)
 }
 
 // member stores a member.
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -35,6 +35,7 @@
 	Done        int             `json:"done"`
 	Failed      int             `json:"failed"`
 	Template    json.RawMessage `json:"template,omitempty"`
+	Class       *storedClass    `json:"-"` // under which it was accepted; stored as a record of its own
 }
 
 type array struct {
@@ -56,14 +57,20 @@
 	change(&a.r)
 }
 
-func (a *array) change() jobstore.Change {
+func (a *array) changes() []jobstore.Change {
 	r := a.record()
-	return r.change()
+	return r.changes()
 }
 
-func (r *arrayRecord) change() jobstore.Change {
+// changes returns the writes that store an array.
+func (r *arrayRecord) changes() []jobstore.Change {
 	v, _ := json.Marshal(r)
-	return jobstore.Change{Kind: kindArray, Key: recordKey(r.ID), Value: v, Keep: r.Done+r.Failed < r.Jobs}
+	key, ended := recordKey(r.ID), r.finished()
+	out := []jobstore.Change{{Kind: kindArray, Key: key, Value: v, Keep: !ended}}
+	if ended && r.Class != nil {
+		out = append(out, jobstore.Change{Kind: kindClassRules, Key: key})
+	}
+	return out
 }
 
 // recordArray stores the current state of an array.
@@ -71,12 +78,12 @@
 	if f.store == nil {
 		return nil
 	}
-	c := a.change()
-	if err := f.store.Write(ctx, c); err != nil {
+	r := a.record()
+	if err := f.store.Write(ctx, r.changes()...); err != nil {
 		return err
 	}
-	if c.Keep && a.finished() { // this older state may have overwritten its end: write again
-		return f.store.Write(ctx, a.change())
+	if !r.finished() && a.finished() { // this older state may have overwritten its end: write again
+		return f.store.Write(ctx, a.changes()...)
 	}
 	return nil
 }
@@ -94,13 +101,15 @@
 
 func (a *array) finished() bool {
 	r := a.record()
-	return r.Done+r.Failed >= r.Jobs
+	return r.finished()
 }
 
+func (r *arrayRecord) finished() bool { return r.Done+r.Failed >= r.Jobs }
+
 // status returns the array as clients see it.
 func (r arrayRecord) status() map[string]any {
 	out := map[string]any{}
-	r.Template = nil
+	r.Template, r.Class = nil, nil
 	b, _ := json.Marshal(r)
 	_ = json.Unmarshal(b, &out)
 	state := Queued
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"gatetack/internal/dispatch"
 	"gatetack/internal/http1"
 	"gatetack/internal/jobqueue"
 	"gatetack/internal/jobstore"
@@ -40,7 +39,7 @@
 // Placer returns the price of each zone for a job that names its inputs, and a reason. The function ended must be
 // called once when the job ends, with the executor that ran it, if any, and whether it was served.
 type Placer interface {
-	Place(inputs []string, class int, timeLeft time.Duration) (prices []float64, why string, ended func(box string, served bool))
+	Place(inputs []string, class *node.ClassRules, timeLeft time.Duration) (prices []float64, why string, ended func(box string, served bool))
 }
 
 // ActorHandler handles calls to actors, under the path /desks.
@@ -122,8 +121,6 @@
 
 func (f *Front) names() *node.Names { return &f.core.Rules().Names }
 
-func (f *Front) class(i int) *dispatch.Class { return &f.core.Rules().Settings.Classes[i] }
-
 // maxRetryAfter is the longest Retry-After that a client may be sent.
 func (f *Front) maxRetryAfter() time.Duration {
 	return node.FromMs(f.core.Rules().Settings.MaxRetryAfter)
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -184,7 +184,8 @@
 		defer j.recordMu.Unlock()
 	}
 	if f.store != nil {
-		deletions := []jobstore.Change{{Kind: kindJob, Key: recordKey(id)}, {Kind: kindOpen, Key: recordKey(id)}}
+		deletions := []jobstore.Change{{Kind: kindJob, Key: recordKey(id)}, {Kind: kindOpen, Key: recordKey(id)},
+			{Kind: kindClassRules, Key: recordKey(id)}}
 		if r.Trace != "" { // of an UNDETERMINED job
 			deletions = append(deletions, jobstore.Change{Kind: kindSent, Key: r.Trace})
 		}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -105,11 +105,11 @@
 
 // submitToCore submits a job to the core.
 func (f *Front) submitToCore(in node.Job, j *job) error {
-	if in.TimeLeft = node.FromMs(f.class(in.Class).Deadline); !j.deadline.IsZero() {
+	if in.TimeLeft = node.FromMs(in.AcceptedClass.Rules.Deadline); !j.deadline.IsZero() {
 		in.TimeLeft = time.Until(j.deadline)
 	}
 	if f.placer != nil && len(in.Inputs) > 0 {
-		prices, why, ended := f.placer.Place(in.Inputs, in.Class, in.TimeLeft)
+		prices, why, ended := f.placer.Place(in.Inputs, in.AcceptedClass, in.TimeLeft)
 		in.ZonePrices = prices
 		j.setPlacement(ended)
 		j.update(func(r *Record) { r.Annotation = why })
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -38,7 +38,7 @@
 		return conflict(r, "only a job on record that may have run, and of which nothing more will be told, can be resolved")
 	case f.ownedElsewhere(id):
 		return conflict(r, "it is another node's job")
-	case as == "unsent" && !v.Get("force").Bool() && f.atMostOnce(r.Category):
+	case as == "unsent" && !v.Get("force").Bool() && f.atMostOnce(ctx, &r):
 		return conflict(r, "a job of category "+quote(r.Category)+" must never run twice, and as unsent it may be submitted again: force says that it never ran for certain")
 	}
 	now := time.Now()
@@ -61,9 +61,13 @@
 	return f.jobResponse(200, r)
 }
 
-// atMostOnce reports whether jobs of a category must never run twice. A category that is no longer configured counts
-// as such.
-func (f *Front) atMostOnce(category string) bool {
-	i := slices.Index(f.names().Classes, category)
-	return i < 0 || f.class(i).RetrySafety == dispatch.AtMostOnce
+// atMostOnce reports whether a job must never run twice, by the rules under which it was accepted. Without these on
+// record the rules in force decide, and a category that is no longer configured counts as at most once.
+func (f *Front) atMostOnce(ctx context.Context, r *Record) bool {
+	if stored := f.findClassRules(ctx, r); stored != nil {
+		return stored.RetrySafety == retrySafetyNames[dispatch.AtMostOnce]
+	}
+	rules := f.core.Rules()
+	i := slices.Index(rules.Names.Classes, r.Category)
+	return i < 0 || rules.Settings.Classes[i].RetrySafety == dispatch.AtMostOnce
 }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -54,6 +54,7 @@
 
 	// The following fields are stored and not shown to clients.
 	Template     json.RawMessage `json:"template,omitempty"`
+	Class        *storedClass    `json:"-"`                // under which it was accepted; stored as a record of its own
 	HandedOver   bool            `json:"handed,omitempty"` // handed to the core: from then on it may be sent
 	Trace        string          `json:"trace,omitempty"`  // trace ID of the last attempt
 	KeyRecord    string          `json:"same,omitempty"`   // key of the idempotency key's record
@@ -237,7 +238,7 @@
 
 // public returns a record as clients see it.
 func (r Record) public() Record {
-	r.Template, r.HandedOver, r.Trace, r.KeyRecord, r.TemplateHash = nil, false, "", "", ""
+	r.Template, r.Class, r.HandedOver, r.Trace, r.KeyRecord, r.TemplateHash = nil, nil, false, "", "", ""
 	return r
 }
 
@@ -261,6 +262,9 @@
 	if r.KeyRecord != "" && !kept {
 		out = append(out, jobstore.Change{Kind: kindIdempotencyKey, Key: r.KeyRecord, Value: keyRecord{r.ID, r.TemplateHash}.json()})
 	}
+	if r.Class != nil && r.State.final() {
+		out = append(out, jobstore.Change{Kind: kindClassRules, Key: k})
+	}
 	return out
 }
 
@@ -271,6 +275,7 @@
 	kindArray          = "array"   // by key: arrayRecord
 	kindSession        = "session" // by name: sessionRecord
 	kindIdempotencyKey = "same"    // by session and idempotency key: keyRecord
+	kindClassRules     = "rules"   // by key, of jobs and arrays that wait: storedClass
 )
 
 // unsent reports whether the record proves that the job was not sent: each send is recorded before it is made.
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -134,7 +134,7 @@
 	if found = found && r.State == Done; found {
 		x := a.record()
 		recount(&x)
-		all = append(all, x.change())
+		all = append(all, x.changes()...)
 	}
 	if err := f.store.Write(ctx, all...); err != nil {
 		return err
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"gatetack/internal/dispatch"
 	"gatetack/internal/filter"
 	"gatetack/internal/http1"
 	"gatetack/internal/leaseholder"
@@ -44,8 +43,6 @@
 	return jsonResponse(200, map[string]any{"jobCategories": slices.DeleteFunc(slices.Clone(f.names().Classes), func(name string) bool { return name == "" })})
 }
 
-var retrySafetyNames = map[dispatch.RetrySafety]string{dispatch.Idempotent: "free", dispatch.Keyed: "guarded", dispatch.AtMostOnce: "single_shot"}
-
 // queues lists the classes as queues, with the number of waiting and running jobs of each
 // (MonitoringSession::getAllQueues).
 func (f *Front) queues() http1.Response {
@@ -66,11 +63,12 @@
 	}
 	f.mu.Unlock()
 	list := []map[string]any{}
-	for i, name := range f.names().Classes {
+	rules := f.core.Rules()
+	for i, name := range rules.Names.Classes {
 		if name == "" {
 			continue
 		}
-		c := f.class(i)
+		c := &rules.Settings.Classes[i]
 		list = append(list, map[string]any{"name": name, "deadlineMs": c.Deadline, "aimMs": c.Objective, "worth": c.PriorityWeight,
 			"effect": retrySafetyNames[c.RetrySafety], "waiting": waiting[name], "running": running[name]})
 	}
--- a/internal/batch/reconcile.go
+++ b/internal/batch/reconcile.go
@@ -46,7 +46,7 @@
 	}
 	f.log.Warn("array counts corrected to match the records of its members", "array", r.ID, "done", r.Done, "failed", r.Failed,
 		"done before", before.Done, "failed before", before.Failed)
-	return f.store.Write(ctx, x.change())
+	return f.store.Write(ctx, x.changes()...)
 }
 
 // recount counts how the members that had their turn ended, and adds those that were terminated before it. Records of
--- a/internal/batch/recording.go
+++ b/internal/batch/recording.go
@@ -124,7 +124,7 @@
 	}
 	all := append(r.changes(), more...)
 	if j.array != nil {
-		all = append(all, j.array.change())
+		all = append(all, j.array.changes()...)
 	}
 	return f.store.Write(ctx, all...)
 }
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -119,10 +119,8 @@
 func (f *Front) newJob(session string, t *template, now time.Time) *job {
 	j := &job{f: f, in: t.job, deadline: t.deadline, hash: t.hash, changed: make(chan struct{}), ready: make(chan struct{}),
 		queue: t.mustWait(now), r: Record{ID: f.ids.next(), State: Queued, SubState: subHeld, Name: t.name, Session: session,
-			Category: f.names().Classes[t.job.Class], Priority: t.priority, Submitted: now, Start: t.start, Deadline: t.deadline}}
-	if len(f.names().Tenants) > 0 {
-		j.r.Account = f.names().Tenants[t.job.Tenant]
-	}
+			Category: t.job.AcceptedClass.Name, Account: t.account(), Priority: t.priority, Submitted: now, Start: t.start,
+			Deadline: t.deadline}}
 	switch {
 	case t.hold:
 		j.r.State = QueuedHeld
@@ -208,7 +206,10 @@
 	if !f.hasSession(session) {
 		return noSession(session), errors.New("no such session")
 	}
-	j.r.HandedOver = !j.queue
+	if j.r.HandedOver = !j.queue; j.queue {
+		j.r.Class = storeClass(t.rules, t.job.AcceptedClass)
+		more = append(more, j.r.Class.change(j.r.ID))
+	}
 	if err := f.recordNew(ctx, j, more); err != nil {
 		return tryLater("the job could not be recorded: " + err.Error()), err
 	}
@@ -284,7 +285,7 @@
 		var err error
 		switch k.String() {
 		case "jobTemplate":
-			t, bad = f.readTemplate(v, now)
+			t, bad = f.readTemplate(v, now, nil)
 		case "beginIndex":
 			x.Begin, err = wholeNumber(v, 0, maxIndex)
 		case "endIndex":
@@ -318,10 +319,8 @@
 	if bad != nil {
 		return invalidArgument(bad)
 	}
-	x.ID, x.Name, x.Category, x.Priority = f.ids.next(), t.name, f.names().Classes[t.job.Class], t.priority
-	if len(f.names().Tenants) > 0 {
-		x.Account = f.names().Tenants[t.job.Tenant]
-	}
+	x.ID, x.Name, x.Category, x.Priority = f.ids.next(), t.name, t.job.AcceptedClass.Name, t.priority
+	x.Account, x.Class = t.account(), storeClass(t.rules, t.job.AcceptedClass)
 	x.Submitted, x.Start, x.Deadline, x.Held, x.Jobs, x.Next, x.Template = now, t.start, t.deadline, t.hold, item.Size(), x.Begin, t.raw
 	t.job.Method, t.job.IdempotencyKey = "POST", newTraceID()+newTraceID()
 	a := &array{t: *t, r: x}
@@ -329,7 +328,7 @@
 		return noSession(session)
 	}
 	if f.store != nil {
-		if err := f.store.Write(ctx, a.change()); err != nil {
+		if err := f.store.Write(ctx, append(a.changes(), x.Class.change(x.ID))...); err != nil {
 			return tryLater("the array could not be recorded: " + err.Error())
 		}
 	}
--- a/internal/batch/template.go
+++ b/internal/batch/template.go
@@ -20,8 +20,9 @@
 
 // template is a valid job template.
 type template struct {
+	rules          *node.Rules // in force when the template was read; all indexes and names are theirs
 	name           string
-	job            node.Job
+	job            node.Job  // names its class by AcceptedClass, since it may wait for long
 	deadline       time.Time // set by the client; if zero, the class's deadline applies from the hand-over to the core
 	start          time.Time
 	hold           bool
@@ -31,6 +32,14 @@
 	raw            []byte
 }
 
+// account returns the name of the tenant, empty where there are no tenants.
+func (t *template) account() string {
+	if len(t.rules.Names.Tenants) == 0 {
+		return ""
+	}
+	return t.rules.Names.Tenants[t.job.Tenant]
+}
+
 // mustWait reports whether a job of this template waits in the queue before it is handed to the core.
 func (t *template) mustWait(now time.Time) bool { return t.hold || t.start.After(now) }
 
@@ -80,17 +89,19 @@
 	if err != nil {
 		return nil, &argumentError{"INVALID_ARGUMENT", "body", err.Error()}
 	}
-	return f.readTemplate(root, now)
+	return f.readTemplate(root, now, nil)
 }
 
-func (f *Front) readTemplate(root gjson.Result, now time.Time) (*template, *argumentError) {
+// readTemplate reads a job template. Accepted is the class of a template that was accepted before, nil for a new one.
+func (f *Front) readTemplate(root gjson.Result, now time.Time, accepted *node.ClassRules) (*template, *argumentError) {
 	invalid := func(field, text string) *argumentError { return &argumentError{"INVALID_ARGUMENT", field, text} }
 	if !root.IsObject() {
 		return nil, invalid("body", "not an object")
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(root.Raw))
-	t := &template{job: node.Job{Slots: 1, Class: -1, Tenant: -1}, hash: h.Sum64(), raw: []byte(root.Raw)}
+	t := &template{rules: f.core.Rules(), job: node.Job{Slots: 1, Tenant: -1, AcceptedClass: accepted}, hash: h.Sum64(),
+		raw: []byte(root.Raw)}
 	var bad *argumentError
 	seen := map[string]bool{}
 	var args []string
@@ -127,17 +138,17 @@
 	if bad != nil {
 		return nil, bad
 	}
-	if t.job.Class < 0 {
+	class := t.job.AcceptedClass
+	if class == nil {
 		return nil, invalid("jobCategory", "missing: it names the class")
 	}
-	class := f.class(t.job.Class)
 	if t.job.Tenant < 0 {
-		if len(f.names().Tenants) > 0 {
+		if len(t.rules.Names.Tenants) > 0 {
 			return nil, invalid("accountingId", "missing: it names the tenant")
 		}
 		t.job.Tenant = 0
 	}
-	path := "/" + f.names().Classes[t.job.Class]
+	path := "/" + class.Name
 	if t.job.Target == "" {
 		t.job.Target = path
 	} else if rest, ok := strings.CutPrefix(t.job.Target, path); !ok || rest != "" && rest[0] != '/' && rest[0] != '?' {
@@ -160,7 +171,7 @@
 	}
 	// The class determines whether a retry is allowed. A template may only agree with it: it can not allow more, and
 	// there is no way to make an executor that drops duplicates accept them.
-	if rerunnable != nil && *rerunnable != (class.RetrySafety != dispatch.AtMostOnce) {
+	if rerunnable != nil && *rerunnable != (class.Rules.RetrySafety != dispatch.AtMostOnce) {
 		if *rerunnable {
 			return nil, invalid("rerunnable", "a job of this category must never run twice")
 		}
@@ -240,11 +251,16 @@
 		}
 		t.name = v.Str
 	case "jobCategory":
-		if t.job.Class, ok = f.names().Class(v.Str); !ok {
+		if accepted := t.job.AcceptedClass; accepted != nil && accepted.Name == v.Str {
+			return nil
+		}
+		index, known := t.rules.Names.Class(v.Str)
+		if !known {
 			return errors.New("names no class")
 		}
+		t.job.AcceptedClass = t.rules.ClassRules(v.Str, index)
 	case "accountingId":
-		if t.job.Tenant, ok = f.names().Tenant(v.Str); !ok {
+		if t.job.Tenant, ok = t.rules.Names.Tenant(v.Str); !ok {
 			return errors.New("names no tenant")
 		}
 	case "remoteCommand":
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -12,7 +12,7 @@
 	EvGossip                              // From, Data
 	EvStreamStarted                       // Job, Attempt, Executor, Elapsed: a streamed response began
 	EvOutcome                             // Job, Attempt, Executor, Outcome, Elapsed, Final, Report
-	EvRequest                             // Job, Class, Tenant, Key, TimeLeft, Work, Slots, Memory, Flags
+	EvRequest                             // Job, Class, Tenant, Key, TimeLeft, Work, Slots, Memory, Flags, MaxAttempts
 	EvHealthCheck                         // Executor, Outcome, Elapsed, Report
 	EvProcesses                           // Amount: processes of this node that send at the same time
 )
@@ -82,29 +82,32 @@
 
 // Event is one input of a Dispatcher; Kind determines which fields are valid.
 type Event struct {
-	Kind       EventKind
-	Form       ListForm
-	Topic      uint8
-	Class      uint8
-	Flags      uint8
-	Final      bool
-	Tenant     uint16
-	Attempt    uint16
-	Outcome    Outcome
-	Job        uint32
-	Executor   uint32
-	Token      uint32
-	Version    uint32
-	From       uint32
-	Key        uint64
-	TimeLeft   float64
-	Work       float64
-	Elapsed    float64
-	Amount     float64
-	Slots      float64
-	Memory     float64
-	Report     []float32
-	ZonePrices []float64 // price of running the request in each zone; Fees.CrossZone applies to zones without one
-	Updates    []EndpointUpdate
-	Data       []byte
+	Kind    EventKind
+	Form    ListForm
+	Topic   uint8
+	Class   uint8
+	Flags   uint8
+	Final   bool
+	Tenant  uint16
+	Attempt uint16
+	// MaxAttempts is the maximum number of attempts of a request that was accepted under other settings, 0 for the
+	// settings in force.
+	MaxAttempts uint16
+	Outcome     Outcome
+	Job         uint32
+	Executor    uint32
+	Token       uint32
+	Version     uint32
+	From        uint32
+	Key         uint64
+	TimeLeft    float64
+	Work        float64
+	Elapsed     float64
+	Amount      float64
+	Slots       float64
+	Memory      float64
+	Report      []float32
+	ZonePrices  []float64 // price of running the request in each zone; Fees.CrossZone applies to zones without one
+	Updates     []EndpointUpdate
+	Data        []byte
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,7 +28,7 @@
 	memory      float64
 	work        float64 // ms on an executor of speed 1
 	arrivedAt   float64
-	maxAttempts int     // from the settings at its arrival
+	maxAttempts int     // from the settings under which it was accepted
 	objectiveAt float64 // end of the latency objective: a response until then earns the full priority weight
 	deadline    float64
 	value       float64 // priority weight per ms of work
@@ -131,6 +131,9 @@
 	repeated := event.Flags&FlagRetry != 0
 	job := d.jobs.create()
 	job.id, job.key, job.arrivedAt, job.maxAttempts = event.Job, event.Key, d.now, d.settings.MaxAttempts
+	if event.MaxAttempts > 0 {
+		job.maxAttempts = int(event.MaxAttempts)
+	}
 	job.class = min(int(event.Class), len(d.settings.Classes)-1)
 	job.tenant = min(int(event.Tenant), len(d.admission.tenants)-1)
 	job.zonePrices = event.ZonePrices
--- a/internal/leaseholder/fence.go
+++ b/internal/leaseholder/fence.go
@@ -19,7 +19,8 @@
 // if they belong to no job.
 func (h *Holder) partitionOf(changes []jobstore.Change) string {
 	for _, change := range changes {
-		if change.Kind == "job" || change.Kind == "open" || change.Kind == "array" {
+		if change.Kind == "job" || change.Kind == "open" || change.Kind == "array" ||
+			change.Kind == "rules" {
 			if at := strings.LastIndexByte(change.Key, '.'); at > 0 {
 				return change.Key[:at]
 			}
--- a/internal/locality/placer.go
+++ b/internal/locality/placer.go
@@ -25,8 +25,10 @@
 	bytesPerGbit    = 1e9 / 8
 )
 
-// ExecutorLister lists the executors.
-type ExecutorLister interface {
+// Core is the part of a node's core that a Placer needs.
+type Core interface {
+	// Rules returns the settings in force.
+	Rules() *node.Rules
 	// Executors returns the executors, each with the number of this node's attempts in flight there.
 	Executors(context.Context) ([]node.ExecutorInfo, error)
 }
@@ -34,8 +36,7 @@
 // Placer determines the prices of the zones for the jobs of one node. It is safe for concurrent use.
 type Placer struct {
 	names            node.Names
-	settings         dispatch.Settings
-	executors        ExecutorLister
+	core             Core
 	slotsPerExecutor float64
 	log              *slog.Logger
 	now              func() time.Time
@@ -43,12 +44,12 @@
 
 	mu           sync.Mutex
 	site         *site.Site
-	executorZone map[string]int // zone of each executor, by name
-	meanRun      []float64      // mean run time of each class, ms
+	executorZone map[string]int     // zone of each executor, by name
+	meanRun      map[string]float64 // mean run time of each class by name, ms: indexes change with the settings
 }
 
 // Open reads the operators' file and returns a Placer for it.
-func Open(path string, names node.Names, s dispatch.Settings, from ExecutorLister, log *slog.Logger) (*Placer, error) {
+func Open(path string, names node.Names, s dispatch.Settings, core Core, log *slog.Logger) (*Placer, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &FileError{path, "data.file", err.Error()}
@@ -57,25 +58,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return newPlacer(f, names, s, from, log), nil
+	return newPlacer(f, names, s, core, log), nil
 }
 
-func newPlacer(f *File, names node.Names, s dispatch.Settings, from ExecutorLister, log *slog.Logger) *Placer {
+func newPlacer(f *File, names node.Names, s dispatch.Settings, core Core, log *slog.Logger) *Placer {
 	p := &Placer{
-		names: names, settings: s, executors: from, slotsPerExecutor: float64(f.SlotsPerExecutor), log: log,
+		names: names, core: core, slotsPerExecutor: float64(f.SlotsPerExecutor), log: log,
 		now: time.Now, started: time.Now(),
-		executorZone: map[string]int{}, site: site.New(max(len(names.Zones), 1), maxDataSets),
+		executorZone: map[string]int{}, meanRun: map[string]float64{}, site: site.New(max(len(names.Zones), 1), maxDataSets),
 	}
-	for _, class := range s.Classes {
-		p.meanRun = append(p.meanRun, max(1, class.Objective))
+	for i, name := range names.Classes {
+		p.meanRun[name] = max(1, s.Classes[i].Objective)
 	}
 	p.site.LocalZone, p.site.ReportPeriod = int(s.Zone), float64(refreshInterval.Milliseconds())
 	p.site.FleetShare = 1 / float64(max(s.Nodes, 1))
-	for i := range p.site.Zones {
-		if i != p.site.LocalZone {
-			p.site.Zones[i].CrossingPrice = s.Fees.CrossZone
-		}
-	}
 	p.addLinksAndSets(f)
 	return p
 }
@@ -102,7 +98,7 @@
 	tick := time.NewTicker(refreshInterval)
 	defer tick.Stop()
 	for {
-		if all, err := p.executors.Executors(ctx); err == nil {
+		if all, err := p.core.Executors(ctx); err == nil {
 			p.refresh(all)
 		}
 		select {
@@ -153,15 +149,16 @@
 // ended, with the name of its executor and whether it was served. Release is nil if no zone was reserved.
 func (p *Placer) Place(
 	inputs []string,
-	class int,
+	class *node.ClassRules,
 	timeLeft time.Duration,
 ) (prices []float64, reason string, release func(string, bool)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	startedAt := p.nowMillis()
-	c := p.settings.Classes[min(class, len(p.settings.Classes)-1)]
+	p.setCrossingPrice(p.core.Rules().Settings.Fees.CrossZone)
+	c := &class.Rules
 	j := site.Job{
-		Work:      p.meanRun[min(class, len(p.meanRun)-1)],
+		Work:      p.meanRunOf(class),
 		Slots:     1,
 		Objective: c.Objective * (1 + c.ObjectivePerWork),
 		TimeLeft:  float64(timeLeft.Milliseconds()),
@@ -178,16 +175,36 @@
 		}
 		return choice.Prices(len(p.site.Zones)), "data: " + choice.Reason() + " (late in any hall)", nil
 	}
-	placed := placement{placer: p, job: j, choice: choice, class: class, startedAt: startedAt}
+	placed := placement{placer: p, job: j, choice: choice, class: class.Name, startedAt: startedAt}
 	return choice.Prices(len(p.site.Zones)), "data: " + p.describe(choice), placed.release
 }
 
+// setCrossingPrice sets the price of a run in another zone than this node's. The caller holds the lock.
+func (p *Placer) setCrossingPrice(price float64) {
+	for i := range p.site.Zones {
+		if i != p.site.LocalZone {
+			p.site.Zones[i].CrossingPrice = price
+		}
+	}
+}
+
+// meanRunOf returns the mean run time of a class. That of a class without runs is taken from its latency objective. The
+// caller holds the lock.
+func (p *Placer) meanRunOf(class *node.ClassRules) float64 {
+	mean, known := p.meanRun[class.Name]
+	if !known {
+		mean = max(1, class.Rules.Objective)
+		p.meanRun[class.Name] = mean
+	}
+	return mean
+}
+
 // placement is the choice of a zone for a job.
 type placement struct {
 	placer    *Placer
 	job       site.Job
 	choice    site.Choice
-	class     int
+	class     string
 	startedAt float64 // ms, as returned by nowMillis
 }
 
@@ -207,8 +224,8 @@
 		}
 	}
 	if served {
-		mean := &p.meanRun[min(j.class, len(p.meanRun)-1)]
-		*mean += (max(1, now-j.startedAt) - *mean) * runLearningRate
+		mean := p.meanRun[j.class]
+		p.meanRun[j.class] = mean + (max(1, now-j.startedAt)-mean)*runLearningRate
 	}
 }
 
--- a/internal/locality/placer_test.go
+++ b/internal/locality/placer_test.go
@@ -18,7 +18,11 @@
 
 func (b executorList) Executors(context.Context) ([]node.ExecutorInfo, error) { return b, nil }
 
-var names = node.Names{Zones: []string{"tallinn", "tartu"}}
+func (b executorList) Rules() *node.Rules { return &node.Rules{Settings: settings(), Names: names} }
+
+var tileCharge = &node.ClassRules{Name: "tile-charge", Rules: settings().Classes[0]}
+
+var names = node.Names{Zones: []string{"tallinn", "tartu"}, Classes: []string{"tile-charge"}}
 
 func settings() dispatch.Settings {
 	return dispatch.Settings{
@@ -51,7 +55,7 @@
 		t.Fatal(err)
 	}
 	p.refresh(executorList{executor("a", "tallinn", "ready"), executor("b", "tartu", "ready")})
-	prices, why, ended := p.Place([]string{"scene"}, 0, time.Minute)
+	prices, why, ended := p.Place([]string{"scene"}, tileCharge, time.Minute)
 	if len(prices) != 2 || prices[1] != 0 || prices[0] <= 0.03 || !strings.Contains(why, "tartu") {
 		t.Errorf("prices %v, reason %s; want tartu, which has the data", prices, why)
 	}
@@ -62,16 +66,17 @@
 	if p.Reserved() != 0 {
 		t.Errorf("%d jobs reserved after the end of the job, want 0", p.Reserved())
 	}
-	if prices, _, _ := p.Place([]string{"scene"}, 0, time.Minute); prices[0] != 0 {
+	if prices, _, _ := p.Place([]string{"scene"}, tileCharge, time.Minute); prices[0] != 0 {
 		t.Errorf("prices %v with the data in both zones, want this node's zone to be cheapest", prices)
 	}
 	// A zone without an executor that accepts work gets no jobs.
 	p.refresh(executorList{executor("a", "tallinn", "ready"), executor("b", "tartu", "draining")})
-	if prices, why, _ := p.Place([]string{"scene"}, 0, time.Minute); prices[0] != 0 || prices[1] <= 0 {
+	if prices, why, _ := p.Place([]string{"scene"}, tileCharge, time.Minute); prices[0] != 0 || prices[1] <= 0 {
 		t.Errorf("prices %v, reason %s while the zone drains", prices, why)
 	}
 	p.refresh(nil)
-	if prices, why, ended := p.Place([]string{"scene"}, 0, time.Minute); prices != nil || ended != nil || why == "" {
+	prices, why, ended = p.Place([]string{"scene"}, tileCharge, time.Minute)
+	if prices != nil || ended != nil || why == "" {
 		t.Errorf("prices %v, reason %s without any executor", prices, why)
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -114,11 +114,11 @@
 		names:      names,
 		dispatcher: dispatcher,
 		intake:     intake{events: make(chan event, lim.Events), stopped: make(chan struct{})},
-		open:       openJobs{byTenant: make([]atomic.Int64, len(names.Tenants))},
 		clock:      newClock(),
 		jobs:       newJobTable(),
 		endpoints:  newEndpointTable(s, lim),
 	}
+	c.open.addTenants(len(names.Tenants))
 	c.rules.Store(&Rules{s, names})
 	known.Form = dispatch.ListCached
 	c.intake.events <- endpointUpdate{known}
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -370,7 +369,7 @@
 func TestTenantLimit(t *testing.T) {
 	h := newFakeAdapters(t, readyEndpoint("s-1"))
 	h.core.limits.SlowPeers.MaxCustomerRequests = 2
-	h.core.open.byTenant = make([]atomic.Int64, 2)
+	h.core.open.addTenants(2)
 	submit := func(id string, tenant int) (uint32, error) {
 		return h.core.Submit(
 			Job{TraceID: id, Class: 1, Tenant: tenant, TimeLeft: 5 * time.Second, Slots: 1},
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -77,11 +77,12 @@
 
 func (e shutdown) apply(c *Core, _ time.Time) { c.beginShutdown(e.after) }
 
-// configChange puts new rules in force.
+// configChange puts new settings in force.
 type configChange struct {
-	rules   *Rules
-	origins map[int]int // maps a class with new rules to the class whose learned state it takes over
-	done    chan error
+	settings dispatch.Settings
+	names    Names
+	late     time.Duration // how long classes that the settings no longer contain are accepted
+	done     chan error
 }
 
 func (e configChange) apply(c *Core, now time.Time) {
--- a/internal/node/job.go
+++ b/internal/node/job.go
@@ -18,8 +18,9 @@
 	rules      *Rules         // in force when the job was accepted
 	claim      idclaims.Claim // of its trace ID, if claimed is set
 	claimed    bool
-	answered   atomic.Bool // true also after the client has left; other goroutines read it
-	inFlight   int         // number of attempts
+	tenantOpen *atomic.Int64 // count of the tenant's open jobs, nil if it is not bounded
+	answered   atomic.Bool   // true also after the client has left; other goroutines read it
+	inFlight   int           // number of attempts
 	mayHaveRun bool
 	attempts   []*attempt
 }
@@ -84,6 +85,9 @@
 		MaxAttempts: settings.MaxAttempts,
 		RetrySafety: class.RetrySafety,
 	}
+	if j.request.AcceptedClass != nil {
+		rules.MaxAttempts = j.request.AcceptedClass.MaxAttempts
+	}
 	for _, a := range j.attempts { // in the order of their sends; the window counts from the earliest that may have run
 		if a.mayHaveRun && !rules.MayHaveRun {
 			rules.MayHaveRun, rules.WindowEnd = true, a.sentAt.Add(FromMs(class.DedupWindow))
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -31,6 +31,12 @@
 		c.reject(j, shuttingDownReason)
 		return
 	}
+	if err := c.resolveClass(j, now); err != nil {
+		c.log.Warn("rules of a waiting job not put in force", "job", j.request.TraceID,
+			"class", j.request.AcceptedClass.Name, "err", err)
+		c.reject(j, err.Error())
+		return
+	}
 	switch err := c.claimTraceID(j, now); {
 	case errors.Is(err, idclaims.ErrOpen):
 		c.answer(j, Answer{End: Failed, Reason: openTraceIDReason})
@@ -78,6 +84,9 @@
 		Memory:     request.Memory,
 		ZonePrices: request.ZonePrices,
 	}
+	if request.AcceptedClass != nil {
+		e.MaxAttempts = uint16(request.AcceptedClass.MaxAttempts)
+	}
 	if request.Work > 0 {
 		e.Flags |= dispatch.FlagWorkHint
 	}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -118,20 +118,21 @@
 	}
 }
 
-// Rules returns the rules in force. An index in them stands for the same class or tenant for as long as one of its
-// jobs can be open.
+// Rules returns the rules in force. An index of a class in them stands for the same rules while a job of the class is
+// open, and until RetiredClass.ReusableAt; whoever keeps a class for longer keeps ClassRules. An index of a tenant
+// never changes.
 func (c *Core) Rules() *Rules { return c.rules.Load() }
 
 // UpdateSettings puts new settings in force. New jobs follow them, and open jobs keep the rules under which they were
 // accepted. Jobs of a class that the new settings do not contain are still accepted for the time late. After an error
 // the old settings stay in force. Calls must not overlap.
 func (c *Core) UpdateSettings(ctx context.Context, s dispatch.Settings, names Names, late time.Duration) error {
-	next, origins, err := c.Rules().Update(s, names, c.clock.now(), late)
-	if err != nil {
+	// Invalid settings are reported at once, even while changes wait for the endpoint list.
+	if _, _, err := c.Rules().Update(s, names, c.clock.now(), late, NoneInUse); err != nil {
 		return err
 	}
 	done := make(chan error, 1)
-	c.post(configChange{next, origins, done})
+	c.post(configChange{s, names, late, done})
 	select {
 	case err := <-done:
 		return err
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -17,7 +17,7 @@
 
 // RetiredClass is the index of a class that the settings no longer contain, or of the old rules of a class whose rules
 // have changed. Requests under its name are accepted until AcceptedUntil, unless the name stands for another index. At
-// ReusableAt no job of it can be open any more, and the index may be reused.
+// ReusableAt it is no longer accepted, and the index may be reused once no job of it is open.
 type RetiredClass struct {
 	Name          string
 	Class         int
@@ -29,12 +29,14 @@
 // class whose rules differ gets a new index, so that open jobs keep the rules under which they were accepted; the
 // returned map gives for each such index the old index whose learned state it takes over. Everything except classes,
 // tenants and what dispatch.Dispatcher.UpdateSettings takes over stays unchanged. Late is how long a class that the
-// new settings do not contain is still accepted.
+// new settings do not contain is still accepted. InUse reports whether an open job has an index, which is then not
+// reused.
 func (r *Rules) Update(
 	s dispatch.Settings,
 	names Names,
 	now time.Time,
 	late time.Duration,
+	inUse func(class int) bool,
 ) (*Rules, map[int]int, error) {
 	next := &Rules{Settings: s, Names: r.Names}
 	next.Names.Classes = make([]string, len(r.Names.Classes))
@@ -42,7 +44,7 @@
 	next.Names.Retired = nil
 	var free []int
 	for _, x := range r.Names.Retired {
-		if now.Before(x.ReusableAt) {
+		if now.Before(x.ReusableAt) || inUse(x.Class) {
 			next.Names.Retired = append(next.Names.Retired, x)
 		} else {
 			free = append(free, x.Class)
@@ -71,8 +73,7 @@
 		}
 	}
 	if len(next.Names.Classes) > math.MaxUint8 {
-		return nil, nil, fmt.Errorf("settings.requestClasses: %d rules would stand at a time, expected %d at most",
-			len(next.Names.Classes), math.MaxUint8)
+		return nil, nil, &RulesError{len(next.Names.Classes)}
 	}
 	for i, name := range r.Names.Classes {
 		if name != "" && next.Names.Classes[i] != name {
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	r := &Rules{s, n}
 	s, n = rulesOf(classes, "c", "b")
-	r, from, err := r.Update(s, n, now, time.Minute)
+	r, from, err := r.Update(s, n, now, time.Minute, NoneInUse)
 	if err != nil || !reflect.DeepEqual(r.Names.Classes, []string{"", "b", "c"}) || len(from) != 0 {
 		t.Fatalf("%v %v %+v", err, from, r)
 	}
@@ -51,6 +51,7 @@
 		n,
 		now.Add(time.Second),
 		time.Minute,
+		NoneInUse,
 	); err != nil ||
 		!reflect.DeepEqual(from, map[int]int{3: 1}) {
 		t.Fatalf("%v %v %+v", err, from, r)
@@ -70,12 +71,13 @@
 		n,
 		now.Add(62*time.Second+time.Millisecond),
 		time.Minute,
+		NoneInUse,
 	); err != nil || r.Names.Classes[0] != "d" ||
 		len(r.Names.Classes) != 4 {
 		t.Errorf("%v %+v", err, r)
 	}
 	n.Classes[1] = "c"
-	if _, _, err = r.Update(s, n, now, 0); err == nil {
+	if _, _, err = r.Update(s, n, now, 0, NoneInUse); err == nil {
 		t.Error("a duplicate class name was accepted")
 	}
 }
@@ -128,7 +130,7 @@
 			jobs = append(jobs, openClassJobs(r, now, next)...)
 			now = next
 			s, n = drawRules(t)
-			then, _, err := r.Update(s, n, now, 500*time.Millisecond)
+			then, _, err := r.Update(s, n, now, 500*time.Millisecond, NoneInUse)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -59,15 +59,26 @@
 	}
 }
 
-// reconfigure puts new rules in force. Events that were queued earlier are decided under the old rules.
+// reconfigure puts new settings in force.
 func (c *Core) reconfigure(change configChange, now time.Time) {
-	if len(c.pending.events) > 0 {
-		c.step(now)
-	}
-	err := c.dispatcher.UpdateSettings(change.rules.Settings, change.origins)
+	next, origins, err := c.rules.Load().Update(change.settings, change.names, now, change.late, c.classesInUse())
 	if err == nil {
-		c.settings = change.rules.Settings
-		c.rules.Store(change.rules)
+		err = c.replaceRules(next, origins, now)
 	}
 	change.done <- err
 }
+
+// replaceRules puts new rules in force. Events that were queued earlier are decided under the old rules. Origins maps a
+// class with new rules to the class whose learned state it takes over.
+func (c *Core) replaceRules(next *Rules, origins map[int]int, now time.Time) error {
+	if len(c.pending.events) > 0 && !c.status.holdsJobs.Load() {
+		c.step(now)
+	}
+	if err := c.dispatcher.UpdateSettings(next.Settings, origins); err != nil {
+		return err
+	}
+	c.settings = next.Settings
+	c.open.addTenants(len(next.Names.Tenants))
+	c.rules.Store(next)
+	return nil
+}
--- a/internal/node/startup_test.go
+++ b/internal/node/startup_test.go
@@ -101,17 +101,14 @@
 func TestUpdateSettingsWaitsForHeldJobs(t *testing.T) {
 	h := newHoldingAdapters(t, readyEndpoint("s-old"))
 	to := make(chan error, 1)
-	rules, from, err := h.core.Rules().Update(settings(), h.core.names, h.now, time.Second)
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.core.post(configChange{rules, from, to})
+	was := h.core.Rules()
+	h.core.post(configChange{settings(), h.core.names, time.Second, to})
 	h.run(100 * time.Millisecond)
-	if len(to) != 0 {
+	if len(to) != 0 || h.core.Rules() != was {
 		t.Error("the rules were put in force while jobs are held")
 	}
 	h.core.ListCallFailed()
-	if h.run(100 * time.Millisecond); len(to) != 1 || h.core.Rules() != rules {
+	if h.run(100 * time.Millisecond); len(to) != 1 || <-to != nil || h.core.Rules() == was {
 		t.Error("the rules were not put in force after the wait")
 	}
 }
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -11,6 +11,9 @@
 // Job is a request as a front submits it.
 type Job struct {
 	Class, Tenant int
+	// AcceptedClass, if set, names the class instead of Class: the job has waited since it was accepted, and the settings
+	// may have changed.
+	AcceptedClass *ClassRules
 	Key           uint64        // affinity key, 0 for none
 	TimeLeft      time.Duration // until the client's deadline
 	Slots, Memory float64
