A write with an unknown outcome is settled before its client is told

Cause: the batch front told any error of a write as a rejection. The store now says whether a failed write is known not to be written; one with an unknown outcome is repeated until it is known, and the client waits, 30 s at most (then 504 OUTCOME_UNKNOWN with the id). Submissions, sessions, hold, release, reap, resolve, forwarded calls and store set go the same way.

Tests that changed: TestSlowStore wanted 503 for a write that may still be committed; it wants 504, and the job under its id later.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -31,7 +31,7 @@
 	exitRejected   = 3 // the node rejected the call because of the state, the session or an argument
 	exitRetryLater = 4 // the node cannot handle the call now: try again later
 	exitJob        = 5 // the awaited job has failed
-	exitUnknown    = 6 // the outcome of the awaited job is indeterminate
+	exitUnknown    = 6 // the outcome of the awaited job, or of the call itself, is indeterminate
 )
 
 func main() {
--- a/cmd/gatetack/remote.go
+++ b/cmd/gatetack/remote.go
@@ -122,6 +122,8 @@
 	}
 	rejection, rejected := errors.AsType[*drmaa2.Error](err)
 	switch {
+	case rejected && rejection.Code == drmaa2.CodeOutcomeUnknown:
+		return exitUnknown
 	case rejected && (rejection.Code == "TRY_LATER" || rejection.Code == "TIMEOUT"),
 		errors.Is(err, context.DeadlineExceeded):
 		return exitRetryLater
--- a/cmd/gatetack/settings_applier.go
+++ b/cmd/gatetack/settings_applier.go
@@ -60,7 +60,8 @@
 	if err := overlay(base, document); err != nil {
 		return err
 	}
-	if _, _, err := a.core.Rules().Update(base.Settings, base.Names, time.Now(), a.limits.RetiredClassTTL, node.NoneInUse); err != nil {
+	late := a.limits.RetiredClassTTL
+	if _, _, err := a.core.Rules().Update(base.Settings, base.Names, time.Now(), late, node.NoneInUse); err != nil {
 		return &settings.InvalidError{Item: "the merged settings", Got: err.Error(),
 			Expected: "settings that can be put in force now"}
 	}
--- a/cmd/gatetack/store_remote.go
+++ b/cmd/gatetack/store_remote.go
@@ -57,8 +57,11 @@
 // storeRejection returns the error for a response of the store with a status other than 200.
 func storeRejection(status int, body []byte) error {
 	rejection := &drmaa2.Error{Status: status, Code: "REFUSED", Message: gjson.GetBytes(body, "error").String()}
-	if status == http.StatusServiceUnavailable {
-		rejection.Code = "TRY_LATER"
+	switch status {
+	case http.StatusServiceUnavailable:
+		rejection.Code = drmaa2.CodeTryLater
+	case http.StatusGatewayTimeout:
+		rejection.Code = drmaa2.CodeOutcomeUnknown
 	}
 	if version := gjson.GetBytes(body, "version"); version.Exists() {
 		rejection.Message += ": version " + version.Raw
--- a/drmaa2/errors.go
+++ b/drmaa2/errors.go
@@ -16,6 +16,9 @@
 	CodeTryLater = "TRY_LATER" // the node can not handle the call at the moment
 	CodeTimeout  = "TIMEOUT"   // the wait timed out
 	CodeInternal = "INTERNAL"  // the response is not one of a batch front
+
+	// CodeOutcomeUnknown: the call may have had its effect, or may have it later.
+	CodeOutcomeUnknown = "OUTCOME_UNKNOWN"
 )
 
 // Error is an error response of the node (section 4.2).
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -74,20 +74,27 @@
 }
 
 // recordArray stores the current state of an array.
-func (f *Front) recordArray(ctx context.Context, a *array) error {
-	if f.store == nil {
-		return nil
-	}
+func (f *Front) recordArray(a *array) error {
 	r := a.record()
-	if err := f.store.Write(ctx, r.changes()...); err != nil {
+	if err := f.commit(r.changes()...); err != nil {
 		return err
 	}
 	if !r.finished() && a.finished() { // this older state may have overwritten its end: write again
-		return f.store.Write(ctx, a.changes()...)
+		return f.commit(a.changes()...)
 	}
 	return nil
 }
 
+// recordArrayUntilWritten stores the current state of an array, repeatedly until that succeeds.
+func (f *Front) recordArrayUntilWritten(a *array) {
+	for f.waitToRepeat(f.settling) {
+		err := f.recordArray(a)
+		if err == nil || f.isOwnedElsewhere(a.changes(), err) {
+			return
+		}
+	}
+}
+
 // countEnded counts a member that has ended.
 func (a *array) countEnded(r *Record) {
 	a.update(func(x *arrayRecord) {
--- a/internal/batch/arraycontrol.go
+++ b/internal/batch/arraycontrol.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gatetack/internal/http1"
+	"gatetack/internal/jobstore"
 )
 
 // arrayCall handles a call on an array.
@@ -24,7 +25,7 @@
 	case "terminate":
 		return f.terminateArray(ctx, a)
 	case "hold", "release":
-		return f.holdArray(ctx, a, call == "hold")
+		return f.holdArray(a, call == "hold")
 	}
 	return f.suspendUnsupported(call)
 }
@@ -35,16 +36,13 @@
 }
 
 // holdArray holds the members whose turn is yet to come, or releases them.
-func (f *Front) holdArray(ctx context.Context, a *array, held bool) http1.Response {
-	now := time.Now()
+func (f *Front) holdArray(a *array, held bool) http1.Response {
+	now, id := time.Now(), a.record().ID
 	f.mu.Lock()
-	id := a.record().ID
 	wasHeld := f.queue.IsHeld(id)
-	done := false
+	done := wasHeld
 	if held {
 		done = f.queue.Hold(id, now)
-	} else {
-		done = wasHeld && f.queue.Release(id, now)
 	}
 	if done {
 		a.update(func(r *arrayRecord) { r.Held = held })
@@ -53,9 +51,20 @@
 	if !done {
 		return jsonResponse(409, map[string]any{"error": "INVALID_STATE", "message": "no member of the array waits, or none is on hold", "jobArray": a.record().status()})
 	}
+	// A release is on record before members are handed to the core.
+	err := f.recordArray(a)
+	undo := err != nil && !jobstore.IsUnknownOutcome(err)
+	f.mu.Lock()
+	if undo {
+		a.update(func(r *arrayRecord) { r.Held = wasHeld })
+	}
+	if err == nil && !held || undo && !wasHeld {
+		f.queue.Release(id, time.Now())
+	}
+	f.mu.Unlock()
 	f.wake()
-	if err := f.recordArray(ctx, a); err != nil {
-		return tryLater("it is so, but could not be recorded: " + err.Error())
+	if err != nil {
+		return writeError(id, "the call could not be recorded", err)
 	}
 	return jsonResponse(200, a.record().status())
 }
@@ -111,8 +120,9 @@
 			}
 		}
 	}
-	if err := f.recordArray(ctx, a); err != nil {
-		return tryLater("it is so, but could not be recorded: " + err.Error())
+	if err := f.recordArray(a); err != nil {
+		go f.recordArrayUntilWritten(a)
+		return outcomeUnknown(x.ID, "its members are ended here, and that is not on record yet: "+err.Error())
 	}
 	if still > 0 {
 		return jsonResponse(409, map[string]any{"error": "INVALID_STATE", "jobArray": a.record().status(), "stillOut": still,
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -97,6 +97,10 @@
 	unsaved    atomic.Int64
 	unrecorded unrecorded
 
+	settling     context.Context // of writes of which clients are told; ends with Run
+	stopSettling context.CancelFunc
+	unsettled    atomic.Int64 // submissions whose outcome is unknown
+
 	lateCallbacks chan struct{} // semaphore of late callbacks in progress
 	resolving     sync.Mutex    // serializes the resolutions of UNDETERMINED jobs
 }
@@ -111,6 +115,7 @@
 	f.ids.incarnation.Store(o.StartedAt.UnixMilli())
 	f.sessions[defaultSession] = &session{r: sessionRecord{Name: defaultSession, Created: o.StartedAt.UTC()}}
 	f.loaded = make(chan struct{})
+	f.settling, f.stopSettling = context.WithCancel(context.Background())
 	f.ramp = recovery.ConcurrencyRamp{Min: f.lim.BatchOut / 8, Max: f.lim.BatchOut}
 	f.ramp.JumpToMax()
 	if f.store == nil {
@@ -132,6 +137,7 @@
 // Run adopts the records of earlier incarnations, then hands waiting jobs to the core and records their ends until
 // the context is canceled.
 func (f *Front) Run(ctx context.Context) error {
+	defer f.stopSettling()
 	for !f.ready() {
 		err := f.load(ctx)
 		if err == nil {
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -134,36 +134,64 @@
 		}
 		return conflict(r, "only a job that waits at this node, on hold or for its start time, can be held or released")
 	}
+	if held {
+		return f.holdJob(j)
+	}
+	return f.releaseJob(j)
+}
+
+// holdJob keeps a waiting job from being handed to the core, and records that.
+func (f *Front) holdJob(j *job) http1.Response {
 	now := time.Now()
 	f.mu.Lock()
-	wasHeld := f.queue.IsHeld(j.ref.ID)
-	done := f.queue.Hold(j.ref.ID, now)
-	if !held {
-		done = wasHeld && f.queue.Release(j.ref.ID, now)
-	}
-	if done {
-		j.update(func(r *Record) {
-			if r.State, r.SubState = Queued, subHeld; held {
-				r.State = QueuedHeld
-			} else if r.Start.After(now) {
-				r.SubState = subDeferred
-			}
-		})
-	} else if !wasHeld && !held {
-		f.queue.Release(j.ref.ID, now) // undo the Hold above: the job was not on hold before
-	}
+	wasHeld, done := f.queue.IsHeld(j.ref.ID), f.queue.Hold(j.ref.ID, now)
 	f.mu.Unlock()
 	if !done {
-		action := "release: it is not on hold"
-		if held {
-			action = "hold: it was handed over already"
+		return conflict(j.record(), "nothing to hold: it was handed over already")
+	}
+	err := f.commitRecord(j, func(r *Record) { r.State, r.SubState = QueuedHeld, subHeld })
+	if err == nil {
+		return f.jobResponse(200, j.record())
+	}
+	if !wasHeld && !jobstore.IsUnknownOutcome(err) {
+		f.mu.Lock()
+		f.queue.Release(j.ref.ID, now)
+		f.mu.Unlock()
+		f.wake()
+	}
+	return f.recordingError(j, "the hold could not be recorded", err)
+}
+
+// recordingError returns the response to a control call whose record could not be changed.
+func (f *Front) recordingError(j *job, text string, err error) http1.Response {
+	r := j.record()
+	if _, ended := errors.AsType[*endedError](err); ended {
+		return conflict(r, "the job has ended")
+	}
+	return writeError(r.ID, text, err)
+}
+
+// releaseJob records that a held job may be handed to the core, and then lets it go.
+func (f *Front) releaseJob(j *job) http1.Response {
+	now := time.Now()
+	f.mu.Lock()
+	held := f.queue.IsHeld(j.ref.ID)
+	f.mu.Unlock()
+	if !held {
+		return conflict(j.record(), "nothing to release: it is not on hold")
+	}
+	err := f.commitRecord(j, func(r *Record) {
+		if r.State, r.SubState = Queued, subHeld; r.Start.After(now) {
+			r.SubState = subDeferred
 		}
-		return conflict(j.record(), "nothing to "+action)
+	})
+	if err != nil {
+		return f.recordingError(j, "the release could not be recorded", err)
 	}
+	f.mu.Lock()
+	f.queue.Release(j.ref.ID, time.Now())
+	f.mu.Unlock()
 	f.wake()
-	if err := f.writeRecord(ctx, j, nil); err != nil {
-		return tryLater("it is so, but could not be recorded: " + err.Error())
-	}
 	return f.jobResponse(200, j.record())
 }
 
@@ -189,8 +217,8 @@
 		if r.Trace != "" { // of an UNDETERMINED job
 			deletions = append(deletions, jobstore.Change{Kind: kindSent, Key: r.Trace})
 		}
-		if err := f.store.Write(ctx, deletions...); err != nil {
-			return tryLater("its end could not be recorded: " + err.Error())
+		if err := f.commit(deletions...); err != nil {
+			return writeError(id, "its end could not be recorded", err)
 		}
 	}
 	if j != nil {
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -153,7 +152,7 @@
 	}
 	err := f.writeRecord(ctx, j, func(r *Record) error {
 		if r.State.final() {
-			return errors.New("the job has ended")
+			return &endedError{r.ID}
 		}
 		r.SubState, r.Machines = subSent, []string{executor}
 		return nil
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -55,7 +55,7 @@
 		r.Finished = now
 	}
 	if err := f.recordResolution(ctx, &r); err != nil {
-		return tryLater("the decision could not be recorded: " + err.Error())
+		return writeError(id, "the decision could not be recorded", err)
 	}
 	f.log.Warn("undetermined job resolved by an operator", "job", id, "as", as, "by", by, "why", why)
 	return f.jobResponse(200, r)
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"gatetack/internal/jobqueue"
 	"gatetack/internal/jobstore"
 	"gatetack/internal/leaseholder"
+	"gatetack/internal/store"
 )
 
 // This file contains the behavior that is specific to several nodes with shared records. Package lease assigns the
@@ -88,7 +90,7 @@
 			continue // each change of owner takes the rest of a lease, which bounds the loop
 		}
 		if err != nil {
-			return tryLater("the node that has the job, at " + addr + ", does not answer: " + err.Error()), true
+			return forwardError(m.Method, p[1], addr, err), true
 		}
 		r := http1.Response{Status: got.Status, Body: got.Body}
 		for _, name := range []string{"Content-Type", "Retry-After", "Location"} {
@@ -100,6 +102,16 @@
 	}
 }
 
+// forwardError returns the response to a call that was forwarded and got no response. The other node may have carried it
+// out, unless it only reads or was not sent.
+func forwardError(method, id, addr string, err error) http1.Response {
+	text := "the node that has the job, at " + addr + ", does not answer: " + err.Error()
+	if _, notSent := errors.AsType[*store.UnreachableError](err); notSent || method == "GET" {
+		return tryLater(text)
+	}
+	return outcomeUnknown(id, text)
+}
+
 // forwardTo makes a call at a node, and cancels it when the node no longer owns the partition.
 func (f *Front) forwardTo(ctx context.Context, part, addr string, m *http1.Message) (*http1.Message, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -136,7 +136,7 @@
 		recount(&x)
 		all = append(all, x.changes()...)
 	}
-	if err := f.store.Write(ctx, all...); err != nil {
+	if err := f.commit(all...); err != nil {
 		return err
 	}
 	if found {
--- a/internal/batch/recording.go
+++ b/internal/batch/recording.go
@@ -129,6 +129,32 @@
 	return f.store.Write(ctx, all...)
 }
 
+// commitRecord changes the state of a job that has not ended, after it is on record. The job is unchanged if the write
+// fails.
+func (f *Front) commitRecord(j *job, change func(*Record)) error {
+	j.recordMu.Lock()
+	defer j.recordMu.Unlock()
+	r := j.record()
+	if r.State.final() {
+		return &endedError{r.ID}
+	}
+	change(&r)
+	if err := f.commit(r.changes()...); err != nil {
+		return err
+	}
+	j.update(func(current *Record) {
+		if !current.State.final() {
+			change(current)
+		}
+	})
+	return nil
+}
+
+// endedError reports that a job has ended, so that its state does not change any more.
+type endedError struct{ job string }
+
+func (e *endedError) Error() string { return "job " + e.job + " has ended" }
+
 // Pending reports whether states are still to be recorded.
 func (f *Front) Pending() bool { return f.unsaved.Load() > 0 }
 
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -174,26 +174,31 @@
 		f.mu.Unlock()
 		return problem(503, "TRY_LATER", "", "there are as many sessions as there may be")
 	}
-	s := &session{r: r}
-	f.sessions[r.Name] = s
+	f.sessions[r.Name] = &session{r: r}
 	f.mu.Unlock()
-	if f.store != nil {
-		v, _ := json.Marshal(r)
-		if err := f.store.Write(ctx, jobstore.Change{Kind: kindSession, Key: r.Name, Value: v, New: true, Keep: true}); err != nil {
-			f.mu.Lock()
-			delete(f.sessions, r.Name)
-			f.mu.Unlock()
-			if errors.Is(err, jobstore.ErrExists) {
-				return problem(409, "INVALID_ARGUMENT", "sessionName", "a job session of this name exists")
-			}
-			return tryLater("the session could not be recorded: " + err.Error())
-		}
+	done := make(chan http1.Response, 1)
+	go func() { done <- f.acceptSession(r) }() // it goes on if the client leaves
+	return f.awaitSettled(ctx, r.Name, done)
+}
+
+// acceptSession records a new session, and opens it.
+func (f *Front) acceptSession(r sessionRecord) http1.Response {
+	value, _ := json.Marshal(r) // cannot fail for strings and a time
+	create := []jobstore.Change{{Kind: kindSession, Key: r.Name, Value: value, Keep: true}}
+	if err := f.recordNew(create, sameValue(value)); err != nil {
 		f.mu.Lock()
-		if f.sessions[r.Name] == nil { // a concurrent refreshSessions found no record and deleted it
-			f.sessions[r.Name] = s
-		}
+		delete(f.sessions, r.Name)
 		f.mu.Unlock()
+		if errors.Is(err, jobstore.ErrExists) {
+			return problem(409, "INVALID_ARGUMENT", "sessionName", "a job session of this name exists")
+		}
+		return writeError(r.Name, "the session could not be recorded", err)
 	}
+	f.mu.Lock()
+	if f.sessions[r.Name] == nil { // a concurrent refreshSessions found no record and deleted it
+		f.sessions[r.Name] = &session{r: r}
+	}
+	f.mu.Unlock()
 	return f.openSession(r.Name, 201)
 }
 
@@ -270,11 +275,11 @@
 	delete(f.sessions, name)
 	f.mu.Unlock()
 	if f.store != nil {
-		if err := f.store.Write(ctx, jobstore.Change{Kind: kindSession, Key: name}); err != nil {
+		if err := f.commit(jobstore.Change{Kind: kindSession, Key: name}); err != nil {
 			f.mu.Lock()
 			f.sessions[name] = s
 			f.mu.Unlock()
-			return tryLater("the session's end could not be recorded: " + err.Error())
+			return writeError(name, "the session's end could not be recorded", err)
 		}
 	}
 	return http1.Response{Status: 204}
--- /dev/null
+++ b/internal/batch/settle_test.go
@@ -0,0 +1,210 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gatetack/internal/jobstore"
+	"gatetack/internal/leaseholder"
+	"gatetack/internal/node"
+)
+
+// outageStore is a store that has lost its quorum for a number of writes: their outcome is unknown. The first of them is
+// committed or lost. A further number of writes is rejected with err.
+type outageStore struct {
+	*memoryStore
+	mu              sync.Mutex
+	unknown, reject int
+	commits         bool
+	err             error
+}
+
+func (s *outageStore) Write(ctx context.Context, changes ...jobstore.Change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.unknown > 0:
+		s.unknown--
+		if s.commits {
+			if err := s.memoryStore.Write(ctx, changes...); err != nil {
+				return err
+			}
+			s.commits = false
+		}
+		return &jobstore.UnknownOutcomeError{Cause: errors.New("leadership lost")}
+	case s.reject > 0:
+		s.reject--
+		return s.err
+	}
+	return s.memoryStore.Write(ctx, changes...)
+}
+
+// lose makes the store lose its quorum for two writes, the first of which is committed or not.
+func (s *outageStore) lose(commits bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unknown, s.commits = 2, commits
+}
+
+func newOutageFront(t *testing.T) (*Front, *manualCore, *outageStore) {
+	core, s := &manualCore{}, &outageStore{memoryStore: &memoryStore{values: map[string][]byte{}}}
+	f := newFront(core, s, time.Now())
+	f.lim.StoreElectionTimeout = 5 * time.Millisecond
+	runFront(t, f)
+	return f, core, s
+}
+
+const heldTemplate = `{"submitAsHold":true,"jobCategory":"tile-charge","accountingId":"maavaade","payload":"x"}`
+
+// A submission whose write has an unknown outcome is answered when the outcome is known, and what it is told is so, at
+// once and after a restart: it is there once, whether the first write was committed or lost.
+func TestSubmissionOverALostQuorumIsThereOnce(t *testing.T) {
+	for _, x := range []struct{ path, body, id, list, kind string }{
+		{"/jobs", heldTemplate, "jobId", "/jobs/", kindJob},
+		{"/jobs", strings.Replace(heldTemplate, "{", `{"idempotencyKey":"k",`, 1), "jobId", "/jobs/", kindJob},
+		{"/arrays", `{"jobTemplate":` + heldTemplate + `,"endIndex":3}`, "jobArrayId", "/arrays/", kindArray},
+		{"/sessions", `{"sessionName":"night"}`, "sessionName", "/sessions/", kindSession},
+	} {
+		for _, commits := range []bool{true, false} {
+			f, _, s := newOutageFront(t)
+			s.lose(commits)
+			status, v, _ := call(f, "POST", x.path, x.body)
+			if status != 201 {
+				t.Errorf("%s, first write committed %v: status %d, body %s; want 201", x.path, commits, status, v.Raw)
+				continue
+			}
+			later := newFront(&manualCore{}, s, time.Now().Add(time.Second))
+			for _, front := range []*Front{f, later} {
+				if status, v, _ := call(front, "GET", x.list+v.Get(x.id).String(), ""); status != 200 {
+					t.Errorf("%s: after its acceptance: status %d, body %s", x.path, status, v.Raw)
+				}
+			}
+			if rows, _ := s.Page(t.Context(), x.kind, "", 10); len(rows) != 1 {
+				t.Errorf("%s: %d records, want one", x.path, len(rows))
+			}
+		}
+	}
+}
+
+// A submission that is rejected leaves nothing on record, also where its first write had an unknown outcome.
+func TestRejectionOverALostQuorumHasNoEffect(t *testing.T) {
+	for _, err := range []error{jobstore.ErrFull, jobstore.ErrExists} {
+		f, _, s := newOutageFront(t)
+		s.lose(false)
+		s.unknown, s.reject, s.err = 1, 1, err
+		status, v, _ := call(f, "POST", "/arrays", `{"jobTemplate":`+heldTemplate+`,"endIndex":3}`)
+		if status != 503 {
+			t.Errorf("%v: status %d, body %s, want a rejection", err, status, v.Raw)
+		}
+		if rows, _ := s.Page(t.Context(), kindArray, "", 10); len(rows) != 0 || f.queue.Waiting() != 0 {
+			t.Errorf("%v: the rejected array is there: %d records, %d members wait", err, len(rows), f.queue.Waiting())
+		}
+	}
+}
+
+// takenOver is a router of a node that lost its partitions to another one.
+type takenOver struct{ PartitionRouter }
+
+func (takenOver) Locate(string) (string, bool, bool) { return "127.0.0.1:1", false, true }
+
+// Another node takes the partition over while the outcome of a submission is unknown: the record says whether it was
+// accepted there.
+func TestSubmissionOverATakeoverIsToldByTheRecord(t *testing.T) {
+	for _, commits := range []bool{true, false} {
+		f, _, s := newOutageFront(t)
+		f.router = takenOver{}
+		s.lose(commits)
+		s.unknown, s.reject, s.err = 1, 1, leaseholder.ErrNotOwner
+		changes := []jobstore.Change{{Kind: kindJob, Key: "n0.1.000000000001", Value: []byte("{}")}}
+		if err := f.recordNew(changes, anyValue); (err == nil) != commits {
+			t.Errorf("first write committed %v: %v", commits, err)
+		}
+	}
+}
+
+// A control call whose write has an unknown outcome is answered when it is known, and the record is as it was told.
+func TestControlCallsOverALostQuorum(t *testing.T) {
+	for _, commits := range []bool{true, false} {
+		f, core, s := newOutageFront(t)
+		_, v, _ := call(f, "POST", "/jobs", strings.Replace(heldTemplate, "true", "false", 1))
+		clients, _ := core.take()
+		clients[0].Answer(node.Answer{End: node.Served})
+		ended := v.Get("jobId").String()
+		eventually(t, "the end is recorded", func() bool { return !f.Pending() })
+		_, v, _ = call(f, "POST", "/jobs", heldTemplate)
+		job := "/jobs/" + v.Get("jobId").String()
+		_, v, _ = call(f, "POST", "/arrays", `{"jobTemplate":`+heldTemplate+`,"endIndex":3}`)
+		array := "/arrays/" + v.Get("jobArrayId").String()
+		for _, x := range []struct {
+			method, path string
+			status       int
+		}{
+			{"POST", array + "/release", 200}, {"POST", array + "/terminate", 200},
+			{"POST", job + "/release", 200}, {"POST", "/jobs/" + ended + "/reap", 204},
+		} {
+			s.lose(commits)
+			if status, v, _ := call(f, x.method, x.path, ""); status != x.status && status != 409 {
+				t.Errorf("%s, first write committed %v: status %d, body %s", x.path, commits, status, v.Raw)
+			}
+			s.mu.Lock()
+			s.unknown = 0
+			s.mu.Unlock()
+		}
+		if _, found, _ := s.Get(t.Context(), kindJob, recordKey(ended)); found {
+			t.Error("the reaped job is still on record")
+		}
+	}
+}
+
+// A control call whose outcome stays unknown is not answered as a rejection, and its job does not run meanwhile.
+func TestControlCallWithoutAnOutcomeIsNotRejected(t *testing.T) {
+	f, core, s := newOutageFront(t)
+	f.lim.StoreSettleTimeout = 20 * time.Millisecond
+	_, v, _ := call(f, "POST", "/jobs", heldTemplate)
+	s.mu.Lock()
+	s.unknown = 1 << 30
+	s.mu.Unlock()
+	id := v.Get("jobId").String()
+	for _, what := range []string{"/release", "/hold", "/reap"} {
+		status, v, _ := call(f, "POST", "/jobs/"+id+what, "")
+		if status != 504 && what != "/reap" || status == 503 {
+			t.Errorf("%s: status %d, body %s", what, status, v.Raw)
+		}
+	}
+	if clients, _ := core.take(); len(clients) != 0 {
+		t.Error("a job was handed to the core whose release is not on record")
+	}
+}
+
+// While a slow store has not said whether a submission is on record, its client is told neither that it is accepted nor
+// that it is rejected: it waits, and is then told that the outcome is unknown, with the ID. Nothing reaches the core
+// meanwhile. Once the record is written, the job is accepted and is known under that ID.
+func TestSlowStore(t *testing.T) {
+	e, m := &manualCore{}, &memoryStore{values: map[string][]byte{}}
+	f := newFront(e, m, time.Now())
+	runFront(t, f)
+	f.lim.StoreSettleTimeout = 30 * time.Millisecond
+	m.slow = make(chan bool)
+	status, v, _ := call(f, "POST", "/jobs", strings.Replace(validTemplate, "{", `{"submitAsHold":true,`, 1))
+	id := v.Get("id").String()
+	if status != 504 || v.Get("error").String() != "OUTCOME_UNKNOWN" || id == "" {
+		t.Fatalf("status %d, body %s", status, v.Raw)
+	}
+	if clients, _ := e.take(); len(clients) != 0 || f.queue.Waiting() != 0 {
+		t.Errorf("%d jobs reached the core, %d are waiting before anything is on record", len(clients), f.queue.Waiting())
+	}
+	m.slow <- true // the record is written after all
+	eventually(t, "the job is accepted", func() bool {
+		_, v, _ := call(f, "GET", "/jobs/"+id, "")
+		return v.Get("jobState").String() == "QUEUED_HELD"
+	})
+	close(m.slow)
+	if status, v, _ := call(f, "POST", "/jobs/"+id+"/release", ""); status != 200 {
+		t.Errorf("release: status %d, body %s", status, v.Raw)
+	}
+	eventually(t, "the core has the job", func() bool { clients, _ := e.take(); return len(clients) == 1 })
+}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -55,7 +55,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.waiting)+len(f.arrays) >= f.lim.BatchWaitingItems {
+	if len(f.waiting)+len(f.arrays)+int(f.unsettled.Load()) >= f.lim.BatchWaitingItems {
 		return tryLater("too many jobs wait here"), false
 	}
 	return http1.Response{}, true
@@ -80,40 +80,44 @@
 	if !f.claimKey(session, t, j) {
 		return f.submit(ctx, session, body) // a concurrent submission has claimed the key: find its job
 	}
-	r, err := f.accept(ctx, session, t, j, now)
-	if err != nil {
-		f.mu.Lock()
-		j.mu.Lock()
-		j.submitFailed = true
-		j.mu.Unlock()
-		k := sessionKey(session, t.idempotencyKey)
-		claimed := f.byIdempotencyKey[k] == j
-		if claimed {
-			delete(f.byIdempotencyKey, k)
+	done := make(chan http1.Response, 1)
+	go func() { // it goes on if the client leaves
+		r, err := f.accept(session, t, j, now)
+		if err != nil {
+			f.releaseKey(session, t, j)
 		}
-		f.mu.Unlock()
-		if claimed && f.store != nil && !errors.Is(err, jobstore.ErrExists) {
-			if err := f.deleteKeyRecord(ctx, k, j.r.ID); err != nil {
-				f.log.Warn("record of the idempotency key of a rejected job not deleted", "err", err)
-			}
+		close(j.ready)
+		if errors.Is(err, jobstore.ErrExists) {
+			r = f.submit(ctx, session, body) // another node has accepted a job under this key: find it
 		}
+		done <- r
+	}()
+	return f.awaitSettled(ctx, j.r.ID, done)
+}
+
+// releaseKey frees the idempotency key of a job that was not accepted.
+func (f *Front) releaseKey(session string, t *template, j *job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	j.mu.Lock()
+	j.submitFailed = true
+	j.mu.Unlock()
+	if k := sessionKey(session, t.idempotencyKey); f.byIdempotencyKey[k] == j {
+		delete(f.byIdempotencyKey, k)
 	}
-	close(j.ready)
-	if errors.Is(err, jobstore.ErrExists) {
-		return f.submit(ctx, session, body) // another node has accepted a job under this key: find it
-	}
-	return r
 }
 
-// deleteKeyRecord deletes the record of an idempotency key if it belongs to the given job: the client was asked to
-// try again, so its key must not stand for a job that was not accepted. If another node accepted a job under the key,
-// the record stays.
-func (f *Front) deleteKeyRecord(ctx context.Context, k, id string) error {
-	value, found, err := f.store.Get(ctx, kindIdempotencyKey, k)
-	if err != nil || !found || gjson.GetBytes(value, "id").String() != id {
+// deleteKeyRecord deletes the record of the idempotency key of a recorded job that the core did not accept: the client
+// is asked to try again, so its key must not stand for this job.
+func (f *Front) deleteKeyRecord(j *job) error {
+	if j.r.KeyRecord == "" || f.store == nil {
+		return nil
+	}
+	value, found, err := f.store.Get(f.settling, kindIdempotencyKey, j.r.KeyRecord)
+	if err != nil || !found || gjson.GetBytes(value, "id").String() != j.r.ID {
 		return err
 	}
-	return f.store.Write(ctx, jobstore.Change{Kind: kindIdempotencyKey, Key: k})
+	return f.commit(jobstore.Change{Kind: kindIdempotencyKey, Key: j.r.KeyRecord})
 }
 
 func (f *Front) newJob(session string, t *template, now time.Time) *job {
@@ -161,6 +165,8 @@
 		case <-j.ready:
 		case <-ctx.Done():
 			return http1.Response{Status: 503, Close: true}, true
+		case <-time.After(f.lim.StoreSettleTimeout):
+			return outcomeUnknown(j.r.ID, "the store has not said in time whether the job under this key is on record"), true
 		}
 		j.mu.Lock()
 		gone := j.submitFailed
@@ -197,7 +203,7 @@
 
 // accept records a job, and then submits it to the core or queues it. It returns an error for a job that was not
 // accepted.
-func (f *Front) accept(ctx context.Context, session string, t *template, j *job, now time.Time) (http1.Response, error) {
+func (f *Front) accept(session string, t *template, j *job, now time.Time) (http1.Response, error) {
 	var more []jobstore.Change
 	if t.idempotencyKey != "" {
 		j.r.KeyRecord, j.r.TemplateHash = sessionKey(session, t.idempotencyKey), fmt.Sprintf("%016x", t.hash)
@@ -210,8 +216,8 @@
 		j.r.Class = storeClass(t.rules, t.job.AcceptedClass)
 		more = append(more, j.r.Class.change(j.r.ID))
 	}
-	if err := f.recordNew(ctx, j, more); err != nil {
-		return tryLater("the job could not be recorded: " + err.Error()), err
+	if err := f.recordNew(append(j.r.changes(), more...), anyValue); err != nil {
+		return writeError(j.r.ID, "the job could not be recorded", err), err
 	}
 	f.events.add(&j.r)
 	if j.queue {
@@ -227,41 +233,15 @@
 	f.register(j)
 	f.mu.Unlock()
 	if err := f.submitToCore(j.in, j); err != nil {
+		if err := f.deleteKeyRecord(j); err != nil { // its key stands for the rejected job, which the response shows
+			f.log.Warn("record of the idempotency key of a rejected job not deleted", "job", j.r.ID, "err", err)
+			return f.created(j), nil
+		}
 		return tryLater(err.Error()), err
 	}
 	return f.created(j), nil
 }
 
-var errStoreSlow = errors.New("the store is too slow")
-
-// recordNew records a new job, or rejects it when the write takes too long. If the write succeeds later, the record
-// is deleted again: a rejected job must not look accepted after a restart.
-func (f *Front) recordNew(ctx context.Context, j *job, more []jobstore.Change) error {
-	done := make(chan error, 1)
-	go func() { done <- f.writeRecord(context.WithoutCancel(ctx), j, nil, more...) }()
-	timer := time.NewTimer(f.lim.StoreCallTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-done:
-		return err
-	case <-timer.C:
-	}
-	go func() {
-		if <-done != nil {
-			return
-		}
-		r := j.record()
-		undo := append(r.changes(), more...)
-		for i := range undo {
-			undo[i].Value, undo[i].New = nil, false
-		}
-		if err := f.store.Write(context.WithoutCancel(ctx), undo...); err != nil {
-			f.log.Warn("record of a rejected job not deleted", "job", r.ID, "err", err)
-		}
-	}()
-	return errStoreSlow
-}
-
 func (f *Front) created(j *job) http1.Response {
 	r := f.jobResponse(201, j.record())
 	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/jobs/" + j.r.ID})
@@ -327,10 +307,16 @@
 	if !f.hasSession(session) {
 		return noSession(session)
 	}
-	if f.store != nil {
-		if err := f.store.Write(ctx, append(a.changes(), x.Class.change(x.ID))...); err != nil {
-			return tryLater("the array could not be recorded: " + err.Error())
-		}
+	done := make(chan http1.Response, 1)
+	go func() { done <- f.acceptArray(a, now) }() // it goes on if the client leaves
+	return f.awaitSettled(ctx, x.ID, done)
+}
+
+// acceptArray records an array, and then queues it.
+func (f *Front) acceptArray(a *array, now time.Time) http1.Response {
+	x := a.record()
+	if err := f.recordNew(append(a.changes(), x.Class.change(x.ID)), anyValue); err != nil {
+		return writeError(x.ID, "the array could not be recorded", err)
 	}
 	f.mu.Lock()
 	f.arrays[x.ID] = a
--- a/internal/jobstore/bolt.go
+++ b/internal/jobstore/bolt.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -51,23 +52,59 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	applied := false
 	err := b.db.Batch(func(tx *bolt.Tx) error {
+		applied = false
 		for i := range changes {
 			if err := applyChange(tx, &changes[i]); err != nil {
 				return err
 			}
 		}
+		applied = true
 		return nil
 	})
-	if errors.Is(err, bolterrors.ErrDatabaseNotOpen) {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, bolterrors.ErrDatabaseNotOpen):
 		return ErrClosed
+	case applied: // the commit failed
+		return b.resolveCommit(context.WithoutCancel(ctx), changes, err)
 	}
-	if err != nil {
-		return fmt.Errorf("records: %w", err)
+	return fmt.Errorf("records: %w", err)
+}
+
+// resolveCommit returns the error of a write whose commit failed. If the last step of a commit fails, the sync of the
+// page that makes it valid, the transaction is in the file and a restart of the process finds it.
+func (b *Bolt) resolveCommit(ctx context.Context, changes []Change, cause error) error {
+	visible, err := b.contains(ctx, changes)
+	switch {
+	case err != nil:
+		return &UnknownOutcomeError{errors.Join(cause, err)}
+	case !visible:
+		return fmt.Errorf("records: %w", cause)
+	}
+	if err := b.db.Sync(); err != nil {
+		return &UnknownOutcomeError{errors.Join(cause, err)}
 	}
 	return nil
 }
 
+// contains reports whether the file has the values that changes write.
+func (b *Bolt) contains(ctx context.Context, changes []Change) (bool, error) {
+	for i := range changes {
+		c := &changes[i]
+		value, found, err := b.Get(ctx, c.Kind, c.Key)
+		if err != nil {
+			return false, err
+		}
+		if found != (c.Value != nil) || !bytes.Equal(value, c.Value) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 func applyChange(tx *bolt.Tx, c *Change) error {
 	if c.Key == "" || c.Kind == "" || c.Kind[0] == usageBucket[0] {
 		return fmt.Errorf("invalid change: kind %q, key %q", c.Kind, c.Key)
--- a/internal/jobstore/bolt_test.go
+++ b/internal/jobstore/bolt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -187,3 +188,27 @@
 		}
 	})
 }
+
+// After a commit that failed, the file says whether the write counts: what it contains is synced and acknowledged, and
+// what it does not contain was not written.
+func TestFailedCommitIsResolvedByTheFile(t *testing.T) {
+	b := open(t, t.TempDir())
+	ctx, cause := context.Background(), errors.New("sync failed")
+	put(t, b, "there", []byte("value"))
+	there := []Change{{Kind: "job", Key: "there", Value: []byte("value")}, {Kind: "job", Key: "deleted"}}
+	if err := b.resolveCommit(ctx, there, cause); err != nil {
+		t.Errorf("a write that is in the file: %v", err)
+	}
+	for _, changes := range [][]Change{
+		{{Kind: "job", Key: "missing", Value: []byte("value")}},
+		{{Kind: "job", Key: "there", Value: []byte("other")}},
+		{{Kind: "job", Key: "there"}},
+	} {
+		if err := b.resolveCommit(ctx, changes, cause); !errors.Is(err, cause) || IsUnknownOutcome(err) {
+			t.Errorf("%+v, which is not in the file: %v", changes, err)
+		}
+	}
+	if err := b.Write(ctx, Change{Kind: "job", Key: "there", Value: []byte("x"), New: true}); IsUnknownOutcome(err) {
+		t.Errorf("a write with a condition that failed: %v", err)
+	}
+}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
 // Change writes one value, or deletes it where Value is nil.
@@ -24,8 +25,8 @@
 
 // Store stores values by kind and key.
 type Store interface {
-	// Write commits all changes or none, and returns once they are durable. After an error other than ErrExists,
-	// ErrFull and ErrClosed it may be unknown whether they were committed.
+	// Write commits all changes or none, and returns once they are durable. After an UnknownOutcomeError they may have
+	// been committed, or may be committed later. After any other error nothing was written.
 	Write(ctx context.Context, changes ...Change) error
 	// Get returns the latest value. It is never stale: according to an older record, a job that was sent could seem not
 	// to be.
@@ -35,6 +36,23 @@
 	Page(ctx context.Context, kind, after string, limit int) ([]Row, error)
 }
 
+// UnknownOutcomeError reports that it is unknown whether a write was committed. It may still be committed later, for
+// instance when a store that has lost its quorum has one again.
+type UnknownOutcomeError struct{ Cause error }
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("records: unknown whether the write was committed: %v", e.Cause)
+}
+
+// Unwrap returns the error of the last attempt to write.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// IsUnknownOutcome reports whether an error of Write leaves it unknown whether the write was committed.
+func IsUnknownOutcome(err error) bool {
+	_, unknown := errors.AsType[*UnknownOutcomeError](err)
+	return unknown
+}
+
 // Errors of Write that guarantee that nothing was written.
 var (
 	ErrExists = errors.New("records: key already exists")
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -68,6 +68,7 @@
 	StoreElectionTimeout   time.Duration // without a heartbeat of the leader for this long, another is elected
 	LeaseTTL               time.Duration // of a node's lease; after its end other nodes claim the node's partitions
 	StoreCallTimeout       time.Duration // of one call, including a change of the leader
+	StoreSettleTimeout     time.Duration // of a client's call while its write has an unknown outcome
 
 	// Times.
 
@@ -245,7 +246,8 @@
 
 		InventoryBytes: 1 << 20, InventoryRows: 4096, InventoryCheckInterval: 200 * time.Millisecond,
 		StoreConns: 8, StoreBodyBytes: 256 << 10, StoreValues: 4096, StoreBytes: 16 << 20, StoreSnapshotThreshold: 2048,
-		StoreElectionTimeout: 500 * time.Millisecond, StoreCallTimeout: 5 * time.Second, LeaseTTL: 3 * time.Second,
+		StoreElectionTimeout: 500 * time.Millisecond, StoreCallTimeout: 5 * time.Second,
+		StoreSettleTimeout: 30 * time.Second, LeaseTTL: 3 * time.Second,
 		Events: 4096, QueuedPeerMessages: 64, MaxOpen: 4096,
 		ClientIdleTimeout: 2 * time.Minute, UnknownClientIdleTimeout: 5 * time.Second,
 		LingerTimeout: 500 * time.Millisecond, EvictIdleAfter: 50 * time.Millisecond,
--- a/internal/node/classrules.go
+++ b/internal/node/classrules.go
@@ -10,7 +10,8 @@
 )
 
 // ClassRules is a class by its name, with the rules under which a job was accepted. Unlike the index of a class, it
-// keeps its meaning over changes of the settings and over restarts, so a job that waits outside the core keeps its rules.
+// keeps its meaning over changes of the settings and over restarts, so a job that waits outside the core keeps its
+// rules.
 type ClassRules struct {
 	Name        string
 	Rules       dispatch.Class
--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -15,6 +15,14 @@
 // maxSnapshotBody bounds the body of a response, in bytes. The largest response is a snapshot.
 const maxSnapshotBody = 512 << 20
 
+// UnreachableError reports that no connection to a member was made, so that nothing of a call was sent to it.
+type UnreachableError struct{ Cause error }
+
+func (e *UnreachableError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the error of the dial.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
 // dial connects to a member, with TLS if ring is not nil.
 func dial(ctx context.Context, addr string, ring *pki.Ring) (net.Conn, error) {
 	addr = failpoint.Via(addr)
@@ -31,7 +39,7 @@
 	fields ...http1.Field) (*http1.Message, error) {
 	dialed, err := dial(ctx, addr, ring)
 	if err != nil {
-		return nil, err
+		return nil, &UnreachableError{err}
 	}
 	c := http1.NewMinRateConn(dialed, lim.SlowPeers.ExecutorIn, lim.SlowPeers.ExecutorOut)
 	defer func() { _ = c.Close() }()
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/url"
 	"strconv"
 
+	"github.com/hashicorp/raft"
+
 	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
 	"gatetack/internal/jobstore"
@@ -36,13 +39,33 @@
 func (s *Store) serveTxn(ctx context.Context, body []byte) http1.Response {
 	t := &kv.Txn{}
 	if err := t.Unmarshal(body); err != nil {
-		return http1.Text(400, "%v", err)
+		return notAccepted(http1.Text(400, "%v", err))
 	}
 	r, err := s.apply(ctx, t)
-	if err != nil {
-		return http1.Text(503, "%v", err)
+	if err == nil {
+		return http1.JSON(200, r)
+	}
+	response := http1.Text(503, "%v", err)
+	if isNotAppended(err) {
+		response = notAccepted(response)
+	}
+	return response
+}
+
+// notAccepted marks an error response to a transaction that was not appended to the log.
+func notAccepted(r http1.Response) http1.Response {
+	r.Fields = append(r.Fields, http1.Field{Name: outcomeHeader, Value: outcomeNotAccepted})
+	return r
+}
+
+// isNotAppended reports whether an error of Store.apply guarantees that the transaction is not in the log and will not
+// be committed. A leader that loses its leadership leaves the outcome of what it has appended unknown.
+func isNotAppended(err error) bool {
+	if _, stalled := errors.AsType[*StalledError](err); stalled {
+		return true
 	}
-	return http1.JSON(200, r)
+	return errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrEnqueueTimeout) ||
+		errors.Is(err, raft.ErrLeadershipTransferInProgress)
 }
 
 // serveRead reads after a barrier: all entries that were committed before the call have then been applied, and this
--- a/internal/store/operator.go
+++ b/internal/store/operator.go
@@ -21,7 +21,7 @@
 	path, ok := strings.CutPrefix(m.Path(), "/v1/")
 	if !ok {
 		if !s.IsLeader() {
-			return http1.Text(503, "this member does not lead")
+			return notAccepted(http1.Text(503, "this member does not lead"))
 		}
 		return s.serveAsLeader(ctx, m.Target, m.Body)
 	}
--- a/internal/store/operator_entries.go
+++ b/internal/store/operator_entries.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"gatetack/internal/http1"
+	"gatetack/internal/jobstore"
 	"gatetack/internal/kv"
 )
 
@@ -146,6 +147,8 @@
 func (s *Store) writeEntry(ctx context.Context, op kv.Op) http1.Response {
 	r, err := s.Txn(ctx, &kv.Txn{Ops: []kv.Op{op}})
 	switch {
+	case jobstore.IsUnknownOutcome(err):
+		return errorResponse(504, "%v", err)
 	case err != nil:
 		return errorResponse(503, "%v", err)
 	case r.Err != "":
