The window of a keyed job runs from its first attempt over all hand-overs

Cause: a rejection of the core was taken for 'has not run', so the job was handed over as a new one and stood on record as never sent. A rejection now names the earliest attempt that may have run, the next hand-over passes it on, and module and pre-send check count the window from it.

--- a/internal/batch/arraycontrol.go
+++ b/internal/batch/arraycontrol.go
@@ -108,9 +108,7 @@
 	}
 	f.mu.Unlock()
 	for _, j := range waiting {
-		j.end(func(r *Record) {
-			r.State, r.SubState, r.Annotation = Failed, subTerminated, terminatedUnsent
-		}, now)
+		j.end((*Record).terminate, now)
 	}
 	still := 0
 	for _, j := range sent {
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -61,10 +61,11 @@
 	}
 	now := time.Now()
 	if j.queue && f.dequeue(j, now) {
-		j.end(func(r *Record) {
-			r.State, r.SubState, r.Annotation = Failed, subTerminated, terminatedUnsent
-		}, now)
-		return f.jobResponse(200, j.record())
+		j.end((*Record).terminate, now)
+		if r = j.record(); r.mayHaveRun() {
+			return conflict(r, "an attempt may have run; the job is not repeated")
+		}
+		return f.jobResponse(200, r)
 	}
 	err := node.ErrUnknown
 	if core := j.coreID(); core != 0 {
@@ -143,6 +144,9 @@
 // holdJob keeps a waiting job from being handed to the core, and records that.
 func (f *Front) holdJob(j *job) http1.Response {
 	now := time.Now()
+	if r := j.record(); r.mayHaveRun() {
+		return conflict(r, "an attempt may have run, and the job waits to be repeated in time: it can not be held")
+	}
 	f.mu.Lock()
 	wasHeld, done := f.queue.IsHeld(j.ref.ID), f.queue.Hold(j.ref.ID, now)
 	f.mu.Unlock()
@@ -214,8 +218,8 @@
 	if f.store != nil {
 		deletions := []jobstore.Change{{Kind: kindJob, Key: recordKey(id)}, {Kind: kindOpen, Key: recordKey(id)},
 			{Kind: kindClassRules, Key: recordKey(id)}}
-		if r.Trace != "" { // of an UNDETERMINED job
-			deletions = append(deletions, jobstore.Change{Kind: kindSent, Key: r.Trace})
+		for _, trace := range r.traces() { // of an UNDETERMINED job
+			deletions = append(deletions, jobstore.Change{Kind: kindSent, Key: trace})
 		}
 		if err := f.commit(deletions...); err != nil {
 			return writeError(id, "its end could not be recorded", err)
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,12 +82,19 @@
 	if !j.deadline.IsZero() && !now.Before(j.deadline) {
 		j.end(func(r *Record) {
 			r.State, r.SubState, r.Annotation = Failed, subTerminated, "its deadline passed while it waited"
+			if r.mayHaveRun() {
+				r.SubState, r.Annotation = subFailed, mayHaveRunAnnotation
+			}
 		}, now)
 		return
 	}
+	if !j.isRepeatAllowed(now) {
+		j.end(func(r *Record) { r.State, r.SubState, r.Annotation = Failed, subFailed, mayHaveRunAnnotation }, now)
+		return
+	}
 	j.update(func(r *Record) {
-		r.State, r.SubState, r.HandedOver = Queued, subHeld, true
-		r.RetryMS = 0
+		r.wait()
+		r.HandedOver, r.RetryMS = true, 0
 	})
 	failpoint.At(failpoint.JobHandOver)
 	if err := f.writeRecord(ctx, j, nil); err != nil {
@@ -98,7 +106,7 @@
 		return
 	}
 	in := j.in
-	in.TraceID = newTraceID()
+	in.TraceID, in.Earlier = newTraceID(), j.earliestAttempt()
 	_ = f.submitToCore(in, j) // if the core rejects it, it waits again
 }
 
@@ -145,9 +153,10 @@
 	j.mu.Lock()
 	previous := j.r.Trace
 	j.r.Trace = trace
+	traces := j.r.traces()
 	j.mu.Unlock()
 	var more []jobstore.Change
-	if previous != "" && previous != trace {
+	if previous != "" && !slices.Contains(traces, previous) {
 		more = append(more, jobstore.Change{Kind: kindSent, Key: previous})
 	}
 	err := f.writeRecord(ctx, j, func(r *Record) error {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
+	"gatetack/internal/dispatch"
 	"gatetack/internal/jobqueue"
 	"gatetack/internal/jobstore"
 	"gatetack/internal/node"
@@ -54,12 +56,13 @@
 
 	// The following fields are stored and not shown to clients.
 	Template     json.RawMessage `json:"template,omitempty"`
-	Class        *storedClass    `json:"-"`                // under which it was accepted; stored as a record of its own
-	HandedOver   bool            `json:"handed,omitempty"` // handed to the core: from then on it may be sent
-	Trace        string          `json:"trace,omitempty"`  // trace ID of the last attempt
-	KeyRecord    string          `json:"same,omitempty"`   // key of the idempotency key's record
-	TemplateHash string          `json:"hash,omitempty"`   // part of the idempotency key's record
-	Size         int             `json:"-"`                // size of the result in memory
+	Class        *storedClass    `json:"-"`                 // under which it was accepted; stored as a record of its own
+	HandedOver   bool            `json:"handed,omitempty"`  // handed to the core: from then on it may be sent
+	Trace        string          `json:"trace,omitempty"`   // trace ID of the last attempt
+	Earlier      []sentAttempt   `json:"earlier,omitempty"` // of earlier hand-overs to the core, which may have run
+	KeyRecord    string          `json:"same,omitempty"`    // key of the idempotency key's record
+	TemplateHash string          `json:"hash,omitempty"`    // part of the idempotency key's record
+	Size         int             `json:"-"`                 // size of the result in memory
 }
 
 // The sub-states.
@@ -73,6 +76,42 @@
 	subUnsent     = "unsent"     // the node ended before sending it: submitting it again is harmless
 )
 
+// sentAttempt is an attempt on record.
+type sentAttempt struct {
+	Trace   string `json:"trace"`
+	Machine string `json:"machine"`
+}
+
+// mayHaveRun reports whether an attempt of an earlier hand-over may have run. Such a job is REQUEUED while it waits.
+func (r *Record) mayHaveRun() bool { return len(r.Earlier) > 0 }
+
+// addEarlier records that the last attempt may have run, before the job is handed over again.
+func (r *Record) addEarlier() {
+	last := sentAttempt{Trace: r.Trace}
+	if len(r.Machines) > 0 {
+		last.Machine = r.Machines[0]
+	}
+	if !slices.Contains(r.Earlier, last) {
+		r.Earlier = append(slices.Clone(r.Earlier), last)
+	}
+}
+
+// wait changes the state to that of a job that waits to be handed to the core.
+func (r *Record) wait() {
+	r.State, r.SubState = Queued, subHeld
+	if r.mayHaveRun() {
+		r.State = Requeued
+	}
+}
+
+// terminate changes the state to that of a job that its client terminated while it waited.
+func (r *Record) terminate() {
+	r.State, r.SubState, r.Annotation = Failed, subTerminated, terminatedUnsent
+	if r.mayHaveRun() {
+		r.SubState, r.Annotation = subFailed, "terminated before it was repeated: an attempt may have run"
+	}
+}
+
 // terminatedUnsent is the annotation of a job that its client terminated.
 const terminatedUnsent = "terminated before it was sent"
 
@@ -93,7 +132,8 @@
 	recordMu sync.Mutex
 
 	mu             sync.Mutex
-	core           uint32 // the core's ID of the job, 0 while it has none
+	core           uint32               // the core's ID of the job, 0 while it has none
+	earlier        *node.EarlierAttempt // the earliest attempt that may have run, over all hand-overs
 	r              Record
 	submitFailed   bool
 	lost           bool          // another node owns it by now: its state is no longer published or recorded here
@@ -176,9 +216,17 @@
 	if lost {
 		return // the new owner determines its end
 	}
-	if j.queue && a.End == node.Rejected && !j.f.draining.Load() && (j.deadline.IsZero() || now.Before(j.deadline)) {
-		j.update(func(r *Record) { r.State, r.SubState, r.Annotation = Queued, subHeld, a.Reason })
-		j.f.requeueRejected(j, max(a.RetryAfter, j.f.lim.MinBatchRetryDelay), now)
+	if a.MayHaveRun != nil {
+		j.addEarlier(a.MayHaveRun)
+	}
+	retryAfter := max(a.RetryAfter, j.f.lim.MinBatchRetryDelay)
+	if j.queue && a.End == node.Rejected && !j.f.draining.Load() && (j.deadline.IsZero() || now.Before(j.deadline)) &&
+		j.isRepeatAllowed(now.Add(retryAfter)) {
+		j.update(func(r *Record) {
+			r.wait()
+			r.Annotation = a.Reason
+		})
+		j.f.requeueRejected(j, retryAfter, now)
 		return
 	}
 	j.end(func(r *Record) {
@@ -188,6 +236,10 @@
 			zero, text := 0, string(a.Result)
 			r.State, r.SubState, r.ExitStatus, r.Result, r.Size = Done, "", &zero, &text, len(text)
 		case node.Rejected:
+			if r.mayHaveRun() && j.in.AcceptedClass.Rules.RetrySafety != dispatch.Idempotent {
+				r.SubState, r.Annotation = subFailed, mayHaveRunAnnotation
+				return
+			}
 			r.SubState = subRejected
 			r.RetryMS = node.RoundRetryAfter(a.RetryAfter, j.f.maxRetryAfter()).Milliseconds()
 		case node.Failed:
@@ -198,6 +250,40 @@
 	}, now)
 }
 
+// addEarlier records that an attempt of the hand-over that has ended may have run. The earliest one of all hand-overs
+// stays: the window of a keyed job runs from it.
+func (j *job) addEarlier(attempt *node.EarlierAttempt) {
+	j.mu.Lock()
+	if j.earlier == nil {
+		j.earlier = attempt
+	}
+	j.mu.Unlock()
+	j.update((*Record).addEarlier)
+}
+
+// earliestAttempt returns the earliest attempt that may have run, nil if none has.
+func (j *job) earliestAttempt() *node.EarlierAttempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.earlier
+}
+
+// isRepeatAllowed reports whether the job may be handed to the core again at a time: none of its attempts may have run,
+// or its class allows it to run again by then.
+func (j *job) isRepeatAllowed(at time.Time) bool {
+	earlier, rules := j.earliestAttempt(), &j.in.AcceptedClass.Rules
+	switch {
+	case earlier == nil || rules.RetrySafety == dispatch.Idempotent:
+		return true
+	case rules.RetrySafety == dispatch.Keyed:
+		return at.Before(earlier.SentAt.Add(node.FromMs(rules.DedupWindow)))
+	}
+	return false
+}
+
+// mayHaveRunAnnotation is the annotation of a job that is not repeated any more.
+const mayHaveRunAnnotation = "it may have run, and can not be repeated any more"
+
 // setPlacement stores the function to call when the placement of the job ends, after calling the previous one.
 func (j *job) setPlacement(ended func(executor string, served bool)) {
 	j.mu.Lock()
@@ -238,7 +324,7 @@
 
 // public returns a record as clients see it.
 func (r Record) public() Record {
-	r.Template, r.Class, r.HandedOver, r.Trace, r.KeyRecord, r.TemplateHash = nil, nil, false, "", "", ""
+	r.Template, r.Class, r.Earlier, r.HandedOver, r.Trace, r.KeyRecord, r.TemplateHash = nil, nil, nil, false, "", "", ""
 	return r
 }
 
@@ -252,8 +338,8 @@
 	}
 	kept := !r.State.final() && r.State != Undetermined
 	out := []jobstore.Change{{Kind: kindJob, Key: k, Value: v, Keep: kept}, open}
-	if r.Trace != "" { // also while it is UNDETERMINED: its executor may still call back
-		sent := jobstore.Change{Kind: kindSent, Key: r.Trace, Keep: kept}
+	for _, trace := range r.traces() { // also while it is UNDETERMINED: its executors may still call back
+		sent := jobstore.Change{Kind: kindSent, Key: trace, Keep: kept}
 		if !r.State.final() {
 			sent.Value = []byte(r.ID)
 		}
@@ -268,6 +354,18 @@
 	return out
 }
 
+// traces returns the trace IDs of the attempts that may still call back.
+func (r *Record) traces() []string {
+	var out []string
+	for _, attempt := range r.Earlier {
+		out = append(out, attempt.Trace)
+	}
+	if r.Trace != "" && !slices.Contains(out, r.Trace) {
+		out = append(out, r.Trace)
+	}
+	return out
+}
+
 // The kinds of stored records.
 const (
 	kindJob            = "job"     // by key: Record
@@ -280,7 +378,8 @@
 
 // unsent reports whether the record proves that the job was not sent: each send is recorded before it is made.
 func (r *Record) unsent() bool {
-	return r.SubState == subHeld && r.State == Queued || r.SubState == subDeferred || r.State == QueuedHeld
+	return !r.mayHaveRun() &&
+		(r.SubState == subHeld && r.State == Queued || r.SubState == subDeferred || r.State == QueuedHeld)
 }
 
 // member reports whether the record is of an array member.
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -98,13 +98,15 @@
 	running := f.jobs[id] != nil
 	f.mu.Unlock()
 	switch {
-	case !found || running || r.State.final() || r.Trace != v.Get("id").String() || !slices.Contains(r.Machines, v.Get("from").String()):
+	case !found || running || r.State.final() || !r.hasAttempt(v.Get("id").String(), v.Get("from").String()):
 		return http1.Response{Status: 204}
 	case r.State != Undetermined:
 		return tryLater("the job has not been taken up yet")
 	}
 	result := v.Get("result")
 	switch state := v.Get("state").String(); {
+	case state != "done" && r.mayHaveRun(): // it says nothing of the other attempts
+		return http1.Response{Status: 204}
 	case state == "done" && result.Type == gjson.String:
 		zero, text := 0, result.Str
 		r.State, r.ExitStatus, r.Result = Done, &zero, &text
@@ -123,6 +125,12 @@
 	return http1.Response{Status: 204}
 }
 
+// hasAttempt reports whether an attempt that may have run was sent to an executor under a trace ID.
+func (r *Record) hasAttempt(trace, executor string) bool {
+	return r.Trace == trace && slices.Contains(r.Machines, executor) ||
+		slices.Contains(r.Earlier, sentAttempt{Trace: trace, Machine: executor})
+}
+
 // recordResolution records the end of a job that was UNDETERMINED. Its array counted it as failed at the adoption.
 func (f *Front) recordResolution(ctx context.Context, r *Record) error {
 	all := r.changes()
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -12,7 +12,7 @@
 	EvGossip                              // From, Data
 	EvStreamStarted                       // Job, Attempt, Executor, Elapsed: a streamed response began
 	EvOutcome                             // Job, Attempt, Executor, Outcome, Elapsed, Final, Report
-	EvRequest                             // Job, Class, Tenant, Key, TimeLeft, Work, Slots, Memory, Flags, MaxAttempts
+	EvRequest                             // Job, the request, MaxAttempts, Earlier
 	EvHealthCheck                         // Executor, Outcome, Elapsed, Report
 	EvProcesses                           // Amount: processes of this node that send at the same time
 )
@@ -110,4 +110,15 @@
 	ZonePrices  []float64 // price of running the request in each zone; Fees.CrossZone applies to zones without one
 	Updates     []EndpointUpdate
 	Data        []byte
+	// Earlier is the earliest attempt of a request that may have run, if the request was handed to a dispatcher before.
+	Earlier *EarlierAttempt
+}
+
+// EarlierAttempt is an attempt that a request had before it was handed to this dispatcher, and that may have run. The
+// window in which the request may be repeated runs from it.
+type EarlierAttempt struct {
+	Executor uint32
+	Zone     uint8
+	Cell     uint16
+	Age      float64 // time since it was sent, ms
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -40,7 +40,7 @@
 	queued      bool
 	done        bool // a response was sent, or the client left
 
-	// Whether, where and since when it may have run: set in recordMayHaveRun, read only by the rules in retry.go.
+	// Whether, where and since when it may have run: set and read only by the rules in retry.go.
 	mayHaveRun bool
 	ranOn      *executor
 	ranSince   float64
@@ -137,6 +137,9 @@
 	job.class = min(int(event.Class), len(d.settings.Classes)-1)
 	job.tenant = min(int(event.Tenant), len(d.admission.tenants)-1)
 	job.zonePrices = event.ZonePrices
+	if event.Earlier != nil {
+		d.recordEarlierAttempt(job, event.Earlier)
+	}
 	d.setWorkAndTimes(job, event)
 	d.jobs.byID[job.id] = job
 	job.overQuota = d.admission.isOverQuota(job, repeated)
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -37,6 +37,9 @@
 			return false
 		}
 	}
+	if job.mayHaveRun && job.ranOn == executor { // also of an attempt before this dispatcher got the job
+		return false
+	}
 	if (job.inFlight > 0 || job.mayHaveRun) && !d.isRetrySafe(job, executor) {
 		return false
 	}
@@ -98,7 +101,18 @@
 	return min(d.settings.MaxRetryAfter, retryAfterRuns*d.serviceTimes.meanRun*job.slots/reserved)
 }
 
-// recordMayHaveRun records the earliest attempt of a job that may have run. No other function sets these fields.
+// recordEarlierAttempt records that an attempt of a job may have run before this dispatcher got the job. An executor
+// that is no longer listed still says which others deduplicate the job.
+func (d *Dispatcher) recordEarlierAttempt(job *job, earlier *EarlierAttempt) {
+	ranOn := d.endpoints.byID[earlier.Executor]
+	if ranOn == nil {
+		ranOn = &executor{id: earlier.Executor}
+		ranOn.endpoint.zone, ranOn.endpoint.cell = int(earlier.Zone), earlier.Cell
+	}
+	job.mayHaveRun, job.ranOn, job.ranSince = true, ranOn, d.now-earlier.Age
+}
+
+// recordMayHaveRun records the earliest attempt of a job that may have run.
 func (d *Dispatcher) recordMayHaveRun(job *job, attempt *attempt, outcome Outcome) {
 	if outcome.NeverRan() {
 		return
--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -44,6 +44,7 @@
 	rules := j.retryRules()
 	attempt := c.jobs.addAttempt(j, a.Executor, now)
 	endpoint, listed := c.endpoints.byID[a.Executor]
+	attempt.zone, attempt.cell = position(c.names.Zones, endpoint.Zone), uint16(endpoint.Group)
 	until := j.deadline.Add(-c.limits.ResponseMargin)
 	if a.Delay > 0 {
 		until = earlier(until, now.Add(FromMs(a.Delay)))
--- a/internal/node/classrules_test.go
+++ b/internal/node/classrules_test.go
@@ -160,3 +160,44 @@
 		}
 	}
 }
+
+// A keyed job that is rejected after an attempt may have run says which one, and a later hand-over of the job is sent
+// within the window of that attempt alone, and not to its executor.
+func TestHandOverCarriesTheEarliestAttempt(t *testing.T) {
+	h, classes := classAdapters(t)
+	keyed := classes["area-render"]
+	keyed.DedupScope, keyed.Deadline, keyed.DedupWindow = dispatch.ScopeAll, 2000, 3000
+	class := &ClassRules{Name: "area-render", Rules: keyed, MaxAttempts: 1}
+	submit := func(id string, earlier *EarlierAttempt) *recordingClient {
+		client := &recordingClient{t: t}
+		job := Job{TraceID: id, AcceptedClass: class, TimeLeft: 2 * time.Second, Slots: 1, Earlier: earlier}
+		if _, err := h.core.Submit(job, client); err != nil {
+			t.Fatal(err)
+		}
+		h.run(2 * time.Second)
+		return client
+	}
+	begin := h.now
+	first := submit("a", nil)
+	if len(h.attempts) != 1 || len(first.answers) != 1 || first.answers[0].End != Rejected ||
+		first.answers[0].MayHaveRun == nil {
+		t.Fatalf("%d attempts, answers %+v; want one attempt and a rejection that names it", len(h.attempts), first.answers)
+	}
+	earlier := first.answers[0].MayHaveRun
+	if since := earlier.SentAt.Sub(begin); since < 0 || since > 100*time.Millisecond {
+		t.Errorf("the attempt was sent after %v, want at once", since)
+	}
+	second := submit("b", earlier)
+	if len(h.attempts) != 2 || h.attempts[1].Executor == h.attempts[0].Executor {
+		t.Fatalf("attempts %+v, want a second one at the other executor", h.attempts)
+	}
+	if rules := h.attempts[1].Rules; !rules.MayHaveRun || !rules.WindowEnd.Equal(earlier.SentAt.Add(3*time.Second)) {
+		t.Errorf("rules %+v, want the window of the first attempt", rules)
+	}
+	if len(second.answers) != 1 || second.answers[0].MayHaveRun != earlier {
+		t.Fatalf("answers %+v, want a rejection with the first attempt", second.answers)
+	}
+	if third := submit("c", earlier); len(h.attempts) != 2 || len(third.answers) != 1 {
+		t.Errorf("%d attempts after the window, answers %+v; want none", len(h.attempts)-2, third.answers)
+	}
+}
--- a/internal/node/job.go
+++ b/internal/node/job.go
@@ -32,6 +32,8 @@
 	job        *job
 	executor   uint32
 	sentAt     time.Time
+	zone       uint8 // position of the executor's zone
+	cell       uint16
 	ended      bool
 	mayHaveRun bool // true while the attempt is in flight, and after an end that does not exclude that it ran
 	started    bool
@@ -88,10 +90,22 @@
 	if j.request.AcceptedClass != nil {
 		rules.MaxAttempts = j.request.AcceptedClass.MaxAttempts
 	}
-	for _, a := range j.attempts { // in the order of their sends; the window counts from the earliest that may have run
-		if a.mayHaveRun && !rules.MayHaveRun {
-			rules.MayHaveRun, rules.WindowEnd = true, a.sentAt.Add(FromMs(class.DedupWindow))
-		}
+	if earliest := j.earliestThatMayHaveRun(); earliest != nil {
+		rules.MayHaveRun, rules.WindowEnd = true, earliest.SentAt.Add(FromMs(class.DedupWindow))
 	}
 	return rules
 }
+
+// earliestThatMayHaveRun returns the earliest attempt that may have run, also of earlier hand-overs of the job to the
+// core, or nil if none has.
+func (j *job) earliestThatMayHaveRun() *EarlierAttempt {
+	if j.request.Earlier != nil {
+		return j.request.Earlier
+	}
+	for _, a := range j.attempts { // in the order of their sends
+		if a.mayHaveRun {
+			return &EarlierAttempt{executor: a.executor, zone: a.zone, cell: a.cell, SentAt: a.sentAt}
+		}
+	}
+	return nil
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -87,6 +87,7 @@
 	if request.AcceptedClass != nil {
 		e.MaxAttempts = uint16(request.AcceptedClass.MaxAttempts)
 	}
+	e.Earlier = earlierAttempt(request, now)
 	if request.Work > 0 {
 		e.Flags |= dispatch.FlagWorkHint
 	}
@@ -96,6 +97,20 @@
 	return e
 }
 
+// earlierAttempt converts the earlier attempt of a job to the module's form.
+func earlierAttempt(request *Job, now time.Time) *dispatch.EarlierAttempt {
+	earlier := request.Earlier
+	if earlier == nil {
+		return nil
+	}
+	return &dispatch.EarlierAttempt{
+		Executor: earlier.executor,
+		Zone:     earlier.zone,
+		Cell:     earlier.cell,
+		Age:      milliseconds(now.Sub(earlier.SentAt)),
+	}
+}
+
 // markAnswered marks a job as answered and frees its place among the open jobs.
 func (c *Core) markAnswered(j *job) {
 	j.answered.Store(true)
@@ -109,6 +124,9 @@
 	}
 	c.markAnswered(j)
 	c.counters.countAnswer(a.End)
+	if a.End == Rejected {
+		a.MayHaveRun = j.earliestThatMayHaveRun()
+	}
 	j.client.Answer(a)
 	c.release(j)
 }
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -28,7 +28,8 @@
 // called. Submit never blocks.
 func (c *Core) Submit(in Job, client Client) (uint32, error) {
 	now := c.clock.now()
-	j := &job{id: c.intake.lastJobID.Add(1), request: in, client: client, acceptedAt: now, deadline: now.Add(in.TimeLeft)}
+	j := &job{id: c.intake.lastJobID.Add(1), request: in, client: client, acceptedAt: now, deadline: now.Add(in.TimeLeft),
+		mayHaveRun: in.Earlier != nil}
 	if err := c.reserve(j); err != nil {
 		return 0, err
 	}
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -49,13 +49,14 @@
 	return false
 }
 
-// refreshTimeLeft updates the time left of a request that was held.
+// refreshTimeLeft updates the time left of a request that was held, and the age of its earlier attempt.
 func (c *Core) refreshTimeLeft(e *dispatch.Event, now time.Time) {
 	if e.Kind != dispatch.EvRequest {
 		return
 	}
 	if j := c.jobs.byID[e.Job]; j != nil {
 		e.TimeLeft = max(0, milliseconds(j.deadline.Sub(now)))
+		e.Earlier = earlierAttempt(&j.request, now)
 	}
 }
 
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -22,6 +22,9 @@
 	ZonePrices    []float64 // by zone index; empty for the price of crossing zones in the settings
 	Retry         bool      // the client marks the request as a retry
 
+	// Earlier is the earliest attempt of the job that may have run, if the core had the job before and rejected it.
+	Earlier *EarlierAttempt
+
 	// ClientTraceID is set if the client chose TraceID. Other clients can then send the same to any process of this node.
 	ClientTraceID bool
 
@@ -37,13 +40,21 @@
 	PreSendCheck func() precheck.Reason
 }
 
+// EarlierAttempt is an attempt of a job that may have run. The window of a keyed job runs from it.
+type EarlierAttempt struct {
+	executor uint32
+	zone     uint8
+	cell     uint16
+	SentAt   time.Time
+}
+
 // End is the way in which a job ended.
 type End uint8
 
 // The ends of a job.
 const (
 	Served     End = iota
-	Rejected       // it did not run, and a retry is harmless
+	Rejected       // a retry is harmless: it did not run, or Answer.MayHaveRun says which attempt may have
 	Failed         // whether it ran is not known
 	Terminated     // by its client, before it was sent
 )
@@ -54,6 +65,9 @@
 	Result     []byte
 	RetryAfter time.Duration // of a rejection
 	Reason     string
+	// MayHaveRun is the earliest attempt that may have run, nil if none has. Whoever submits a rejected job again passes
+	// it on as Job.Earlier.
+	MayHaveRun *EarlierAttempt
 }
 
 // Client is notified of a job's progress. Its methods are called from the core's goroutine and must not block.
