The ID of a client that left is refused while its attempt may still run

Operators of other deployments saw an id run twice when it came again after its client had left, or at the other process of an upgrade.

Cause: a cancel frees the ID at once, although it stops nothing at the executor. The ID of a request that may have run without a result for its client is now refused until its deadline and half a second, in the shared file of a node's processes as well; bounded by the class's deadline and by the number of open requests.

TestIDIsRefusedWhileAnAttemptIsInFlight asked for the old rule (free once the attempt is given up); TestIDOfAClientThatLeftIsRefusedUntilItsDeadline takes its place and refuses more.

--- a/internal/node/job.go
+++ b/internal/node/job.go
@@ -19,6 +19,7 @@
 	claim      idclaims.Claim // of its trace ID, if claimed is set
 	claimed    bool
 	tenantOpen *atomic.Int64 // count of the tenant's open jobs, nil if it is not bounded
+	served     bool          // the client got the result of an executor
 	answered   atomic.Bool   // true also after the client has left; other goroutines read it
 	inFlight   int           // number of attempts
 	mayHaveRun bool
@@ -43,13 +44,14 @@
 type jobTable struct {
 	byID          map[uint32]*job
 	byTrace       map[string]*job
+	retained      map[string]bool // trace IDs of removed jobs, see retainedID
 	attempts      map[uint64]*attempt
 	lastAttemptID uint64
 	shuttingDown  bool // new jobs are rejected
 }
 
 func newJobTable() jobTable {
-	return jobTable{byID: map[uint32]*job{}, byTrace: map[string]*job{}, attempts: map[uint64]*attempt{}}
+	return jobTable{byID: map[uint32]*job{}, byTrace: map[string]*job{}, retained: map[string]bool{}, attempts: map[uint64]*attempt{}}
 }
 
 func (t *jobTable) add(j *job) { t.byID[j.id], t.byTrace[j.request.TraceID] = j, j }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -23,7 +23,7 @@
 // by its trace ID alone, so it could get the result of the first, and both could run.
 func (c *Core) addJob(j *job, now time.Time) {
 	c.counters.Accepted++
-	if j.request.TraceID == "" || c.jobs.byTrace[j.request.TraceID] != nil {
+	if id := j.request.TraceID; id == "" || c.jobs.byTrace[id] != nil || c.jobs.retained[id] {
 		c.answer(j, Answer{End: Failed, Reason: openTraceIDReason})
 		return
 	}
@@ -124,6 +124,7 @@
 	}
 	c.markAnswered(j)
 	c.counters.countAnswer(a.End)
+	j.served = a.End == Served
 	if a.End == Rejected {
 		a.MayHaveRun = j.earliestThatMayHaveRun()
 	}
@@ -142,9 +143,7 @@
 func (c *Core) release(j *job) {
 	if j.answered.Load() && j.inFlight == 0 && c.jobs.byID[j.id] == j {
 		c.jobs.remove(j)
-		if j.claimed {
-			c.adapters.traceIDs.Release(j.claim)
-		}
+		c.releaseID(j)
 	}
 }
 
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -55,6 +55,8 @@
 				c.adapters.executors.Cancel(a.id)
 				c.finish(a, dispatch.TimedOut, nil, nil, now)
 			}
+		case retainedID:
+			c.endRetention(what)
 		case jobDeadline:
 			c.answerOverdue(uint32(what), now)
 		}
--- a/internal/node/traceids_test.go
+++ b/internal/node/traceids_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"gatetack/internal/dispatch"
 	"gatetack/internal/idclaims"
 	"gatetack/internal/sharedids"
 )
@@ -69,16 +70,68 @@
 	}
 }
 
-// While an attempt whose client has left is in flight, its ID is still refused by the other process.
-func TestIDIsRefusedWhileAnAttemptIsInFlight(t *testing.T) {
+// Guards against an ID that runs twice because it comes again after its client has left: the attempt that was sent is
+// given up, and may still run. Both processes refuse the ID until the time of its request is over, and accept it then.
+func TestIDOfAClientThatLeftIsRefusedUntilItsDeadline(t *testing.T) {
 	dir := t.TempDir()
 	first, second := processOf(t, dir), processOf(t, dir)
 	first.submitID(t, "a")
 	first.core.ClientGone(1)
 	first.run(10 * time.Millisecond)
-	inFlight := len(first.core.jobs.attempts)
-	if copied := second.submitID(t, "a"); (len(copied) == 1) != (inFlight > 0) {
-		t.Errorf("%d answers to the copy, %d attempts in flight", len(copied), inFlight)
+	if n := len(first.core.jobs.attempts); n != 0 {
+		t.Fatalf("%d attempts in flight, so that the retention is not tested", n)
+	}
+	for range 2 {
+		for _, process := range []*fakeAdapters{second, first} {
+			if copied := process.submitID(t, "a"); len(copied) != 1 || (<-copied).End != Failed {
+				t.Error("a copy was accepted while the attempt may run")
+			}
+		}
+		first.run(3 * time.Second)
+		second.run(3 * time.Second)
+	}
+	first.run(2600 * time.Millisecond)
+	second.run(2600 * time.Millisecond)
+	if copied := second.submitID(t, "a"); len(copied) != 0 || len(second.attempts) != 1 {
+		t.Errorf("%d answers, %d attempts after the deadline; want the ID accepted", len(copied), len(second.attempts))
+	}
+	if len(first.core.jobs.retained) != 0 {
+		t.Errorf("%v retained after the deadline", first.core.jobs.retained)
+	}
+}
+
+// An ID is free at once after its request was served, or if nothing of it was sent. IDs are retained for no longer than
+// the deadline of their class, whatever deadline their clients set, and for no more requests than may be open.
+func TestRetentionOfIDsIsBounded(t *testing.T) {
+	h := newFakeAdapters(t, readyEndpoint("s-1"))
+	answers := h.submitID(t, "served")
+	h.core.Result(Result{Attempt: h.attempts[0].ID, Outcome: dispatch.Served})
+	h.run(10 * time.Millisecond)
+	h.submitID(t, "rejected")
+	h.core.Result(Result{Attempt: h.attempts[1].ID, Outcome: dispatch.Full})
+	h.core.ClientGone(2)
+	h.run(10 * time.Millisecond)
+	if len(answers) != 1 || len(h.core.jobs.retained) != 0 {
+		t.Errorf("%d answers, retained %v; want none", len(answers), h.core.jobs.retained)
+	}
+	h = newFakeAdapters(t, readyEndpoint("s-1"))
+	h.core.limits.MaxOpen = 2
+	for i, id := range []string{"a", "b", "c"} {
+		job := Job{TraceID: id, ClientTraceID: true, TimeLeft: 24 * time.Hour, Slots: 1}
+		number, err := h.core.Submit(job, &recordingClient{t: t})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.run(10 * time.Millisecond)
+		h.core.ClientGone(number)
+		h.run(10 * time.Millisecond)
+		if n := len(h.core.jobs.retained); n != min(i+1, 2) {
+			t.Errorf("%d IDs retained after %d, want at most 2", n, i+1)
+		}
+	}
+	h.run(8100 * time.Millisecond)
+	if n := len(h.core.jobs.retained); n != 0 {
+		t.Errorf("%d IDs retained after the deadline of their class", n)
 	}
 }
 
