--- a/internal/node/job.go
+++ b/internal/node/job.go
@@ -51,7 +51,12 @@
 }
 
 func newJobTable() jobTable {
-	return jobTable{byID: map[uint32]*job{}, byTrace: map[string]*job{}, retained: map[string]bool{}, attempts: map[uint64]*attempt{}}
+	return jobTable{
+		byID:     map[uint32]*job{},
+		byTrace:  map[string]*job{},
+		retained: map[string]bool{},
+		attempts: map[uint64]*attempt{},
+	}
 }
 
 func (t *jobTable) add(j *job) { t.byID[j.id], t.byTrace[j.request.TraceID] = j, j }
