--- a/internal/testenv/stack.go
+++ b/internal/testenv/stack.go
@@ -1,35 +1,30 @@
 package testenv
 
-import (
-	"math"
-	"runtime"
-)
+import "runtime"
 
-// stackGrowthRuns is how often StackGrowth measures. Stacks in use are counted in spans of 32 KB, and any other goroutine
-// can take another span meanwhile; growth that f causes is there each time.
-const stackGrowthRuns = 5
+// stackGoroutines is the number of goroutines over which StackGrowth takes the mean. The runtime counts stacks in spans
+// of 32 KB that several stacks share, so the growth of one stack can count as nothing or as a whole span.
+const stackGoroutines = 64
 
-// StackGrowth returns by how many bytes at least the stacks in use grow while a new goroutine runs f, of several times.
-// A stack that f has grown is kept until the figure is read. Tests that call it must not run in parallel with others.
+// StackGrowth returns by how many bytes the stack of a goroutine that calls f grows, beyond that of an empty function.
 func StackGrowth(f func()) int {
-	least := math.MaxInt
-	for range stackGrowthRuns {
-		least = min(least, stackGrowth(f))
-	}
-	return least
+	return max(0, stacksAfter(f)-stacksAfter(func() {})) / stackGoroutines
 }
 
-func stackGrowth(f func()) int {
+// stacksAfter returns the growth of all stacks by goroutines that have each called f and have not ended yet.
+func stacksAfter(f func()) int {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	ran, end := make(chan struct{}), make(chan struct{})
-	go func() {
-		f()
-		close(ran)
-		<-end
-	}()
-	<-ran
+	for range stackGoroutines { // one after the other, as f need not be safe for concurrent use
+		go func() {
+			f()
+			ran <- struct{}{}
+			<-end
+		}()
+		<-ran
+	}
 	runtime.ReadMemStats(&after)
 	close(end)
 	return int(after.StackInuse) - int(before.StackInuse)
