Calls on jobs wait until the records of earlier incarnations are read

Submissions waited for the records, other calls did not. TestCallBeforeTheRecordsAreReadWaits wants 503 or the call's effect.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// awaitLoaded waits a limited time until the stored records were read, and reports whether they were.
+func (f *Front) awaitLoaded(ctx context.Context) bool {
+	if f.ready() {
+		return true
+	}
+	timer := time.NewTimer(f.lim.StoreCallTimeout)
+	defer timer.Stop()
+	select {
+	case <-f.loaded:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// notLoaded returns the response to a call that needs the stored records before they were read.
+func notLoaded(ctx context.Context) http1.Response {
+	if ctx.Err() != nil {
+		return http1.Response{Status: 503, Close: true}
+	}
+	return tryLater("what an earlier life left is being read")
+}
+
 func (f *Front) wake() {
 	select {
 	case f.wakeup <- struct{}{}:
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -69,13 +69,9 @@
 	if !ok {
 		return http1.Response{}, false
 	}
-	if !f.ready() { // the partitions of this node's earlier incarnations are being adopted
-		select {
-		case <-f.loaded:
-		case <-ctx.Done():
-			return http1.Response{Status: 503, Close: true}, true
-		case <-time.After(f.lim.StoreCallTimeout):
-		}
+	// The partitions of this node's earlier incarnations may still be adopted.
+	if !f.awaitLoaded(ctx) && ctx.Err() != nil {
+		return notLoaded(ctx), true
 	}
 	for {
 		addr, ours, known := f.router.Locate(part)
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -343,6 +343,10 @@
 	if r, ok := f.forward(ctx, m, p); ok {
 		return r
 	}
+	// Until the jobs of earlier incarnations are taken up, their records would say that they have ended.
+	if f.router == nil && !f.awaitLoaded(ctx) {
+		return notLoaded(ctx)
+	}
 	switch {
 	case p[0] == "events" && len(p) == 1:
 		return ifGet(m, func() http1.Response { return f.watch(ctx, session, m.Target) })
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -11,6 +11,7 @@
 	"gatetack/internal/jobstore"
 	"gatetack/internal/leaseholder"
 	"gatetack/internal/node"
+	"gatetack/internal/testenv"
 )
 
 // outageStore is a store that has lost its quorum for a number of writes: their outcome is unknown. The first of them is
@@ -208,3 +209,30 @@
 	}
 	eventually(t, "the core has the job", func() bool { clients, _ := e.take(); return len(clients) == 1 })
 }
+
+// A call on a job that comes before the records of earlier incarnations were read waits for them: the job is not told as
+// one that has ended, and a control call on it has its effect.
+func TestCallBeforeTheRecordsAreReadWaits(t *testing.T) {
+	m := &memoryStore{values: map[string][]byte{}}
+	began := time.Now()
+	_, v, _ := call(newFront(&manualCore{}, m, began), "POST", "/jobs", heldTemplate)
+	id, core := v.Get("jobId").String(), &manualCore{}
+	later := New(Options{Core: core, Store: m, Node: "n0", StartedAt: began.Add(time.Second), Limits: testenv.Limits, Log: testenv.DiscardLog})
+	later.lim.StoreCallTimeout = 20 * time.Millisecond
+	for _, method := range []string{"GET", "DELETE"} {
+		if status, v, _ := call(later, method, "/jobs/"+id, ""); status != 503 {
+			t.Errorf("%s before the records are read: %d %s, want 503", method, status, v.Raw)
+		}
+	}
+	later.lim.StoreCallTimeout = 20 * time.Second
+	released := make(chan int)
+	go func() {
+		status, _, _ := call(later, "POST", "/jobs/"+id+"/release", "")
+		released <- status
+	}()
+	runFront(t, later)
+	if status := <-released; status != 200 {
+		t.Errorf("release: status %d, want 200", status)
+	}
+	eventually(t, "the core has the job", func() bool { clients, _ := core.take(); return len(clients) == 1 })
+}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -44,14 +44,8 @@
 	if f.draining.Load() {
 		return tryLater("the node is leaving"), false
 	}
-	if !f.ready() {
-		select {
-		case <-f.loaded:
-		case <-ctx.Done():
-			return http1.Response{Status: 503, Close: true}, false
-		case <-time.After(f.lim.StoreCallTimeout):
-			return tryLater("what an earlier life left is being read"), false
-		}
+	if !f.awaitLoaded(ctx) {
+		return notLoaded(ctx), false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
