A submission that another node took over meanwhile is not kept here as well

While the outcome of a submission is unknown, another node may take the partition over and adopt it; this one then registered it too, and would have run it again if the partition came back. It gives the partition up after the registration, as a hand-over already did. TestSubmissionOverATakeoverIsNotKept fails without that.

--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -152,6 +152,18 @@
 	return part, ok
 }
 
+// dropIfOwnedElsewhere gives up the partition of a job or array that was just accepted, if another node took it over while
+// the outcome of the submission was unknown, and reports whether that is so. The other node has it from the records; kept
+// here as well, it would run a second time if the partition came back.
+func (f *Front) dropIfOwnedElsewhere(id string) bool {
+	partition, ok := partitionOf(id)
+	if f.router == nil || !ok || !f.ownedElsewhere(id) {
+		return false
+	}
+	f.Drop(partition)
+	return true
+}
+
 // Drop gives up a partition that another node owns by now: its jobs are removed from the queue, jobs that the core
 // has not sent are terminated there, and waiting calls are woken to be forwarded to the new owner. Attempts in flight
 // at executors end unrecorded: the new owner marked these jobs UNDETERMINED before it adopted anything.
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -236,3 +236,24 @@
 	}
 	eventually(t, "the core has the job", func() bool { clients, _ := core.take(); return len(clients) == 1 })
 }
+
+// What was accepted by its record while another node took the partition over is left to that node: kept here as well, it
+// would run a second time if the partition came back.
+func TestSubmissionOverATakeoverIsNotKept(t *testing.T) {
+	for path, body := range map[string]string{
+		"/jobs": heldTemplate, "/arrays": `{"jobTemplate":` + heldTemplate + `,"endIndex":3}`,
+	} {
+		f, _, s := newOutageFront(t)
+		f.router = takenOver{}
+		s.lose(true)
+		s.unknown, s.reject, s.err = 1, 1, leaseholder.ErrNotOwner
+		if status, v, _ := call(f, "POST", path, body); status != 201 {
+			t.Errorf("%s: status %d, body %s, want 201 by the record", path, status, v.Raw)
+		}
+		f.mu.Lock()
+		if f.queue.Waiting() != 0 || len(f.jobs)+len(f.arrays)+len(f.waiting) != 0 {
+			t.Errorf("%s: kept here: %d in the queue, %d jobs, %d arrays", path, f.queue.Waiting(), len(f.jobs), len(f.arrays))
+		}
+		f.mu.Unlock()
+	}
+}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -220,12 +220,16 @@
 		f.waiting[j.r.ID] = j
 		f.queue.Add(jobqueue.Item{ID: j.r.ID, Session: session, Priority: t.priority, Start: t.start, Held: t.hold}, now)
 		f.mu.Unlock()
+		f.dropIfOwnedElsewhere(j.r.ID)
 		f.wake()
 		return f.created(j), nil
 	}
 	f.mu.Lock()
 	f.register(j)
 	f.mu.Unlock()
+	if f.dropIfOwnedElsewhere(j.r.ID) {
+		return f.created(j), nil
+	}
 	if err := f.submitToCore(j.in, j); err != nil {
 		if err := f.deleteKeyRecord(j); err != nil { // its key stands for the rejected job, which the response shows
 			f.log.Warn("record of the idempotency key of a rejected job not deleted", "job", j.r.ID, "err", err)
@@ -316,6 +320,7 @@
 	f.arrays[x.ID] = a
 	f.queue.Add(x.item(), now)
 	f.mu.Unlock()
+	f.dropIfOwnedElsewhere(x.ID)
 	f.wake()
 	r := jsonResponse(201, x.status())
 	r.Fields = append(r.Fields, http1.Field{Name: "Location", Value: Prefix + "/arrays/" + x.ID})
