A member that lost its disk asks for its vote until the leader lists it as a voter

Cause: the member took its own copy of the configuration for the one in force; while it catches up, that copy is the one of the log's beginning, in which it votes. Found beside it: a member that was restarted while it caught up never asked again. Now the leader's answer decides, a member that starts with a folder asks too, and the leader verifies that it leads before it answers that nothing changes.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -50,7 +50,8 @@
 	ErrIncomplete    = errors.New("a name and an address are required")
 )
 
-func (c Cluster) find(name string) (Server, bool) {
+// Find returns the member of a name.
+func (c Cluster) Find(name string) (Server, bool) {
 	i := slices.IndexFunc(c, func(s Server) bool { return s.Name == name })
 	if i < 0 {
 		return Server{}, false
@@ -89,7 +90,7 @@
 			return Change{}, fmt.Errorf("%w: %s", ErrAddressInUse, s.Name)
 		}
 	}
-	old, ok := c.find(name)
+	old, ok := c.Find(name)
 	switch {
 	case !ok:
 		return Change{AddNonvoter, name, address}, nil
@@ -107,7 +108,7 @@
 // and there are fewer than maxVoters voters. Each further voter makes writes wait for more disks; non-voters receive
 // all writes and serve reads.
 func (c Cluster) Promote(name string, lag uint64, maxLag uint64, maxVoters int) (Change, error) {
-	s, ok := c.find(name)
+	s, ok := c.Find(name)
 	voters := 0
 	for _, x := range c {
 		if x.Voter {
@@ -135,7 +136,7 @@
 
 // remove decides about the removal of a member. It is rejected for a member that is alive unless mayBeAlive is set.
 func (c Cluster) remove(name string, mayBeAlive bool) (Change, error) {
-	s, ok := c.find(name)
+	s, ok := c.Find(name)
 	remaining := c.without(name)
 	voters := 0
 	for _, x := range remaining {
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return http1.Text(400, "change of the members: %v", err)
 		}
-		return s.handleChange(change)
+		return s.handleChange(ctx, change)
 	}
 	return http1.Text(404, "no such call")
 }
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -1,10 +1,12 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -68,7 +70,7 @@
 }
 
 // handleChange decides about a requested change of the membership and applies it, on the leader.
-func (s *Store) handleChange(v gjson.Result) http1.Response {
+func (s *Store) handleChange(ctx context.Context, v gjson.Result) http1.Response {
 	all, err := s.Members()
 	if err != nil {
 		return http1.Text(503, "%v", err)
@@ -76,9 +78,9 @@
 	name := v.Get("name").String()
 	var x membership.Change
 	switch verb := v.Get("verb").String(); verb {
-	case "join":
+	case verbJoin:
 		x, err = all.Join(name, v.Get("address").String(), v.Get("anew").Bool())
-	case "promote":
+	case verbPromote:
 		last := s.raft.LastIndex()
 		x, err = all.Promote(name, last-min(last, v.Get("applied").Uint()), maxVoterLag, maxVoters)
 	case "leave":
@@ -91,6 +93,11 @@
 	if err != nil {
 		return http1.JSON(409, map[string]string{"error": err.Error()})
 	}
+	if x.Verb == membership.NoChange { // nothing is committed that would show that this member still leads
+		if err := s.await(ctx, s.raft.VerifyLeader().Error); err != nil {
+			return http1.Text(503, "%v", err)
+		}
+	}
 	if err := s.applyChange(x); err != nil {
 		return http1.Text(503, "%v", err)
 	}
@@ -132,33 +139,42 @@
 	return Call(ctx, to, "POST", "/v1/members", body, s.cfg.Keys, s.lim)
 }
 
-// join requests that this member be added and, once it has caught up, that it become a voter. It repeats the requests
-// until this member is a voter or the context ends.
-func (s *Store) join(ctx context.Context, to string) {
+// Verbs of changes that a member requests for itself.
+const (
+	verbJoin    = "join"
+	verbPromote = "promote"
+)
+
+// join requests that this member be added to the store of another one and, once it has caught up, become a voter. It
+// repeats the requests until the leader lists this member as a voter or the context ends.
+func (s *Store) join(ctx context.Context, to string) { s.requestVote(ctx, verbJoin, to) }
+
+// resumePromotion requests a vote for a member that was restarted with its folder: it may have been added again without
+// a vote before the restart.
+func (s *Store) resumePromotion(ctx context.Context) { s.requestVote(ctx, verbPromote, "") }
+
+// requestVote repeats requests for a vote until the leader lists this member as a voter or the context ends. This
+// member's own copy of the configuration does not count, because it may come from a part of the log that is out of
+// date. A join goes to the given member; a promotion goes to the leader, once it is known.
+func (s *Store) requestVote(ctx context.Context, verb, to string) {
+	first, rejectedLevel := verb, slog.LevelWarn
 	for ctx.Err() == nil {
-		all, err := s.Members()
-		verb, isMember := "join", false
-		if err == nil {
-			for _, x := range all {
-				if x.Name == s.cfg.Name {
-					if x.Voter {
-						return
-					}
-					verb, isMember = "promote", true
-				}
-			}
+		if verb == verbPromote {
+			leader, _ := s.raft.LeaderWithID()
+			to = cmp.Or(string(leader), to)
 		}
-		if isMember {
-			if leader, _ := s.raft.LeaderWithID(); leader != "" {
-				to = string(leader)
-			}
-		}
-		m, err := s.requestChange(ctx, to, map[string]any{"verb": verb, "applied": s.raft.AppliedIndex()})
+		self, err := s.requestOwnMembership(ctx, verb, to)
 		switch {
-		case err != nil:
+		case err == nil && self.Voter:
+			return
+		case err == nil:
+			verb = verbPromote
+		case errors.Is(err, errChangeRejected):
+			verb = first
+			s.log.Log(ctx, rejectedLevel, "store join rejected", "by", to, "err", err)
+			rejectedLevel = slog.LevelDebug
+		case to != "":
 			s.log.Info("store not joined yet", "by", to, "err", err)
-		case m.Status != 200:
-			s.log.Warn("store join rejected", "by", to, "status", m.Status, "reason", string(m.Body))
 		}
 		select {
 		case <-time.After(s.lim.StoreElectionTimeout):
@@ -166,3 +182,33 @@
 		}
 	}
 }
+
+// errChangeRejected is returned for a change of the membership that the leader rejects.
+var errChangeRejected = errors.New("store: change of the members rejected")
+
+// requestOwnMembership requests a change of the membership of this member and returns it as the leader lists it then.
+func (s *Store) requestOwnMembership(ctx context.Context, verb, to string) (membership.Server, error) {
+	if to == "" {
+		return membership.Server{}, ErrNoLeader
+	}
+	m, err := s.requestChange(ctx, to, map[string]any{"verb": verb, "applied": s.raft.AppliedIndex()})
+	if err != nil {
+		return membership.Server{}, err
+	}
+	switch m.Status {
+	case 200:
+	case 409:
+		return membership.Server{}, fmt.Errorf("%w: %s", errChangeRejected, m.Body)
+	default:
+		return membership.Server{}, fmt.Errorf("store: change of the members: %d: %s", m.Status, m.Body)
+	}
+	var all membership.Cluster
+	if err := json.Unmarshal(m.Body, &all); err != nil {
+		return membership.Server{}, err
+	}
+	self, ok := all.Find(s.cfg.Name)
+	if !ok {
+		return membership.Server{}, fmt.Errorf("%w: not listed", errChangeRejected)
+	}
+	return self, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -182,13 +182,12 @@
 	switch {
 	case s.startedEmpty:
 		g.Go(func() error { s.bootstrapOrRejoin(ctx); return nil })
-	default:
-		g.Go(func() error { s.assess(ctx); return nil })
-	}
-	switch {
-	case s.startedEmpty:
 	case s.cfg.Join != "":
+		g.Go(func() error { s.assess(ctx); return nil })
 		g.Go(func() error { s.join(ctx, s.cfg.Join); return nil })
+	default:
+		g.Go(func() error { s.assess(ctx); return nil })
+		g.Go(func() error { s.resumePromotion(ctx); return nil })
 	}
 	g.Go(func() error { s.announceFolder(ctx); return nil })
 	g.Go(func() error {
