A new connection is kept until its first request had time to arrive

Traced: with all connections in use, each new connection evicts the oldest of an unknown client; the evicted clients connect again at once, so a connection lived for about 30 ms, and one whose request took longer was closed. A connection without a request is now kept for 250 ms; while budget and overflow reserve hold such connections alone, the accept loop waits. Over the share of an address there is no grace; known clients' idle connections are kept as before. Tests of what happens between an eviction and the close, and of unread bytes, set the grace to 0: the connections that they evict are new.

--- a/internal/http1/accept.go
+++ b/internal/http1/accept.go
@@ -126,7 +126,7 @@
 		if err == nil {
 			retry.Succeeded()
 			serve(s.register(accepted))
-			s.waitForDescriptor(ctx)
+			s.waitForRoom(ctx)
 			continue
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -154,10 +154,15 @@
 	return c
 }
 
-// waitForDescriptor returns once a descriptor is available for one more connection, even a short-lived one.
-func (s *Server) waitForDescriptor(ctx context.Context) {
-	for s.descriptorsExhausted() && ctx.Err() == nil {
-		s.closeIdle(s.limits.EvictIdleAfter)
+// waitForRoom returns once a descriptor is available for one more connection, even a short-lived one, and once that
+// connection need not be rejected for others whose first requests may still be arriving.
+func (s *Server) waitForRoom(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.descriptorsExhausted() {
+			s.closeIdle(s.limits.FirstRequestGrace)
+		} else if !s.overflowAwaitsFirstRequests() {
+			return
+		}
 		select {
 		case <-s.descriptorFreed:
 		case <-time.After(s.limits.EvictIdleAfter / 4):
--- a/internal/http1/closing_test.go
+++ b/internal/http1/closing_test.go
@@ -162,10 +162,11 @@
 	limit   func(*limits.Limits)
 	begin   func(t *testing.T, w *watched) // causes the decision to close; nil: a timeout causes it
 }{
-	{name: "eviction", late: get, limit: func(l *limits.Limits) { l.ClientConns = 1 },
+	{name: "eviction", late: get, limit: func(l *limits.Limits) { l.ClientConns, l.FirstRequestGrace = 1, 0 },
 		begin: func(t *testing.T, w *watched) { dial(t, w.addr) }},
 	{name: "eviction, half a request read", first: get[:7], phase: reading, late: get[7:],
-		limit: func(l *limits.Limits) { l.ClientConns = 1 }, begin: func(t *testing.T, w *watched) { dial(t, w.addr) }},
+		limit: func(l *limits.Limits) { l.ClientConns, l.FirstRequestGrace = 1, 0 },
+		begin: func(t *testing.T, w *watched) { dial(t, w.addr) }},
 	{name: "no descriptor left", first: get, answers: 1, late: get, limit: func(*limits.Limits) {},
 		begin: func(t *testing.T, w *watched) {
 			w.exhaust <- true
@@ -225,7 +226,7 @@
 // The check before the eviction sees no unread bytes in this state.
 func TestRequestReadButNotCountedIsAnsweredOnEviction(t *testing.T) {
 	one := lim
-	one.ClientConns = 1
+	one.ClientConns, one.FirstRequestGrace = 1, 0
 	readStarted, resume := make(chan bool), make(chan bool)
 	resumeRead := sync.OnceFunc(func() { close(resume) })
 	defer resumeRead()
--- a/internal/http1/eviction.go
+++ b/internal/http1/eviction.go
@@ -12,11 +12,12 @@
 type evictionRank uint8
 
 const (
-	rankUnreadResponse evictionRank = iota // the client has not read the last response
-	rankUnknownClient                      // no request of a known client has used the connection
-	rankKnownIdle                          // idle connection of a known client
-	rankStalled                            // the response is being written, but the client has stopped reading
-	rankNotEvictable                       // a request arrives or is handled, or the client reads its response
+	rankUnreadResponse     evictionRank = iota // the client has not read the last response
+	rankUnknownClient                          // no request of a known client has used the connection
+	rankAwaitsFirstRequest                     // no request yet, and the first one may still be arriving
+	rankKnownIdle                              // idle connection of a known client
+	rankStalled                                // the response is being written, but the client has stopped reading
+	rankNotEvictable                           // a request arrives or is handled, or the client reads its response
 )
 
 const (
@@ -34,7 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open >= s.share(s.limits.ClientConns) {
-		s.evictLocked(0)
+		s.evictLocked()
 	}
 	s.conns[c] = struct{}{}
 	s.open++
@@ -63,18 +64,16 @@
 	c.service = max(c.service, singleResponse)
 }
 
-// evict closes a connection to free its descriptor and returns it, or nil if none is evictable. A connection without a
-// request that is younger than EvictIdleAfter is not evicted: its request may be on the way, and the connection that
-// waits for the descriptor has no higher priority.
+// evict closes a connection to free its descriptor and returns it, or nil if none is evictable.
 func (s *Server) evict() *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evictLocked(s.limits.EvictIdleAfter)
+	return s.evictLocked()
 }
 
-func (s *Server) evictLocked(minAge time.Duration) *conn {
-	candidate := s.evictionCandidate(minAge)
-	if candidate == nil {
+func (s *Server) evictLocked() *conn {
+	candidate := s.evictionCandidate()
+	if candidate == nil || s.awaitsFirstRequest(candidate, time.Now()) {
 		return nil
 	}
 	switch candidate.phase {
@@ -89,12 +88,12 @@
 	return candidate
 }
 
-// evictionCandidate returns the connection to evict, or nil. It skips connections in the idle phase that have unread
-// bytes, since a request is arriving on them, and connections without a request that are younger than minAge.
-func (s *Server) evictionCandidate(minAge time.Duration) *conn {
+// evictionCandidate returns the connection with the lowest rank, or nil if none is evictable. It skips connections in
+// the idle phase that have unread bytes, since a request is arriving on them.
+func (s *Server) evictionCandidate() *conn {
 	var skipped [maxUnreadSkips]*conn
 	for i := range skipped {
-		lowest := s.lowestRanked(skipped[:i], minAge)
+		lowest := s.lowestRanked(skipped[:i])
 		if lowest == nil || lowest.phase != idle || lowest.nothingUnread() {
 			return lowest
 		}
@@ -105,15 +104,14 @@
 
 // lowestRanked returns the evictable connection with the lowest rank that is not in skipped, or nil. Of connections
 // with equal rank it returns the one that has been in its phase longest.
-func (s *Server) lowestRanked(skipped []*conn, minAge time.Duration) *conn {
+func (s *Server) lowestRanked(skipped []*conn) *conn {
 	var lowest *conn
 	lowestRank := rankNotEvictable
 	now := time.Now()
 	for c := range s.conns {
-		rank := c.evictionRank(now)
+		rank := s.evictionRank(c, now)
 		switch {
 		case rank == rankNotEvictable || slices.Contains(skipped, c):
-		case !c.hadRequest && now.Sub(c.phaseSince) < minAge:
 		case rank < lowestRank || rank == lowestRank && c.phaseSince.Before(lowest.phaseSince):
 			lowest, lowestRank = c, rank
 		}
@@ -121,8 +119,28 @@
 	return lowest
 }
 
-func (c *conn) evictionRank(now time.Time) evictionRank {
+// awaitsFirstRequest reports whether the first request of a connection may still be arriving: it is not evicted, since
+// clients that connect again and again would otherwise displace each new connection before its request is complete. A
+// connection over the share of its address has no such grace.
+func (s *Server) awaitsFirstRequest(c *conn, now time.Time) bool {
 	switch {
+	case s.limits.SlowPeers.SharePerAddress && c.shareOwner == "":
+		return false
+	case c.service == rejectOnly:
+		return c.acceptedWithin(s.limits.EvictIdleAfter, now)
+	}
+	return c.acceptedWithin(s.limits.FirstRequestGrace, now)
+}
+
+// acceptedWithin reports whether a connection without a request was accepted less than a duration ago.
+func (c *conn) acceptedWithin(d time.Duration, now time.Time) bool {
+	return !c.hadRequest && now.Sub(c.phaseSince) < d
+}
+
+func (s *Server) evictionRank(c *conn, now time.Time) evictionRank {
+	switch {
+	case (c.phase == idle || c.phase == reading) && s.awaitsFirstRequest(c, now):
+		return rankAwaitsFirstRequest
 	case c.phase == lingering, c.phase == idle && c.unreadResponse:
 		return rankUnreadResponse
 	case c.phase == idle && c.knownClient:
--- a/internal/http1/ordering_test.go
+++ b/internal/http1/ordering_test.go
@@ -99,7 +99,7 @@
 	}
 	t.Cleanup(func() { _ = ln.Close() })
 	small := lim
-	small.ClientConns = maxConns
+	small.ClientConns, small.FirstRequestGrace = maxConns, 0
 	s := NewServer(small, nil, nil, quietLog)
 	return func() (net.Conn, *conn) {
 		t.Helper()
--- a/internal/http1/registry.go
+++ b/internal/http1/registry.go
@@ -80,6 +80,19 @@
 	return len(s.conns) >= s.share(s.limits.ClientConns+s.limits.OverflowConns+s.limits.RejectConns)
 }
 
+// overflowAwaitsFirstRequests reports whether the budget and the overflow reserve are used up and none of their
+// connections is evictable before its first request had time to arrive. The next connection would be rejected, although
+// one of them may soon be evicted for it.
+func (s *Server) overflowAwaitsFirstRequests() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open < s.share(s.limits.ClientConns+s.limits.OverflowConns) {
+		return false
+	}
+	candidate := s.evictionCandidate()
+	return candidate != nil && s.awaitsFirstRequest(candidate, time.Now())
+}
+
 // retire starts to close a connection on which no request is being handled. The session closes it after a last read, so
 // that a request which arrived after the decision, or which the reader had not yet counted, is answered first. The
 // caller holds s.mu.
--- a/internal/http1/shutdown.go
+++ b/internal/http1/shutdown.go
@@ -34,14 +34,13 @@
 // CloseIdle closes the connections that have no request in progress.
 func (s *Server) CloseIdle() { s.closeIdle(0) }
 
-// closeIdle closes idle connections. It keeps connections without a request that are younger than minAge, since their
-// first request may be on the way.
-func (s *Server) closeIdle(minAge time.Duration) {
+// closeIdle closes idle connections. It keeps connections that wait for their first request for less than a grace.
+func (s *Server) closeIdle(grace time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	for c := range s.conns {
-		if c.phase != idle || !c.hadRequest && now.Sub(c.phaseSince) < minAge {
+		if c.phase != idle || c.acceptedWithin(grace, now) {
 			continue
 		}
 		// A connection with unread bytes is not idle: a request or the end of the client's stream is arriving.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -80,6 +80,9 @@
 	LingerTimeout time.Duration
 	// EvictIdleAfter is the idle time after which a connection may be closed when all connections are in use.
 	EvictIdleAfter time.Duration
+	// FirstRequestGrace is how long a new connection without a request is kept when all connections are in use. It
+	// covers one retransmission of the request's first segment.
+	FirstRequestGrace time.Duration
 	// DiscardPause is the pause between reads that discard a client's bytes beyond its ring during an open request.
 	DiscardPause time.Duration
 	// WriteTimeout bounds one short message to another member, and a write after the end of an attempt.
@@ -250,7 +253,7 @@
 		StoreSettleTimeout: 30 * time.Second, LeaseTTL: 3 * time.Second,
 		Events: 4096, QueuedPeerMessages: 64, MaxOpen: 4096,
 		ClientIdleTimeout: 2 * time.Minute, UnknownClientIdleTimeout: 5 * time.Second,
-		LingerTimeout: 500 * time.Millisecond, EvictIdleAfter: 50 * time.Millisecond,
+		LingerTimeout: 500 * time.Millisecond, EvictIdleAfter: 50 * time.Millisecond, FirstRequestGrace: 250 * time.Millisecond,
 		DiscardPause: time.Millisecond, WriteTimeout: 5 * time.Second,
 		MinLastByteDelay: 2 * time.Millisecond, MaxLastByteDelay: 40 * time.Millisecond, MaxReconnects: 4,
 		KeepAliveMinIdle: 32 * time.Millisecond, KeepAliveHalfLife: 15 * time.Second, KeepAlivePriorUses: 10,
--- a/test/hostile_test.go
+++ b/test/hostile_test.go
@@ -190,6 +190,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}},
+	{"nothing sent", func(ctx context.Context, _ net.Conn, _ *listener) { <-ctx.Done() }},
 	{"half a request", func(ctx context.Context, c net.Conn, l *listener) {
 		_, _ = io.WriteString(c, l.head(l.bodyBytes, "")+strings.Repeat("x", l.bodyBytes/2+l.bodyBytes/4))
 		<-ctx.Done()
