Nodes name classes to one another by the position in the configuration, not by their index

Seen (unit tests): a class that fails at an executor is kept away under another class's name by nodes that had other configurations before; a fourth class that fails makes all nodes avoid the executor altogether, since its code is that of rejected connections; reports outlived a change of configuration. Cause: entries held the sender's index of the class.

--- a/internal/dispatch/aggregator_client.go
+++ b/internal/dispatch/aggregator_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -246,7 +247,7 @@
 
 // reportQuarantine reports to the aggregator, which informs the other nodes, that a class fails at an executor or that
 // the executor accepts no connections.
-func (d *Dispatcher) reportQuarantine(executor *executor, kind int) {
+func (d *Dispatcher) reportQuarantine(executor *executor, kind quarantineKind) {
 	entry, ok := d.quarantineEntry(executor, kind)
 	client := &d.aggregatorClient
 	switch {
@@ -258,9 +259,18 @@
 	}
 }
 
+// dropClassQuarantines forgets the quarantines of classes that any node reported, because they name classes by their
+// position in a former configuration.
+func (d *Dispatcher) dropClassQuarantines() {
+	client := &d.aggregatorClient
+	client.newQuarantines = slices.DeleteFunc(client.newQuarantines, isClassEntry)
+	maps.DeleteFunc(client.quarantined, func(entry uint16, _ bool) bool { return isClassEntry(entry) })
+	maps.DeleteFunc(d.aggregatorServer.quarantines, func(entry uint16, _ *quarantine) bool { return isClassEntry(entry) })
+}
+
 // isQuarantined reports whether some node recently found that a class fails at an executor, or that the executor
 // accepts no connections.
-func (d *Dispatcher) isQuarantined(executor *executor, kind int) bool {
+func (d *Dispatcher) isQuarantined(executor *executor, kind quarantineKind) bool {
 	entry, ok := d.quarantineEntry(executor, kind)
 	switch {
 	case !ok:
--- a/internal/dispatch/aggregator_message.go
+++ b/internal/dispatch/aggregator_message.go
@@ -19,7 +19,7 @@
 const (
 	slotMask             = 15 // mask of the number of slots
 	maxEncodedSlots      = 11 // largest number of slots at an executor that can be encoded
-	firstClassQuarantine = 12 // class 0 fails there; the next classes follow
+	firstClassQuarantine = 12 // the class at position 0 of the configuration fails there; the next positions follow
 	lastClassQuarantine  = 14 // the last class that can be encoded
 	connectionQuarantine = 15 // it accepts no connections
 )
@@ -47,9 +47,33 @@
 	}
 }
 
+// quarantineKind is the reason of a quarantine as it stands in an entry.
+type quarantineKind uint16
+
+// notEncodable is the kind of a quarantine that other nodes are not told of.
+const notEncodable quarantineKind = 0
+
+// classQuarantine returns the kind for a class. Nodes with the same configuration agree on the position of a class
+// there, but not on its index, which depends on the configurations that a node had before.
+func (s *Settings) classQuarantine(class int) quarantineKind {
+	position := class
+	if s.ClassPositions != nil {
+		position = s.ClassPositions[class]
+	}
+	if position < 0 || position > lastClassQuarantine-firstClassQuarantine {
+		return notEncodable
+	}
+	return quarantineKind(firstClassQuarantine + position)
+}
+
+// isClassEntry reports whether an entry is a quarantine of a class.
+func isClassEntry(entry uint16) bool {
+	kind := entry & slotMask
+	return kind >= firstClassQuarantine && kind <= lastClassQuarantine
+}
+
 // quarantineEntry returns the entry for a quarantine of an executor, and whether there is an aggregator and the kind
 // can be encoded.
-func (d *Dispatcher) quarantineEntry(executor *executor, kind int) (entry uint16, ok bool) {
-	encodable := kind <= lastClassQuarantine || kind == connectionQuarantine
-	return executor.tag | uint16(kind), d.gossip.mode == gossipAggregator && encodable
+func (d *Dispatcher) quarantineEntry(executor *executor, kind quarantineKind) (entry uint16, ok bool) {
+	return executor.tag | uint16(kind), d.gossip.mode == gossipAggregator && kind != notEncodable
 }
--- a/internal/dispatch/classfailure.go
+++ b/internal/dispatch/classfailure.go
@@ -152,7 +152,7 @@
 	base := classQuarantineFactor * max(d.settings.ConnectTimeout, d.settings.MinStepInterval)
 	failures.quarantinedUntil = d.now +
 		base*backoffFactor(failures.consecutive-1, maxBackoffDoublings)*(0.75+0.5*d.random())
-	d.reportQuarantine(executor, firstClassQuarantine+class)
+	d.reportQuarantine(executor, d.settings.classQuarantine(class))
 	d.logf("class quarantined executor=%d class=%d until=%.0f", executor.id, class, failures.quarantinedUntil)
 }
 
@@ -180,7 +180,7 @@
 // isClassQuarantined reports whether a class is quarantined at an executor, by this node or by another one.
 func (d *Dispatcher) isClassQuarantined(executor *executor, class int) bool {
 	return d.now < executor.failures.byClass[class].quarantinedUntil ||
-		d.isQuarantined(executor, firstClassQuarantine+class)
+		d.isQuarantined(executor, d.settings.classQuarantine(class))
 }
 
 // findFailingClasses finds the classes that fail at so many executors that a quarantine does not help.
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -4,17 +4,18 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 )
 
-// UpdateSettings applies the Classes, Tenants, MaxAttempts, MaxRetryAfter, Fees, OverQuotaWeight and WeightByWork of s
-// while jobs are open; all other settings stay as passed to New. A class or tenant keeps its index for as long as it
-// exists. A new one is appended, or replaces one without open jobs. The map from gives, for the index of a class with
-// new rules, the index of the class whose statistics it inherits; without an entry it starts with empty statistics.
-// Open jobs keep the rules under which they arrived: their class must not change, and their maximum number of attempts
-// stays. On an error, which names what cannot be applied, nothing is changed.
+// UpdateSettings applies the Classes, ClassPositions, Tenants, MaxAttempts, MaxRetryAfter, Fees, OverQuotaWeight and
+// WeightByWork of s while jobs are open; all other settings stay as passed to New. A class or tenant keeps its index
+// for as long as it exists. A new one is appended, or replaces one without open jobs. The map from gives, for the index
+// of a class with new rules, the index of the class whose statistics it inherits; without an entry it starts with empty
+// statistics. Open jobs keep the rules under which they arrived: their class must not change, and their maximum number
+// of attempts stays. On an error, which names what cannot be applied, nothing is changed.
 func (d *Dispatcher) UpdateSettings(s Settings, from map[int]int) error {
 	next := d.settings
-	next.Classes, next.Tenants = s.Classes, s.Tenants
+	next.Classes, next.ClassPositions, next.Tenants = s.Classes, s.ClassPositions, s.Tenants
 	next.MaxAttempts, next.MaxRetryAfter, next.Fees = s.MaxAttempts, s.MaxRetryAfter, s.Fees
 	next.OverQuotaWeight, next.WeightByWork = s.OverQuotaWeight, s.WeightByWork
 	if err := next.check(); err != nil {
@@ -24,6 +25,9 @@
 		return err
 	}
 	d.updateClasses(&next, from)
+	if !slices.Equal(next.ClassPositions, d.settings.ClassPositions) {
+		d.dropClassQuarantines()
+	}
 	d.settings = next
 	d.admission.setTenants(next.Tenants)
 	d.needsPlacement = true
@@ -37,6 +41,8 @@
 	case len(next.Classes) < len(was.Classes) || len(next.Classes) > math.MaxUint8:
 		return fmt.Errorf("dispatch: cannot change the number of classes to %d from %d: it must not shrink or exceed %d",
 			len(next.Classes), len(was.Classes), math.MaxUint8)
+	case next.ClassPositions != nil && len(next.ClassPositions) != len(next.Classes):
+		return fmt.Errorf("dispatch: %d positions for %d classes", len(next.ClassPositions), len(next.Classes))
 	case len(next.Tenants) < len(was.Tenants) || len(next.Tenants) > math.MaxUint16 ||
 		len(was.Tenants) == 0 && len(next.Tenants) > 0:
 		return fmt.Errorf("dispatch: cannot change the number of tenants to %d from %d", len(next.Tenants), len(was.Tenants))
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -78,7 +78,10 @@
 	MinStepInterval float64 // minimum time between batches of events
 
 	Classes []Class
-	Tenants []Tenant // empty: all requests belong to one tenant
+	// ClassPositions is the position of each class in the configuration that all nodes share, -1 for one that it does not
+	// contain. Without it, the position of a class is its index.
+	ClassPositions []int
+	Tenants        []Tenant // empty: all requests belong to one tenant
 
 	OverQuotaWeight float64
 	WeightByWork    bool
--- a/internal/node/classrules.go
+++ b/internal/node/classrules.go
@@ -60,6 +60,7 @@
 		return nil, nil, 0, &RulesError{len(next.Names.Classes) + 1}
 	}
 	next.Settings.Classes[index] = class.Rules
+	next.Settings.ClassPositions = next.positionsWithout(index)
 	next.Names.Retired = append(next.Names.Retired, RetiredClass{Name: class.Name, Class: index})
 	origins = map[int]int{}
 	if current, ok := r.Names.Class(class.Name); ok {
@@ -68,6 +69,23 @@
 	return next, origins, index, nil
 }
 
+// positionsWithout returns the positions of the classes in the configuration, of which the class at an index is none.
+func (r *Rules) positionsWithout(index int) []int {
+	known := r.Settings.ClassPositions
+	positions := make([]int, len(r.Settings.Classes))
+	for i := range positions {
+		switch {
+		case i == index || known != nil && i >= len(known):
+			positions[i] = notConfigured
+		case known == nil:
+			positions[i] = i
+		default:
+			positions[i] = known[i]
+		}
+	}
+	return positions
+}
+
 // takeIndex returns an index without a class: a free one, else a new one, else that of a retired class without open
 // jobs.
 func (r *Rules) takeIndex(now time.Time, inUse func(class int) bool) (int, bool) {
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -82,6 +82,7 @@
 				until.Add(FromMs(r.Settings.Classes[i].Deadline) + time.Second)})
 		}
 	}
+	next.Settings.ClassPositions = next.positionsIn(names.Classes)
 	for _, i := range free { // reusable until another class takes the index
 		next.Names.Retired = append(next.Names.Retired, RetiredClass{Class: i})
 	}
@@ -111,3 +112,18 @@
 	}
 	return nil
 }
+
+// notConfigured is the position of a class that the configuration does not contain.
+const notConfigured = -1
+
+// positionsIn returns the position of each class in a configuration's list of class names.
+func (r *Rules) positionsIn(configured []string) []int {
+	positions := make([]int, len(r.Settings.Classes))
+	for i := range positions {
+		positions[i] = notConfigured
+		if i < len(r.Names.Classes) && r.Names.Classes[i] != "" {
+			positions[i] = slices.Index(configured, r.Names.Classes[i])
+		}
+	}
+	return positions
+}
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -180,3 +180,25 @@
 		t.Error("Run returned", err)
 	}
 }
+
+// Guards against nodes that name different classes to one another after different configurations: the position of a
+// class is that of the configuration, whatever its index, and a class that it does not contain has none.
+func TestPositionsOfClassesFollowTheConfiguration(t *testing.T) {
+	classes := map[string]dispatch.Class{"a": {Deadline: 1000}, "b": {Deadline: 2000}, "c": {Deadline: 500}}
+	s, n := rulesOf(classes, "a", "b")
+	r := &Rules{s, n}
+	s, n = rulesOf(classes, "c", "b")
+	r, _, err := r.Update(s, n, time.Now(), time.Minute, NoneInUse)
+	if err != nil || !reflect.DeepEqual(r.Settings.ClassPositions, []int{-1, 1, 0}) {
+		t.Fatalf("%v %v, want no class a, b at position 1, c at 0", err, r.Settings.ClassPositions)
+	}
+	old := &ClassRules{Name: "b", Rules: dispatch.Class{Deadline: 9000}}
+	r, _, index, err := r.withRetired(old, time.Now(), NoneInUse)
+	if err != nil || index != 3 || !reflect.DeepEqual(r.Settings.ClassPositions, []int{-1, 1, 0, -1}) {
+		t.Errorf("%v %v, want none for the former rules of b, at index %d", err, r.Settings.ClassPositions, index)
+	}
+	first := &Rules{Settings: dispatch.Settings{Classes: make([]dispatch.Class, 3)}}
+	if got := first.positionsWithout(2); !reflect.DeepEqual(got, []int{0, 1, -1}) {
+		t.Errorf("before any new configuration: %v", got)
+	}
+}
