Control calls of an array and its record agree, whatever its members write meanwhile

Cause: a member's write repeats the array's record and is not ordered against the call's: it stored a hold that was rejected later, or an older state over a confirmed one. A hold is now in memory once it is on record; writes for members that overlap it are awaited and the record is written again; a terminate awaits the older ones first. Nothing on record changes its form.

--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gatetack/internal/jobqueue"
@@ -41,6 +42,10 @@
 type array struct {
 	t template
 
+	// A write for a member repeats the array's record. Writes of one array are not serialized, so such a write may store
+	// an older state after a newer one.
+	memberWrites memberWrites
+
 	mu sync.Mutex
 	r  arrayRecord
 }
@@ -73,8 +78,37 @@
 	return out
 }
 
-// recordArray stores the current state of an array.
+// memberWrites tracks the writes for members of an array.
+type memberWrites struct {
+	inFlight sync.RWMutex // held shared during each write
+	started  atomic.Int64
+}
+
+// begin registers a write, before it copies the array's state. The caller calls the result when the write has ended.
+func (w *memberWrites) begin() (end func()) {
+	w.inFlight.RLock()
+	w.started.Add(1)
+	return w.inFlight.RUnlock
+}
+
+// awaitOlder waits for the writes in flight.
+func (w *memberWrites) awaitOlder() {
+	w.inFlight.Lock()
+	defer w.inFlight.Unlock()
+}
+
+// observe returns a function that reports whether a write was in flight at any time since the call.
+func (w *memberWrites) observe() (overlapped func() bool) {
+	idle, before := w.inFlight.TryLock(), w.started.Load()
+	if idle {
+		w.inFlight.Unlock()
+	}
+	return func() bool { return !idle || w.started.Load() != before }
+}
+
+// recordArray stores the current state of an array. Writes for members cannot overwrite it with an older state.
 func (f *Front) recordArray(a *array) error {
+	a.memberWrites.awaitOlder()
 	r := a.record()
 	if err := f.commit(r.changes()...); err != nil {
 		return err
@@ -85,6 +119,27 @@
 	return nil
 }
 
+// commitArray changes an array after the change is on record, or may be. The array is unchanged if nothing was written:
+// a write for a member must not store a change that is rejected.
+func (f *Front) commitArray(a *array, change func(*arrayRecord)) error {
+	overlapped := a.memberWrites.observe()
+	r := a.record()
+	change(&r)
+	err := f.commit(r.changes()...)
+	if err != nil && !jobstore.IsUnknownOutcome(err) {
+		return err
+	}
+	a.update(change)
+	if err != nil || !overlapped() {
+		return err
+	}
+	if err := f.recordArray(a); err != nil { // a write for a member may have replaced the change
+		go f.recordArrayUntilWritten(a)
+		return &jobstore.UnknownOutcomeError{Cause: err}
+	}
+	return nil
+}
+
 // recordArrayUntilWritten stores the current state of an array, repeatedly until that succeeds.
 func (f *Front) recordArrayUntilWritten(a *array) {
 	for f.waitToRepeat(f.settling) {
--- a/internal/batch/arraycontrol.go
+++ b/internal/batch/arraycontrol.go
@@ -44,25 +44,19 @@
 	if held {
 		done = f.queue.Hold(id, now)
 	}
-	if done {
-		a.update(func(r *arrayRecord) { r.Held = held })
-	}
 	f.mu.Unlock()
 	if !done {
 		return jsonResponse(409, map[string]any{"error": "INVALID_STATE", "message": "no member of the array waits, or none is on hold", "jobArray": a.record().status()})
 	}
 	// A release is on record before members are handed to the core.
-	err := f.recordArray(a)
-	undo := err != nil && !jobstore.IsUnknownOutcome(err)
-	f.mu.Lock()
-	if undo {
-		a.update(func(r *arrayRecord) { r.Held = wasHeld })
-	}
-	if err == nil && !held || undo && !wasHeld {
+	err := f.commitArray(a, func(r *arrayRecord) { r.Held = held })
+	rejected := err != nil && !jobstore.IsUnknownOutcome(err)
+	if err == nil && !held || rejected && !wasHeld {
+		f.mu.Lock()
 		f.queue.Release(id, time.Now())
+		f.mu.Unlock()
+		f.wake()
 	}
-	f.mu.Unlock()
-	f.wake()
 	if err != nil {
 		return writeError(id, "the call could not be recorded", err)
 	}
--- a/internal/batch/recording.go
+++ b/internal/batch/recording.go
@@ -124,6 +124,7 @@
 	}
 	all := append(r.changes(), more...)
 	if j.array != nil {
+		defer j.array.memberWrites.begin()()
 		all = append(all, j.array.changes()...)
 	}
 	return f.store.Write(ctx, all...)
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"gatetack/internal/jobstore"
 	"gatetack/internal/leaseholder"
 	"gatetack/internal/node"
@@ -257,3 +259,107 @@
 		f.mu.Unlock()
 	}
 }
+
+// gatedStore is a store in which the first write that is selected waits until it is released, and then fails with err,
+// if any.
+type gatedStore struct {
+	*memoryStore
+	selected       func([]jobstore.Change) bool
+	err            error
+	once           sync.Once
+	reached, again chan bool
+}
+
+func newGatedStore(selected func([]jobstore.Change) bool, err error) *gatedStore {
+	return &gatedStore{memoryStore: &memoryStore{values: map[string][]byte{}}, selected: selected, err: err,
+		reached: make(chan bool), again: make(chan bool)}
+}
+
+func (s *gatedStore) Write(ctx context.Context, changes ...jobstore.Change) (err error) {
+	if s.selected(changes) {
+		s.once.Do(func() {
+			s.reached <- true
+			<-s.again
+			err = s.err
+		})
+	}
+	if err != nil {
+		return err
+	}
+	return s.memoryStore.Write(ctx, changes...)
+}
+
+func (s *gatedStore) array(t *testing.T, id string) gjson.Result {
+	t.Helper()
+	value, found, err := s.Get(t.Context(), kindArray, recordKey(id))
+	if err != nil || !found {
+		t.Fatalf("record of the array: found %v, %v", found, err)
+	}
+	return gjson.ParseBytes(value)
+}
+
+// Guards against a hold that is rejected and on record all the same: the end of a member wrote the array's record while
+// the hold was being written.
+func TestRejectedHoldOfAnArrayIsNotOnRecord(t *testing.T) {
+	isHold := func(changes []jobstore.Change) bool {
+		return len(changes) == 1 && changes[0].Kind == kindArray && gjson.GetBytes(changes[0].Value, "held").Bool()
+	}
+	core, s := &manualCore{}, newGatedStore(isHold, jobstore.ErrFull)
+	f := newFront(core, s, time.Now())
+	runFront(t, f)
+	id := submitArray(t, f, `"endIndex":3,"maxParallel":1`)
+	var clients []node.Client
+	eventually(t, "the core has the first member", func() bool { clients, _ = core.take(); return len(clients) == 1 })
+	status := make(chan int)
+	go func() {
+		code, _, _ := call(f, "POST", "/arrays/"+id+"/hold", "")
+		status <- code
+	}()
+	<-s.reached
+	clients[0].Answer(node.Answer{End: node.Served})
+	eventually(t, "the end of the member is on record", func() bool { return s.array(t, id).Get("done").Int() == 1 })
+	s.again <- true
+	if code := <-status; code != 503 {
+		t.Errorf("status %d, want a rejection", code)
+	}
+	if s.array(t, id).Get("held").Bool() {
+		t.Error("the rejected hold is on record")
+	}
+}
+
+// Guards against control calls of an array that are confirmed and not on record: a write for a member that began before
+// the call stored the array's state of then after it.
+func TestConfirmedControlOfAnArrayStaysOnRecord(t *testing.T) {
+	isEndOfMember := func(changes []jobstore.Change) bool {
+		last := changes[len(changes)-1]
+		return len(changes) > 1 && last.Kind == kindArray && gjson.GetBytes(last.Value, "done").Int() == 1
+	}
+	for control, field := range map[string]string{"hold": "held", "terminate": "terminated"} {
+		core, s := &manualCore{}, newGatedStore(isEndOfMember, nil)
+		f := newFront(core, s, time.Now())
+		runFront(t, f)
+		id := submitArray(t, f, `"endIndex":3,"maxParallel":1`)
+		var clients []node.Client
+		eventually(t, "the core has the first member", func() bool { clients, _ = core.take(); return len(clients) == 1 })
+		clients[0].Answer(node.Answer{End: node.Served})
+		<-s.reached
+		status := make(chan int)
+		go func() {
+			code, _, _ := call(f, "POST", "/arrays/"+id+"/"+control, "")
+			status <- code
+		}()
+		select { // a call that does not wait for the older write is answered before it
+		case code := <-status:
+			go func() { status <- code }()
+		case <-time.After(100 * time.Millisecond):
+		}
+		s.again <- true
+		if code := <-status; code != 200 && code != 409 {
+			t.Errorf("%s: status %d", control, code)
+		}
+		eventually(t, "all states are recorded", func() bool { return !f.Pending() })
+		if !s.array(t, id).Get(field).Bool() {
+			t.Errorf("%s is not on record: %s", control, s.array(t, id).Raw)
+		}
+	}
+}
