Desks and changes of members are not answered 503 where their outcome is unknown

Seen in unit tests: a desk whose creation was answered 503 is there, and its repetition gets 409. A creation is settled before its answer (the same transaction ID, applied once); a call is answered 504 OUTCOME_UNKNOWN if any of its attempts may have had its effect; members and restores get 504 where the leader may have taken them. A follower that became the leader between two looks called a nil function when it forwarded a change of members (by reading): it has one now.

--- a/internal/actorhost/calls.go
+++ b/internal/actorhost/calls.go
@@ -11,8 +11,10 @@
 
 	"gatetack/internal/actor"
 	"gatetack/internal/http1"
+	"gatetack/internal/jobstore"
 	"gatetack/internal/kv"
 	"gatetack/internal/migration"
+	"gatetack/internal/store"
 )
 
 // Call makes a client's call at the current owner of an actor. Via is the client's zone. If hop is set, another node
@@ -20,8 +22,12 @@
 func (h *Host) Call(ctx context.Context, id string, number uint64, body json.RawMessage, via string, hop bool) (answer json.RawMessage, at string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreCallTimeout)
 	defer cancel()
+	var unknown error
 	for {
 		answer, at, err = h.tryCall(ctx, id, number, body, via, hop)
+		if jobstore.IsUnknownOutcome(err) {
+			unknown = err
+		}
 		if away := (*UnavailableError)(nil); !errors.Is(err, errNotOwner) && !errors.As(err, &away) || hop || ctx.Err() != nil {
 			break
 		}
@@ -31,7 +37,10 @@
 		}
 	}
 	if errors.Is(err, errNotOwner) {
-		err = &UnavailableError{id, "its owner changed during the call"}
+		err = &UnavailableError{ID: id, Why: "its owner changed during the call"}
+	}
+	if unknown != nil && errors.As(err, new(*UnavailableError)) {
+		err = unknown // an earlier attempt may have had the call's effect
 	}
 	return answer, at, err
 }
@@ -43,12 +52,12 @@
 	if !ok {
 		r, err := h.txn(ctx, kv.Op{Verb: kv.Check, Table: OwnerTable, Key: id, Cond: true})
 		if err != nil {
-			return nil, "", &UnavailableError{id, err.Error()}
+			return nil, "", unavailable(id, err)
 		}
 		if r.OK() {
 			return nil, "", &NotFoundError{id}
 		}
-		return nil, "", &UnavailableError{id, "this node does not know its owner yet"}
+		return nil, "", &UnavailableError{ID: id, Why: "this node does not know its owner yet"}
 	}
 	if node != h.Name {
 		row, found := hostOf(v, node)
@@ -82,7 +91,7 @@
 		_, err = h.waitApplied(ctx, r.Version)
 	}
 	if err != nil {
-		return &UnavailableError{id, err.Error()}
+		return unavailable(id, err)
 	}
 	return errNotOwner // the caller looks up the owner again: it is this node or one that was faster
 }
@@ -131,10 +140,16 @@
 	defer cancel()
 	m, err := h.Forward(ctx, addr, &http1.Message{Method: "POST", Target: h.Prefix + "/desks/" + url.PathEscape(id) + "/calls", Body: text,
 		Fields: []http1.Field{{Name: zoneHeader, Value: via}}})
+	if err != nil && !errors.As(err, new(*store.UnreachableError)) { // the owner may have received the call
+		err = &jobstore.UnknownOutcomeError{Cause: err}
+	}
 	if err != nil {
-		return nil, "", &UnavailableError{id, err.Error()}
+		return nil, "", notWritten(id, err)
 	}
 	v := gjson.ParseBytes(m.Body)
+	if v.Get("error").String() == outcomeUnknown {
+		return nil, "", notWritten(id, &jobstore.UnknownOutcomeError{Cause: errors.New(v.Get("message").String())})
+	}
 	switch v.Get("code").String() {
 	case "":
 	case (&actor.OrderError{}).Code():
@@ -142,10 +157,10 @@
 	case (&actor.CallError{}).Code():
 		return nil, "", &actor.CallError{Why: v.Get("message").String()}
 	default:
-		return nil, "", &UnavailableError{id, v.Get("message").String()}
+		return nil, "", &UnavailableError{ID: id, Why: v.Get("message").String()}
 	}
 	if m.Status != 200 {
-		return nil, "", &UnavailableError{id, "unexpected response of its owner: " + string(m.Body)}
+		return nil, "", &UnavailableError{ID: id, Why: "unexpected response of its owner: " + string(m.Body)}
 	}
 	return json.RawMessage(v.Get("answer").Raw), v.Get("node").String(), nil
 }
--- a/internal/actorhost/errors.go
+++ b/internal/actorhost/errors.go
@@ -21,13 +21,30 @@
 // Remedy returns what the caller can do.
 func (*NotFoundError) Remedy() string { return "create the desk first" }
 
-// UnavailableError reports that an actor can not be reached at the moment.
-type UnavailableError struct{ ID, Why string }
+// UnavailableError reports that an actor can not be reached at the moment. With a jobstore.UnknownOutcomeError as its
+// cause, the call may have had its effect.
+type UnavailableError struct {
+	ID, Why string
+	Cause   error // of a failed write; nil if the call had no effect
+}
+
+// unavailable returns the error for an operation that failed before it could have an effect.
+func unavailable(id string, cause error) *UnavailableError {
+	return &UnavailableError{ID: id, Why: cause.Error()}
+}
+
+// notWritten returns the error for a write that failed, or whose outcome is unknown.
+func notWritten(id string, cause error) *UnavailableError {
+	return &UnavailableError{id, cause.Error(), cause}
+}
 
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("desks: %q can not be reached: %s", e.ID, e.Why)
 }
 
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
 // Code returns the error code.
 func (*UnavailableError) Code() string { return "desks.away" }
 
--- a/internal/actorhost/events.go
+++ b/internal/actorhost/events.go
@@ -15,14 +15,14 @@
 		return err
 	}
 	owner, _ := json.Marshal(ownerRow{h.Name})
-	r, err := h.txn(ctx, kv.Op{Verb: kv.Put, Table: FunctionTable, Key: f.Hash, Value: function, Keep: true},
+	r, err := h.settledTxn(ctx, kv.Op{Verb: kv.Put, Table: FunctionTable, Key: f.Hash, Value: function, Keep: true},
 		kv.Op{Verb: kv.Put, Table: ActorTable, Key: id, Value: actor.New(id, f).Encode(), Keep: true, Cond: true},
 		kv.Op{Verb: kv.Put, Table: OwnerTable, Key: id, Value: owner, Keep: true, Cond: true})
 	switch {
 	case err != nil:
-		return &UnavailableError{id, err.Error()}
+		return notWritten(id, err)
 	case r.Err != "":
-		return &UnavailableError{id, r.Err}
+		return &UnavailableError{ID: id, Why: r.Err}
 	case !r.OK():
 		return &ExistsError{id}
 	}
@@ -37,7 +37,7 @@
 	}
 	r, err := h.txn(ctx, kv.Op{Verb: kv.Check, Table: OwnerTable, Key: id, Cond: true, If: x.epoch})
 	if err != nil {
-		return &UnavailableError{id, err.Error()}
+		return unavailable(id, err)
 	}
 	if !r.OK() {
 		h.evict(id, x)
@@ -45,7 +45,7 @@
 	}
 	v, err := h.waitApplied(ctx, r.Version)
 	if err != nil {
-		return &UnavailableError{id, err.Error()}
+		return unavailable(id, err)
 	}
 	e, ok := v.Get(ActorTable, id)
 	if !ok {
@@ -68,7 +68,7 @@
 	}
 	e, ok := h.Store.View().Get(FunctionTable, hash)
 	if !ok {
-		return nil, &UnavailableError{hash, "this node does not have the function yet"}
+		return nil, &UnavailableError{ID: hash, Why: "this node does not have the function yet"}
 	}
 	f, err := actor.Compile(e.Value)
 	if err == nil {
@@ -100,15 +100,15 @@
 	switch {
 	case err != nil: // it may have been committed: load the state before the next event
 		x.state = nil
-		return nil, &UnavailableError{id, err.Error()}
+		return nil, notWritten(id, err)
 	case r.Err != "":
-		return nil, &UnavailableError{id, r.Err}
+		return nil, &UnavailableError{ID: id, Why: r.Err}
 	case r.Failed == 0:
 		h.evict(id, x)
 		return nil, errNotOwner
 	case !r.OK():
 		x.state = nil
-		return nil, &UnavailableError{id, "the stored desk is newer than this node's copy"}
+		return nil, &UnavailableError{ID: id, Why: "the stored desk is newer than this node's copy"}
 	}
 	x.state, x.stateVersion = next, r.Version
 	for name := range x.jobIDs {
--- a/internal/actorhost/host.go
+++ b/internal/actorhost/host.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"log/slog"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"gatetack/internal/actor"
 	"gatetack/internal/http1"
+	"gatetack/internal/jobstore"
 	"gatetack/internal/kv"
 	"gatetack/internal/limits"
 	"gatetack/internal/migration"
@@ -87,6 +89,29 @@
 	return h.Store.Txn(ctx, &kv.Txn{Ops: ops})
 }
 
+// settledTxn runs a transaction whose result a client is told, and repeats it while its outcome is unknown, until
+// StoreSettleTimeout. The store applies transactions with the same ID once and returns the same result again.
+func (h *Host) settledTxn(ctx context.Context, ops ...kv.Op) (*kv.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Limits.StoreSettleTimeout)
+	defer cancel()
+	id := rand.Text()
+	r, err := h.Store.Txn(ctx, &kv.Txn{ID: id, Ops: ops})
+	if !jobstore.IsUnknownOutcome(err) {
+		return r, err
+	}
+	unknown := err
+	for {
+		select {
+		case <-time.After(h.Limits.StoreElectionTimeout):
+		case <-ctx.Done():
+			return nil, unknown
+		}
+		if r, err := h.Store.Txn(ctx, &kv.Txn{ID: id, Ops: ops}); err == nil {
+			return r, nil
+		}
+	}
+}
+
 // waitApplied waits until this member has applied the log up to a version.
 func (h *Host) waitApplied(ctx context.Context, version uint64) (*kv.View, error) {
 	tick := time.NewTicker(time.Millisecond)
--- a/internal/actorhost/http.go
+++ b/internal/actorhost/http.go
@@ -9,6 +9,7 @@
 	"gatetack/internal/actor"
 	"gatetack/internal/boundedjson"
 	"gatetack/internal/http1"
+	"gatetack/internal/jobstore"
 	"gatetack/internal/leaseholder"
 	"gatetack/internal/operr"
 )
@@ -22,8 +23,11 @@
 	return http1.Response{Status: status, Body: body, Fields: []http1.Field{{Name: "Content-Type", Value: "application/json"}}}
 }
 
+// outcomeUnknown is the error of a response to a call that may have had its effect, or may have it later.
+const outcomeUnknown = "OUTCOME_UNKNOWN"
+
 // errorResponse returns the response for an error, with its code and what the caller can do.
-func errorResponse(err error) http1.Response {
+func errorResponse(id string, err error) http1.Response {
 	status, v := 503, map[string]any{"error": "TRY_LATER", "message": err.Error(), "do": operr.Remedy(err)}
 	var order *actor.OrderError
 	var t operr.Error
@@ -31,6 +35,8 @@
 		v["code"] = t.Code()
 	}
 	switch {
+	case jobstore.IsUnknownOutcome(err):
+		status, v["error"], v["id"] = 504, outcomeUnknown, id
 	case errors.As(err, &order):
 		status, v["error"], v["next"] = 409, "INVALID_STATE", order.Next
 	case errors.As(err, new(*actor.CallError)), errors.As(err, new(*actor.FunctionError)):
@@ -63,7 +69,7 @@
 			return bad("id: expected 1 to 128 bytes")
 		}
 		if err := h.Create(ctx, id, []byte(v.Get("function").String())); err != nil {
-			return errorResponse(err)
+			return errorResponse(id, err)
 		}
 		return jsonResponse(201, map[string]any{"id": id, "node": h.Name})
 	case len(p) == 2 && p[1] == "calls" && m.Method == "POST":
@@ -77,7 +83,7 @@
 		}
 		out, at, err := h.Call(ctx, p[0], v.Get("number").Uint(), body, via, hop)
 		if err != nil {
-			return errorResponse(err)
+			return errorResponse(p[0], err)
 		}
 		if out == nil {
 			out = json.RawMessage("null")
@@ -93,20 +99,20 @@
 func (h *Host) describe(ctx context.Context, id string) http1.Response {
 	r, err := h.txn(ctx)
 	if err != nil {
-		return errorResponse(&UnavailableError{id, err.Error()})
+		return errorResponse(id, unavailable(id, err))
 	}
 	view, err := h.waitApplied(ctx, r.Version)
 	if err != nil {
-		return errorResponse(&UnavailableError{id, err.Error()})
+		return errorResponse(id, unavailable(id, err))
 	}
 	e, ok := view.Get(ActorTable, id)
 	node, epoch, _ := ownerOf(view, id)
 	if !ok {
-		return errorResponse(&NotFoundError{id})
+		return errorResponse(id, &NotFoundError{id})
 	}
 	d, err := actor.Decode(e.Value)
 	if err != nil {
-		return errorResponse(err)
+		return errorResponse(id, err)
 	}
 	return jsonResponse(200, map[string]any{"id": id, "node": node, "epoch": epoch, "last": d.LastCall, "state": d.State, "jobs": len(d.Jobs), "timers": d.Timers})
 }
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -22,6 +22,17 @@
 	return "bring members back until most of the voters are up, and try again; `gatetack store members` tells who is alive"
 }
 
+// PartialChangeError reports that a member was removed to be added again, at another address or without its log, and
+// that it was not added. The member's own request to join is repeated.
+type PartialChangeError struct {
+	Name  string
+	Cause error
+}
+
+func (e *PartialChangeError) Error() string {
+	return fmt.Sprintf("store: %s removed and not added again: %v", e.Name, e.Cause)
+}
+
 // DamagedError reports that a part of a member's folder is corrupt.
 type DamagedError struct{ Part, Reason string }
 
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -68,6 +68,15 @@
 		errors.Is(err, raft.ErrLeadershipTransferInProgress)
 }
 
+// writeStatus returns the HTTP status for a write that failed: 503 if it has no effect and will have none, 504 if its
+// outcome is unknown.
+func writeStatus(err error) int {
+	if isNotAppended(err) {
+		return 503
+	}
+	return 504
+}
+
 // serveRead reads after a barrier: all entries that were committed before the call have then been applied, and this
 // member is still the leader, because only a leader can commit a barrier.
 func (s *Store) serveRead(ctx context.Context, path string, q url.Values) http1.Response {
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -99,7 +99,7 @@
 		}
 	}
 	if err := s.applyChange(x); err != nil {
-		return http1.Text(503, "%v", err)
+		return http1.Text(writeStatus(err), "%v", err)
 	}
 	if x.Verb != membership.NoChange {
 		s.log.Info("store membership changed", "verb", v.Get("verb").String(), "name", x.Name, "address", x.Address)
@@ -125,7 +125,12 @@
 	case membership.Remove:
 		return s.raft.RemoveServer(id, 0, wait).Error()
 	case membership.Replace:
-		return errors.Join(s.raft.RemoveServer(id, 0, wait).Error(), s.raft.AddNonvoter(id, addr, 0, wait).Error())
+		if err := s.raft.RemoveServer(id, 0, wait).Error(); err != nil {
+			return err
+		}
+		if err := s.raft.AddNonvoter(id, addr, 0, wait).Error(); err != nil {
+			return &PartialChangeError{x.Name, err}
+		}
 	}
 	return nil
 }
--- a/internal/store/operator.go
+++ b/internal/store/operator.go
@@ -60,10 +60,7 @@
 			return http1.JSON(200, all)
 		})
 	case p[0] == "members" && len(p) == 1 && m.Method == "POST":
-		if s.IsLeader() {
-			return s.serveAsLeader(ctx, "/members", m.Body)
-		}
-		return s.forward(ctx, m, nil)
+		return s.forward(ctx, m, func() http1.Response { return s.serveAsLeader(ctx, "/members", m.Body) })
 	case p[0] == "kv" && len(p) == 2 && m.Method == "GET":
 		return s.handleList(ctx, p[1], q)
 	case p[0] == "kv" && len(p) >= 3:
@@ -95,7 +92,7 @@
 	defer cancel()
 	r, err := Call(ctx, string(addr), m.Method, m.Target, m.Body, s.cfg.Keys, s.lim)
 	if err != nil {
-		return errorResponse(503, "the leader: %v", err)
+		return errorResponse(forwardStatus(m.Method, err), "the leader: %v", err)
 	}
 	return http1.Response{
 		Status: r.Status,
@@ -104,6 +101,14 @@
 	}
 }
 
+// forwardStatus returns the HTTP status for a call that the leader did not answer: 504 if it may have received a write.
+func forwardStatus(method string, err error) int {
+	if method == "GET" || isNotAccepted(err) {
+		return 503
+	}
+	return 504
+}
+
 // restore replaces the state of all members with a snapshot. A corrupt snapshot is rejected.
 func (s *Store) restore(data []byte) http1.Response {
 	state, err := readSnapshot(bytes.NewReader(data), s.lim)
@@ -112,7 +117,7 @@
 	}
 	meta := &raft.SnapshotMeta{Version: 1, Index: state.Snapshot().Index(), Term: 1, Size: int64(len(data))}
 	if err := s.raft.Restore(meta, bytes.NewReader(data), 4*s.lim.StoreCallTimeout); err != nil {
-		return errorResponse(503, "%v", err)
+		return errorResponse(writeStatus(err), "%v", err)
 	}
 	return http1.JSON(200, s.Status())
 }
--- a/internal/store/outcome_test.go
+++ b/internal/store/outcome_test.go
@@ -36,3 +36,33 @@
 		}
 	}
 }
+
+// Guards against a change of the members, or a restore, that is answered as rejected and has its effect later.
+func TestStatusOfAFailedWrite(t *testing.T) {
+	for err, want := range map[error]int{
+		raft.ErrNotLeader: 503, raft.ErrEnqueueTimeout: 503, &StalledError{}: 503,
+		raft.ErrLeadershipLost: 504, raft.ErrRaftShutdown: 504, context.DeadlineExceeded: 504,
+		&PartialChangeError{"n1", raft.ErrNotLeader}: 504,
+	} {
+		if got := writeStatus(err); got != want {
+			t.Errorf("%v: status %d, want %d", err, got, want)
+		}
+	}
+}
+
+// Guards against a forwarded change that is answered as rejected although the leader may have received it.
+func TestStatusOfAForwardedCallWithoutAnAnswer(t *testing.T) {
+	reset := errors.New("connection reset")
+	for _, x := range []struct {
+		method string
+		err    error
+		want   int
+	}{
+		{"POST", reset, 504}, {"POST", context.DeadlineExceeded, 504},
+		{"POST", &UnreachableError{reset}, 503}, {"GET", reset, 503},
+	} {
+		if got := forwardStatus(x.method, x.err); got != x.want {
+			t.Errorf("%s, %v: status %d, want %d", x.method, x.err, got, x.want)
+		}
+	}
+}
