Two tests that start no node run beside others: package test comes close to its time limit

Package test took 503 s of 600 alone (one run, beside builds). TestKnownRed (9 s) and TestShippedProgramHasNoFailpoints (5 s) build and run Go programs and play no node.

--- a/test/ci_test.go
+++ b/test/ci_test.go
@@ -11,6 +11,7 @@
 // The script .ci/red tolerates failures only of tests that KNOWN-RED.txt lists by their exact names, each with a command that runs
 // the test. A test listed as failing always must fail; one listed as failing at times may pass or fail.
 func TestKnownRed(t *testing.T) {
+	t.Parallel()
 	script, err := filepath.Abs("../.ci/red")
 	if err != nil {
 		t.Fatal(err)
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -59,6 +59,7 @@
 
 // The released program is built without the tag faults and contains none of the environment variables of the test hooks.
 func TestShippedProgramHasNoFailpoints(t *testing.T) {
+	t.Parallel()
 	shipped := filepath.Join(t.TempDir(), "gatetack")
 	if out, err := exec.Command("go", "build", "-o", shipped, "gatetack/cmd/gatetack").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
