Control calls of one array are made one after the other

A hold whose write takes longer stored its state over a release or terminate that was answered meanwhile: held on record though it runs here, or not terminated on record.

--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -42,6 +42,9 @@
 type array struct {
 	t template
 
+	// controlMu serializes the writes of control calls, so that the record has the state of the call that took effect last.
+	controlMu sync.Mutex
+
 	// A write for a member repeats the array's record. Writes of one array are not serialized, so such a write may store
 	// an older state after a newer one.
 	memberWrites memberWrites
@@ -106,8 +109,17 @@
 	return func() bool { return !idle || w.started.Load() != before }
 }
 
-// recordArray stores the current state of an array. Writes for members cannot overwrite it with an older state.
+// recordArray stores the current state of an array. Neither writes for members nor other control calls can overwrite it
+// with an older state.
 func (f *Front) recordArray(a *array) error {
+	a.controlMu.Lock()
+	defer a.controlMu.Unlock()
+	return f.writeArray(a)
+}
+
+// writeArray stores the current state of an array, after the writes for members that may have copied an older one.
+// a.controlMu is held.
+func (f *Front) writeArray(a *array) error {
 	a.memberWrites.awaitOlder()
 	r := a.record()
 	if err := f.commit(r.changes()...); err != nil {
@@ -120,7 +132,7 @@
 }
 
 // commitArray changes an array after the change is on record, or may be. The array is unchanged if nothing was written:
-// a write for a member must not store a change that is rejected.
+// a write for a member must not store a change that is rejected. a.controlMu is held.
 func (f *Front) commitArray(a *array, change func(*arrayRecord)) error {
 	overlapped := a.memberWrites.observe()
 	r := a.record()
@@ -133,7 +145,7 @@
 	if err != nil || !overlapped() {
 		return err
 	}
-	if err := f.recordArray(a); err != nil { // a write for a member may have replaced the change
+	if err := f.writeArray(a); err != nil { // a write for a member may have replaced the change
 		go f.recordArrayUntilWritten(a)
 		return &jobstore.UnknownOutcomeError{Cause: err}
 	}
--- a/internal/batch/arraycontrol.go
+++ b/internal/batch/arraycontrol.go
@@ -37,6 +37,8 @@
 
 // holdArray holds the members whose turn is yet to come, or releases them.
 func (f *Front) holdArray(a *array, held bool) http1.Response {
+	a.controlMu.Lock()
+	defer a.controlMu.Unlock()
 	now, id := time.Now(), a.record().ID
 	f.mu.Lock()
 	wasHeld := f.queue.IsHeld(id)
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -298,25 +298,20 @@
 	return gjson.ParseBytes(value)
 }
 
+// isHold reports whether a write is that of a hold of an array.
+func isHold(changes []jobstore.Change) bool {
+	return len(changes) == 1 && changes[0].Kind == kindArray && gjson.GetBytes(changes[0].Value, "held").Bool()
+}
+
 // Guards against a hold that is rejected and on record all the same: the end of a member wrote the array's record while
 // the hold was being written.
 func TestRejectedHoldOfAnArrayIsNotOnRecord(t *testing.T) {
-	isHold := func(changes []jobstore.Change) bool {
-		return len(changes) == 1 && changes[0].Kind == kindArray && gjson.GetBytes(changes[0].Value, "held").Bool()
-	}
 	core, s := &manualCore{}, newGatedStore(isHold, jobstore.ErrFull)
 	f := newFront(core, s, time.Now())
-	runFront(t, f)
-	id := submitArray(t, f, `"endIndex":3,"maxParallel":1`)
-	var clients []node.Client
-	eventually(t, "the core has the first member", func() bool { clients, _ = core.take(); return len(clients) == 1 })
-	status := make(chan int)
-	go func() {
-		code, _, _ := call(f, "POST", "/arrays/"+id+"/hold", "")
-		status <- code
-	}()
+	id, first := startedArray(t, f, core)
+	status := controlArray(f, id, "hold")
 	<-s.reached
-	clients[0].Answer(node.Answer{End: node.Served})
+	first.Answer(node.Answer{End: node.Served})
 	eventually(t, "the end of the member is on record", func() bool { return s.array(t, id).Get("done").Int() == 1 })
 	s.again <- true
 	if code := <-status; code != 503 {
@@ -327,6 +322,39 @@
 	}
 }
 
+// startedArray returns the ID of an array whose first member the core has, and that member's client.
+func startedArray(t *testing.T, f *Front, core *manualCore) (id string, first node.Client) {
+	t.Helper()
+	runFront(t, f)
+	id = submitArray(t, f, `"endIndex":3,"maxParallel":1`)
+	var clients []node.Client
+	eventually(t, "the core has the first member", func() bool { clients, _ = core.take(); return len(clients) == 1 })
+	return id, clients[0]
+}
+
+// controlArray makes a control call and returns a channel for its status.
+func controlArray(f *Front, id, control string) <-chan int {
+	status := make(chan int, 1)
+	go func() {
+		code, _, _ := call(f, "POST", "/arrays/"+id+"/"+control, "")
+		status <- code
+	}()
+	return status
+}
+
+// releaseAfter lets the gated write go on after a control call was answered, or after a time in which one that does not
+// wait for the write is answered. It returns the call's status.
+func (s *gatedStore) releaseAfter(status <-chan int) int {
+	select {
+	case code := <-status:
+		s.again <- true
+		return code
+	case <-time.After(100 * time.Millisecond):
+		s.again <- true
+		return <-status
+	}
+}
+
 // Guards against control calls of an array that are confirmed and not on record: a write for a member that began before
 // the call stored the array's state of then after it.
 func TestConfirmedControlOfAnArrayStaysOnRecord(t *testing.T) {
@@ -337,24 +365,10 @@
 	for control, field := range map[string]string{"hold": "held", "terminate": "terminated"} {
 		core, s := &manualCore{}, newGatedStore(isEndOfMember, nil)
 		f := newFront(core, s, time.Now())
-		runFront(t, f)
-		id := submitArray(t, f, `"endIndex":3,"maxParallel":1`)
-		var clients []node.Client
-		eventually(t, "the core has the first member", func() bool { clients, _ = core.take(); return len(clients) == 1 })
-		clients[0].Answer(node.Answer{End: node.Served})
+		id, first := startedArray(t, f, core)
+		first.Answer(node.Answer{End: node.Served})
 		<-s.reached
-		status := make(chan int)
-		go func() {
-			code, _, _ := call(f, "POST", "/arrays/"+id+"/"+control, "")
-			status <- code
-		}()
-		select { // a call that does not wait for the older write is answered before it
-		case code := <-status:
-			go func() { status <- code }()
-		case <-time.After(100 * time.Millisecond):
-		}
-		s.again <- true
-		if code := <-status; code != 200 && code != 409 {
+		if code := s.releaseAfter(controlArray(f, id, control)); code != 200 && code != 409 {
 			t.Errorf("%s: status %d", control, code)
 		}
 		eventually(t, "all states are recorded", func() bool { return !f.Pending() })
@@ -363,3 +377,26 @@
 		}
 	}
 }
+
+// Guards against control calls of an array that are made at the same time, and whose record is that of the one that
+// took effect first.
+func TestControlCallsOfAnArrayAtTheSameTime(t *testing.T) {
+	for _, second := range []string{"release", "terminate"} {
+		core, s := &manualCore{}, newGatedStore(isHold, nil)
+		f := newFront(core, s, time.Now())
+		id, _ := startedArray(t, f, core)
+		hold := controlArray(f, id, "hold")
+		<-s.reached
+		if code := s.releaseAfter(controlArray(f, id, second)); code != 200 && code != 409 {
+			t.Errorf("%s: status %d", second, code)
+		}
+		<-hold
+		f.mu.Lock()
+		held := f.queue.IsHeld(id)
+		f.mu.Unlock()
+		stored := s.array(t, id)
+		if second == "release" && (held || stored.Get("held").Bool()) || second == "terminate" && !stored.Get("terminated").Bool() {
+			t.Errorf("after hold and %s: held in the queue %v, on record %s", second, held, stored.Raw)
+		}
+	}
+}
