Holds and releases of a job are ordered; rules that cannot be read count as at most once

A release that was recorded before a hold released the queue after it: the hold was answered 200 and the job went out. Both are made one after the other now.

--- a/internal/batch/classrules.go
+++ b/internal/batch/classrules.go
@@ -101,20 +101,17 @@
 }
 
 // findClassRules returns the stored rules of a job, or of the array that it is a member of, nil if there are none.
-func (f *Front) findClassRules(ctx context.Context, r *Record) *storedClass {
+func (f *Front) findClassRules(ctx context.Context, r *Record) (*storedClass, error) {
 	id := r.ID
 	if r.member() {
 		id = r.Array
 	}
 	value, found, err := f.store.Get(ctx, kindClassRules, recordKey(id))
 	if !found || err != nil {
-		return nil
+		return nil, err
 	}
 	stored := &storedClass{}
-	if json.Unmarshal(value, stored) != nil {
-		return nil
-	}
-	return stored
+	return stored, json.Unmarshal(value, stored)
 }
 
 // readClassRules sets the rules under which the jobs and arrays of the partition were accepted, and deletes those that are
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -135,6 +135,8 @@
 		}
 		return conflict(r, "only a job that waits at this node, on hold or for its start time, can be held or released")
 	}
+	j.controlMu.Lock()
+	defer j.controlMu.Unlock()
 	if held {
 		return f.holdJob(j)
 	}
--- a/internal/batch/doubt.go
+++ b/internal/batch/doubt.go
@@ -62,9 +62,14 @@
 }
 
 // atMostOnce reports whether a job must never run twice, by the rules under which it was accepted. Without these on
-// record the rules in force decide, and a category that is no longer configured counts as at most once.
+// record the rules in force decide. A job counts as at most once if they cannot be read, or if its category is no longer
+// configured.
 func (f *Front) atMostOnce(ctx context.Context, r *Record) bool {
-	if stored := f.findClassRules(ctx, r); stored != nil {
+	stored, err := f.findClassRules(ctx, r)
+	if err != nil {
+		return true
+	}
+	if stored != nil {
 		return stored.RetrySafety == retrySafetyNames[dispatch.AtMostOnce]
 	}
 	rules := f.core.Rules()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -131,6 +131,9 @@
 	ready    chan struct{} // closed when the submission is accepted or rejected
 	recordMu sync.Mutex
 
+	// controlMu serializes holds and releases, so that the queue and the record agree on the one that took effect last.
+	controlMu sync.Mutex
+
 	mu             sync.Mutex
 	core           uint32               // the core's ID of the job, 0 while it has none
 	earlier        *node.EarlierAttempt // the earliest attempt that may have run, over all hand-overs
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -400,3 +400,56 @@
 		}
 	}
 }
+
+// Guards against a job that is handed to the core although its hold was confirmed: a release that was made at the same
+// time, and recorded before the hold, released it afterwards.
+func TestHoldAndReleaseOfAJobAtTheSameTime(t *testing.T) {
+	isRelease := func(changes []jobstore.Change) bool {
+		return changes[0].Kind == kindJob && gjson.GetBytes(changes[0].Value, "jobState").String() == string(Queued)
+	}
+	core, s := &manualCore{}, newGatedStore(isRelease, nil)
+	f := newFront(core, s, time.Now())
+	runFront(t, f)
+	_, v, _ := call(f, "POST", "/jobs", heldTemplate)
+	job := "/jobs/" + v.Get("jobId").String()
+	control := func(what string) <-chan int {
+		status := make(chan int, 1)
+		go func() {
+			code, _, _ := call(f, "POST", job+"/"+what, "")
+			status <- code
+		}()
+		return status
+	}
+	release := control("release")
+	<-s.reached
+	hold := control("hold")
+	time.Sleep(50 * time.Millisecond)
+	s.again <- true
+	if code := <-release; code != 200 {
+		t.Errorf("release: status %d", code)
+	}
+	code := <-hold
+	clients, _ := core.take()
+	if code == 200 && len(clients) > 0 {
+		t.Error("the job was handed to the core although its hold was confirmed")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.queue.IsHeld(v.Get("jobId").String()); code == 200 && !held {
+		t.Error("the hold was confirmed, and the job is not held in the queue")
+	}
+}
+
+// Guards against a job that counts as safe to repeat by the rules in force because its own could not be read.
+func TestJobWhoseRulesCannotBeReadCountsAsAtMostOnce(t *testing.T) {
+	s := &memoryStore{values: map[string][]byte{}}
+	f := newFront(&manualCore{}, s, time.Now())
+	r := &Record{ID: "n0.1.1", Category: "area-render"}
+	if f.atMostOnce(t.Context(), r) {
+		t.Fatal("area-render is at most once by the rules in force")
+	}
+	s.err = errors.New("no leader")
+	if !f.atMostOnce(t.Context(), r) {
+		t.Error("a job whose rules cannot be read counts as one that may run again")
+	}
+}
