A node that starts no longer writes its inventory file over a later one in the store

Cause: the node asked its own replica, which has applied nothing just after a start, whether the store has a later inventory, then wrote its file without a condition; the modification times of files decided which is later. Now each write names the versions it is based on, a node writes only after it has caught up, and only what was changed in its file, by row and field, is merged.

--- a/cmd/gatetack/main.go
+++ b/cmd/gatetack/main.go
@@ -155,7 +155,8 @@
 			out := printer{writer: cmd.OutOrStdout()}
 			describeNode(&out, cfg, file)
 			if file.Inventory.File != "" {
-				if _, err := inventory.Open(file.Inventory.File, cfg.Names, cfg.Limits, nil, nil, slog.Default()); err != nil {
+				if _, err := inventory.Open(inventory.Config{Path: file.Inventory.File, Names: cfg.Names,
+					Limits: cfg.Limits, Log: slog.Default()}, nil); err != nil {
 					return err
 				}
 				out.printf("executors from %s\n", file.Inventory.File)
--- a/cmd/gatetack/process_control.go
+++ b/cmd/gatetack/process_control.go
@@ -142,7 +142,8 @@
 	if p.store != nil {
 		shared = p.store
 	}
-	list, err := inventory.Open(p.file.Inventory.File, cfg.Names, cfg.Limits, p.core, shared, p.log)
+	list, err := inventory.Open(inventory.Config{Path: p.file.Inventory.File, Node: cfg.Name, Names: cfg.Names,
+		Limits: cfg.Limits, Store: shared, Log: p.log}, p.core)
 	if err != nil {
 		return err
 	}
--- a/internal/inventory/parse.go
+++ b/internal/inventory/parse.go
@@ -192,7 +192,7 @@
 		return rowError(line, "zone: %q is not in the settings", row["zone"])
 	case !slices.Contains(b.names.Kinds, row["type"]):
 		return rowError(line, "type: %q is not in the settings", row["type"])
-	case row["status"] != "ready" && row["status"] != "draining":
+	case row["status"] != statusReady && row["status"] != statusDraining:
 		return rowError(line, "status: %q is neither ready nor draining", row["status"])
 	}
 	for _, key := range []string{"name " + row["name"], "address " + row["address"]} {
@@ -205,3 +205,16 @@
 		Kind: row["type"], Group: int(group), Status: row["status"], Weight: 1})
 	return nil
 }
+
+// endpoints validates rows and returns their endpoints.
+func endpoints(rows []row, names node.Names, lim limits.Limits) ([]node.Endpoint, error) {
+	b := newBuilder(names, lim)
+	for i, r := range rows {
+		fields := map[string]string{"name": r.Name, "address": r.Address, "zone": r.Zone, "type": r.Kind,
+			"group": strconv.Itoa(r.Group), "status": r.Status}
+		if err := b.add(i+1, fields); err != nil {
+			return nil, err
+		}
+	}
+	return b.entries, nil
+}
--- a/internal/inventory/share.go
+++ b/internal/inventory/share.go
@@ -1,134 +1,185 @@
 package inventory
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"strconv"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync/atomic"
 	"time"
 
-	"gatetack/internal/node"
+	"gatetack/internal/kv"
 )
 
-// Store is the replicated store, through which a change that one node reads reaches the other nodes.
+// Store is this node's member of the replicated store, through which the nodes share one inventory.
 type Store interface {
-	// Put writes a value under a key of a table.
-	Put(ctx context.Context, table, key string, value []byte) error
-	// Local reads this member's replica.
-	Local(table, key string) ([]byte, bool)
+	// CatchUp returns once this member has applied all transactions that were committed before the call.
+	CatchUp(ctx context.Context) error
+	// View returns the state of this member, which may be stale before CatchUp.
+	View() *kv.View
+	// Recovered returns the state that this member's folder holds, which includes entries that may not be committed.
+	Recovered() *kv.View
+	// Txn commits a transaction.
+	Txn(ctx context.Context, t *kv.Txn) (*kv.Result, error)
 }
 
-// Table and key of the inventory in the store.
-const (
-	storeTable = "config"
-	storeKey   = "inventory"
-)
+// stored is what a state of the store holds for one node.
+type stored struct {
+	accepted
+	file        []row // contents of the node's file that are merged, if hasFile is set
+	hasFile     bool
+	fileVersion uint64
+}
 
-// inventory is a list of endpoints with the time at which it was written, in Unix milliseconds.
-type inventory struct {
-	at      int64
-	entries []node.Endpoint
+// readStored reads the inventory, and the merged contents of a node's file, from a state of the store.
+func readStored(view *kv.View, node string) stored {
+	out := stored{accepted: accept(view.History(storeTable, storeKey))}
+	entry, ok := view.Get(storeTable, fileKeyPrefix+node)
+	if !ok {
+		return out
+	}
+	out.fileVersion = entry.Version
+	rows, err := decodeFile(entry.Value)
+	out.file, out.hasFile = rows, err == nil
+	return out
 }
 
-// storedInventory is the encoding of an inventory in the store. Its keys are stored data and must not change.
-type storedInventory struct {
-	At   int64       `json:"at"`
-	Rows []storedRow `json:"rows"`
+// versions are the versions of the entries that readStored reads, 0 for an absent one.
+type versions struct{ inventory, file uint64 }
+
+func readVersions(view *kv.View, node string) (out versions) {
+	if entry, ok := view.Get(storeTable, storeKey); ok {
+		out.inventory = entry.Version
+	}
+	if entry, ok := view.Get(storeTable, fileKeyPrefix+node); ok {
+		out.file = entry.Version
+	}
+	return out
 }
 
-// storedRow is the encoding of one executor in the store.
-type storedRow struct {
-	Name    string
-	Address string
-	Zone    string
-	Kind    string
-	Group   json.Number
-	Status  string
-	Weight  float64
-	SinceMS float64
+// proposal is what a node wants the shared inventory to include.
+type proposal struct {
+	first   []row  // contents of the file when the process first read it
+	file    []row  // contents now
+	basedOn uint64 // serial number of the shared inventory that the node had when the file changed
+	inForce []row  // rows that the node uses, with which the shared inventory begins if there is none
 }
 
-// encode returns the inventory in the encoding of the store.
-func (v inventory) encode() ([]byte, error) {
-	stored := storedInventory{At: v.at}
-	for _, e := range v.entries {
-		stored.Rows = append(stored.Rows, storedRow{Name: e.Name, Address: e.Address, Zone: e.Zone, Kind: e.Kind,
-			Group: json.Number(strconv.Itoa(e.Group)), Status: e.Status, Weight: e.Weight, SinceMS: e.StartedAtMs})
-	}
-	return json.Marshal(stored)
+// change returns the change of the file according to the store. Without a record of the node's file the contents at the
+// start of the process are not a change: nothing shows that they are newer than the shared inventory.
+func (p proposal) change(s stored) fileChange {
+	previous := p.first
+	if s.hasFile {
+		previous = s.file
+	}
+	return fileChange{previous: previous, current: p.file, basedOn: p.basedOn}
 }
 
-// storeHas reports whether the store has an inventory that was written at the given time or later.
-func (s *Source) storeHas(at int64) bool {
-	raw, ok := s.store.Local(storeTable, storeKey)
-	if !ok {
-		return false
+// plan returns the operations that bring a proposal into the store, none if the store includes it, and the parts of the
+// change that do not take effect. Each operation is conditional on the version that was read.
+func (p proposal) plan(s stored, node string, nowMs int64) (ops []kv.Op, conflicts []conflict, err error) {
+	next, write := withSerial(listOf(p.inForce), sharedList{}), true
+	if s.exists {
+		next, conflicts = merge(s.sharedList, p.change(s))
+		write = next.serial != s.serial || s.stale
+	}
+	inventory := kv.Op{Verb: kv.Check, Table: storeTable, Key: storeKey, Cond: true, If: s.version}
+	if write {
+		next.serial = s.serial + 1
+		next.stampMs = max(s.stampMs+1, nowMs)
+		inventory.Verb, inventory.Keep = kv.Put, true
+		if inventory.Value, err = next.encode(); err != nil {
+			return nil, nil, err
+		}
+	}
+	recorded := s.hasFile && slices.Equal(s.file, p.file)
+	if recorded && !write {
+		return nil, nil, nil
+	}
+	ops = append(ops, inventory)
+	if !recorded {
+		value, err := encodeFile(p.file)
+		if err != nil {
+			return nil, nil, err
+		}
+		ops = append(ops, kv.Op{Verb: kv.Put, Table: storeTable, Key: fileKeyPrefix + node, Value: value, Keep: true,
+			Cond: true, If: s.fileVersion})
 	}
-	var stored storedInventory
-	_ = json.Unmarshal(raw, &stored) // an unreadable inventory is replaced
-	return stored.At >= at
+	return ops, conflicts, nil
 }
 
-// share writes inventories to the store, unless it has a later one, and retries until it succeeds. It runs in its own
-// goroutine, since a store without a leader must not delay changes of the file, such as a drain.
-func (s *Source) share(ctx context.Context, in <-chan inventory) {
+// writer brings the proposals of a node into the store, in its own goroutine: a store without a leader must not delay
+// changes of the file, such as a drain.
+type writer struct {
+	store      Store
+	node       string
+	backoff    time.Duration
+	onCaughtUp func()
+	log        *slog.Logger
+	caughtUp   atomic.Bool // this member's state has been up to date once in this process
+}
+
+// run writes proposals until the context ends.
+func (w *writer) run(ctx context.Context, in <-chan proposal) {
 	for {
 		select {
-		case latest := <-in:
-			s.putUntilReplaced(ctx, latest, in)
+		case p := <-in:
+			w.putUntilReplaced(ctx, p, in)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// putUntilReplaced retries to write an inventory until the write succeeds or a newer inventory is available.
-func (s *Source) putUntilReplaced(ctx context.Context, latest inventory, in <-chan inventory) {
+// putUntilReplaced retries to write a proposal until it succeeds or a newer proposal is available. A write whose
+// outcome is unknown is retried as well: if it was committed, the store has the record of the node's file.
+func (w *writer) putUntilReplaced(ctx context.Context, p proposal, in <-chan proposal) {
 	for ctx.Err() == nil && len(in) == 0 {
-		if s.storeHas(latest.at) {
-			return
-		}
-		value, err := latest.encode()
-		if err == nil {
-			err = s.store.Put(ctx, storeTable, storeKey, value)
-		}
+		err := w.put(ctx, p)
 		if err == nil {
 			return
 		}
-		s.log.Warn("inventory not written to the store, retrying", "err", err)
+		if !errors.Is(err, errOutdated) {
+			w.log.Warn("inventory not written to the store, retrying", "err", err)
+		}
 		select {
-		case <-time.After(s.limits.StoreElectionTimeout):
+		case <-time.After(w.backoff):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// adopt takes the inventory from the store if another node wrote it and it is later than the current one. It
-// reports whether the entries have changed.
-func (s *Source) adopt() bool {
-	raw, ok := s.store.Local(storeTable, storeKey)
-	if !ok || bytes.Equal(raw, s.stored) {
-		return false
-	}
-	s.stored = raw
-	var stored storedInventory
-	if err := json.Unmarshal(raw, &stored); err != nil {
-		s.log.Error("inventory of the store rejected, keeping the previous list", "err", err)
-		return false
-	}
-	if stored.At <= s.writtenAt {
-		return false
-	}
-	b := newBuilder(s.names, s.limits)
-	for i, r := range stored.Rows {
-		row := map[string]string{"name": r.Name, "address": r.Address, "zone": r.Zone, "type": r.Kind,
-			"group": r.Group.String(), "status": r.Status}
-		if err := b.add(i+1, row); err != nil {
-			s.log.Error("inventory of the store rejected, keeping the previous list", "err", err)
-			return false
-		}
+// errOutdated reports that another node has written the inventory meanwhile.
+var errOutdated = errors.New("inventory: the store has a later version than the one that was read")
+
+// put merges a proposal into the inventory that the store has now, once this member has caught up with it.
+func (w *writer) put(ctx context.Context, p proposal) error {
+	if err := w.store.CatchUp(ctx); err != nil {
+		return err
+	}
+	if !w.caughtUp.Swap(true) {
+		w.onCaughtUp()
+	}
+	now := readStored(w.store.View(), w.node)
+	ops, conflicts, err := p.plan(now, w.node, time.Now().UnixMilli())
+	if err != nil || len(ops) == 0 {
+		return err
+	}
+	result, err := w.store.Txn(ctx, &kv.Txn{Ops: ops})
+	switch {
+	case err != nil:
+		return err
+	case result.Err != "":
+		return fmt.Errorf("inventory: the store rejects the write: %s", result.Err)
+	case !result.OK():
+		return errOutdated
+	}
+	for _, c := range conflicts {
+		w.log.Error("change of the inventory file not in force", "executor", c.Name, "reason", c.Reason)
+	}
+	if now.exists && !now.hasFile && !slices.Equal(p.first, rowsOfList(now.sharedList)) {
+		w.log.Warn("inventory file differs from the shared inventory, which stays in force", "node", w.node)
 	}
-	s.entries, s.writtenAt = b.entries, stored.At
-	s.index++
-	return true
+	return nil
 }
--- a/internal/kv/view.go
+++ b/internal/kv/view.go
@@ -8,6 +8,9 @@
 // Snapshot returns the current state. It copies no entries.
 func (s *State) Snapshot() *View { return &View{s.roots} }
 
+// Fork returns a state that continues from the view. Transactions that are applied to it do not affect the view.
+func (v *View) Fork(b Bounds) *State { return &State{bounds: b, roots: v.roots} }
+
 // Index returns the log index of the latest transaction.
 func (v *View) Index() uint64 { return v.index }
 
