Changes of the store's members are decided and applied one after another

Callers saw: two removals at the same time, each safe alone, left a store of four (one lost) without a quorum. Cause: the leader decided by a list read earlier and gave raft no index. Now one change at a time, and raft rejects one whose configuration has changed. TestChangesOfMembersAtTheSameTimeKeepTheQuorum failed 3 of 3 before, passes 3 of 3 with -race.

Writes by hand to table config, which nodes write too, need --if (TestWriteOfASharedValueNamesItsVersion failed before).

--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -54,9 +54,15 @@
 
 // Members returns all members as this member knows them. Only the leader knows which of them are alive.
 func (s *Store) Members() (membership.Cluster, error) {
+	all, _, err := s.configuration()
+	return all, err
+}
+
+// configuration returns the members and the index of raft's configuration that lists them.
+func (s *Store) configuration() (membership.Cluster, uint64, error) {
 	f := s.raft.GetConfiguration()
 	if err := f.Error(); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	_, leader := s.raft.LeaderWithID()
 	s.mu.Lock()
@@ -66,30 +72,25 @@
 		all = append(all, membership.Server{Name: string(x.ID), Address: string(x.Address), Voter: x.Suffrage == raft.Voter,
 			Alive: !s.unresponsive[x.ID], Leader: x.ID == leader})
 	}
-	return all, nil
+	return all, f.Index(), nil
 }
 
-// handleChange decides about a requested change of the membership and applies it, on the leader.
+// handleChange decides about a requested change of the membership and applies it, on the leader. Changes are handled
+// one at a time: two that are safe alone may cost the store its quorum together.
 func (s *Store) handleChange(ctx context.Context, v gjson.Result) http1.Response {
-	all, err := s.Members()
+	waiting, cancel := context.WithTimeout(ctx, s.lim.StoreCallTimeout)
+	defer cancel()
+	select {
+	case s.memberChange <- struct{}{}:
+		defer func() { <-s.memberChange }()
+	case <-waiting.Done():
+		return notAccepted(http1.Text(503, "another change of the members is in progress"))
+	}
+	all, index, err := s.configuration()
 	if err != nil {
 		return http1.Text(503, "%v", err)
 	}
-	name := v.Get("name").String()
-	var x membership.Change
-	switch verb := v.Get("verb").String(); verb {
-	case verbJoin:
-		x, err = all.Join(name, v.Get("address").String(), v.Get("anew").Bool())
-	case verbPromote:
-		last := s.raft.LastIndex()
-		x, err = all.Promote(name, last-min(last, v.Get("applied").Uint()), maxVoterLag, maxVoters)
-	case "leave":
-		x, err = all.Leave(name)
-	case "remove":
-		x, err = all.Remove(name, v.Get("force").Bool())
-	default:
-		err = fmt.Errorf("%q is none of join, promote, leave and remove", verb)
-	}
+	x, err := s.decideChange(all, v)
 	if err != nil {
 		return http1.JSON(409, map[string]string{"error": err.Error()})
 	}
@@ -98,7 +99,7 @@
 			return http1.Text(503, "%v", err)
 		}
 	}
-	if err := s.applyChange(x); err != nil {
+	if err := s.applyChange(x, index); err != nil {
 		return http1.Text(writeStatus(err), "%v", err)
 	}
 	if x.Verb != membership.NoChange {
@@ -110,7 +111,28 @@
 	return http1.JSON(200, all)
 }
 
-func (s *Store) applyChange(x membership.Change) error {
+// decideChange decides about a requested change of the membership.
+func (s *Store) decideChange(all membership.Cluster, v gjson.Result) (x membership.Change, err error) {
+	name := v.Get("name").String()
+	switch verb := v.Get("verb").String(); verb {
+	case verbJoin:
+		x, err = all.Join(name, v.Get("address").String(), v.Get("anew").Bool())
+	case verbPromote:
+		last := s.raft.LastIndex()
+		x, err = all.Promote(name, last-min(last, v.Get("applied").Uint()), maxVoterLag, maxVoters)
+	case "leave":
+		x, err = all.Leave(name)
+	case "remove":
+		x, err = all.Remove(name, v.Get("force").Bool())
+	default:
+		err = fmt.Errorf("%q is none of join, promote, leave and remove", verb)
+	}
+	return x, err
+}
+
+// applyChange applies a change that was decided for the configuration at an index. Raft rejects it if the configuration
+// has changed since.
+func (s *Store) applyChange(x membership.Change, index uint64) error {
 	id, addr, wait := raft.ServerID(x.Name), raft.ServerAddress(x.Address), s.lim.StoreCallTimeout
 	defer func() { // earlier heartbeat failures concern another process
 		s.mu.Lock()
@@ -119,16 +141,17 @@
 	}()
 	switch x.Verb {
 	case membership.AddNonvoter:
-		return s.raft.AddNonvoter(id, addr, 0, wait).Error()
+		return s.raft.AddNonvoter(id, addr, index, wait).Error()
 	case membership.AddVoter:
-		return s.raft.AddVoter(id, addr, 0, wait).Error()
+		return s.raft.AddVoter(id, addr, index, wait).Error()
 	case membership.Remove:
-		return s.raft.RemoveServer(id, 0, wait).Error()
+		return s.raft.RemoveServer(id, index, wait).Error()
 	case membership.Replace:
-		if err := s.raft.RemoveServer(id, 0, wait).Error(); err != nil {
+		removal := s.raft.RemoveServer(id, index, wait)
+		if err := removal.Error(); err != nil {
 			return err
 		}
-		if err := s.raft.AddNonvoter(id, addr, 0, wait).Error(); err != nil {
+		if err := s.raft.AddNonvoter(id, addr, removal.Index(), wait).Error(); err != nil {
 			return &PartialChangeError{x.Name, err}
 		}
 	}
--- a/internal/store/operator_entries.go
+++ b/internal/store/operator_entries.go
@@ -16,6 +16,9 @@
 	"gatetack/internal/kv"
 )
 
+// sharedTable is the table of values that nodes and operators write, such as the inventory.
+const sharedTable = "config"
+
 // entryJSON is an entry in responses to operators. A value that is valid UTF-8 is returned as text.
 type entryJSON struct {
 	Table   string    `json:"table"`
@@ -105,6 +108,9 @@
 	if err := parseConditions(q, &op); err != nil {
 		return errorResponse(400, "%v", err)
 	}
+	if table == sharedTable && !op.Cond {
+		return errorResponse(400, "nodes write table %s too: name the version that the change is based on with --if", table)
+	}
 	return s.writeEntry(ctx, op)
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -64,6 +64,8 @@
 	mu           sync.Mutex
 	unresponsive map[raft.ServerID]bool // members whose heartbeats fail while this one is the leader
 
+	memberChange chan struct{} // holds one element while a change of the members is decided and applied
+
 	logTime logTime
 
 	services map[string]http1.Handler // by the first path element after /v1, see Mount
@@ -96,6 +98,7 @@
 		fsm:          newFSM(lim),
 		mux:          newMux(listener, cfg.Keys, lim, log),
 		unresponsive: map[raft.ServerID]bool{},
+		memberChange: make(chan struct{}, 1),
 	}
 	if err := s.open(); err != nil {
 		_ = ln.Close()
