Revocations and renewals of keys at the same time no longer lose or mix files

Callers saw: 1 or 2 of 20 certificates revoked at the same time were on the list; renewals at the same time left a key without its certificate. Cause: files read and replaced without a lock.

--- a/internal/pki/authority.go
+++ b/internal/pki/authority.go
@@ -14,6 +14,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"gatetack/internal/atomicfile"
 )
 
 // Init creates a certificate authority in a folder that has none.
@@ -97,6 +99,11 @@
 	if err := os.MkdirAll(out, 0o700); err != nil {
 		return err
 	}
+	unlock, err := atomicfile.Lock(out) // the files of two renewals would not match
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	defer unlock()
 	pub, err := os.ReadFile(filepath.Join(dir, caCertFile))
 	if err != nil {
 		return err
--- a/internal/pki/revocation.go
+++ b/internal/pki/revocation.go
@@ -19,6 +19,11 @@
 	if !ok {
 		return fmt.Errorf("keys: %q is no serial number in hexadecimal", serial)
 	}
+	unlock, err := atomicfile.Lock(dir)
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	defer unlock()
 	path := filepath.Join(dir, revokedFile)
 	old, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
