The settings cache of two processes keeps the later settings

Cause: each process replaced the file without a look at what it holds; incarnations were read and written without a lock. Found by reading for values written from what one process remembers. TestCacheKeepsTheLaterSettings and TestIncarnationsAtTheSameTime failed without the mend.

--- a/internal/settingsync/cache.go
+++ b/internal/settingsync/cache.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 
@@ -56,12 +57,20 @@
 	return document, nil
 }
 
-// Save replaces the saved document. The document is durable if Save returns no error. After an error, Load returns this
-// document or the previous one.
+// Save replaces the saved document, unless another process of the node has saved a later one. The document is durable
+// if Save returns no error. After an error, Load returns this document or the previous one.
 func (c Cache) Save(d *settings.Document) error {
 	if c.path == "" {
 		return nil
 	}
+	unlock, err := c.lock(c.path)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	if saved, err := c.Load(); err == nil && saved.Version() > d.Version() {
+		return nil
+	}
 	data, err := json.Marshal(d.Snapshot())
 	if err != nil {
 		return &CacheError{"write", c.path, err}
@@ -82,6 +91,11 @@
 		return now, nil
 	}
 	path := c.path + incarnationSuffix
+	unlock, err := c.lock(path)
+	if err != nil {
+		return now, err
+	}
+	defer unlock()
 	data, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return now, &CacheError{"read", path, err}
@@ -96,6 +110,15 @@
 	return now, c.saveIncarnation(path, now)
 }
 
+// lock excludes the other process of the node, which uses the same files while one process replaces the other.
+func (c Cache) lock(path string) (unlock func(), err error) {
+	unlock, err = atomicfile.Lock(filepath.Dir(path))
+	if err != nil {
+		return nil, &CacheError{"lock", path, err}
+	}
+	return unlock, nil
+}
+
 func (c Cache) saveIncarnation(path string, incarnation int64) error {
 	if err := atomicfile.Write(c.files, path, fmt.Appendln(nil, incarnation), cacheMode); err != nil {
 		return &CacheError{"write", path, err}
--- a/internal/settingsync/cache_test.go
+++ b/internal/settingsync/cache_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -184,3 +185,43 @@
 		t.Errorf("without a cache: %d, %v", got, err)
 	}
 }
+
+// While one process of a node replaces another, both save their settings. The later settings stay, whichever process
+// saves last.
+func TestCacheKeepsTheLaterSettings(t *testing.T) {
+	cache, _ := faultyCache(t)
+	for _, version := range []uint64{7, 9, 8} {
+		if err := cache.Save(documentOf(t, version)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := loadVersion(t, cache); got != 9 {
+		t.Errorf("version %d in the cache, want 9", got)
+	}
+}
+
+// Processes that start at the same time have different incarnations.
+func TestIncarnationsAtTheSameTime(t *testing.T) {
+	cache := NewCache(filepath.Join(t.TempDir(), "settings.json"))
+	const processes = 10
+	got := make(chan int64, processes)
+	var g sync.WaitGroup
+	for range processes {
+		g.Go(func() {
+			incarnation, err := cache.NextIncarnation(1000)
+			if err != nil {
+				t.Error(err)
+			}
+			got <- incarnation
+		})
+	}
+	g.Wait()
+	close(got)
+	seen := map[int64]bool{}
+	for incarnation := range got {
+		if seen[incarnation] {
+			t.Errorf("incarnation %d twice", incarnation)
+		}
+		seen[incarnation] = true
+	}
+}
--- a/internal/settingsync/errors.go
+++ b/internal/settingsync/errors.go
@@ -8,7 +8,7 @@
 
 // CacheError reports that a file of the cache cannot be read or written. An unreadable file is treated as absent.
 type CacheError struct {
-	Op   string // "read" or "write"
+	Op   string // "read", "write" or "lock"
 	Path string
 	Err  error
 }
