A node answers for a job only while its lease holds, and for a delete when it is on record

Cause: a partition counted as the node's own without a valid lease, and terminate answered before its write. Both are one promise (a confirmation has its record, under the epoch), so they are one commit.

--- a/internal/batch/arraycontrol.go
+++ b/internal/batch/arraycontrol.go
@@ -106,14 +106,18 @@
 	for _, j := range waiting {
 		j.end((*Record).terminate, now)
 	}
-	still := 0
+	still, terminated := 0, waiting
 	for _, j := range sent {
-		if core := j.coreID(); core == 0 || f.core.Terminate(ctx, core) != nil {
-			if r := j.record(); !r.State.final() {
-				still++
-			}
+		if core := j.coreID(); core != 0 && f.core.Terminate(ctx, core) == nil {
+			terminated = append(terminated, j)
+		} else if r := j.record(); !r.State.final() {
+			still++
 		}
 	}
+	if err := f.recordEnds(terminated); err != nil {
+		go f.recordArrayUntilWritten(a)
+		return outcomeUnknown(x.ID, "members are ended here, and that is not on record yet: "+err.Error())
+	}
 	if err := f.recordArray(a); err != nil {
 		go f.recordArrayUntilWritten(a)
 		return outcomeUnknown(x.ID, "its members are ended here, and that is not on record yet: "+err.Error())
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -33,6 +33,7 @@
 type PartitionRouter interface {
 	Ready() bool                                             // this node's earlier partitions were adopted
 	Locate(partition string) (addr string, ours, known bool) // known: it has or had an owner and may have records
+	HoldsLease() bool                                        // no other node can have taken over its partitions yet
 	Forward(ctx context.Context, addr string, m *http1.Message) (*http1.Message, error)
 }
 
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -59,13 +59,15 @@
 		}
 		return conflict(r, "the job is not one that this node can end")
 	}
+	if j.queue && j.array == nil {
+		if response, waited := f.terminateWaiting(j); waited {
+			return response
+		}
+	}
 	now := time.Now()
 	if j.queue && f.dequeue(j, now) {
 		j.end((*Record).terminate, now)
-		if r = j.record(); r.mayHaveRun() {
-			return conflict(r, "an attempt may have run; the job is not repeated")
-		}
-		return f.jobResponse(200, r)
+		return f.terminated(j)
 	}
 	err := node.ErrUnknown
 	if core := j.coreID(); core != 0 {
@@ -73,7 +75,7 @@
 	}
 	switch r = j.record(); {
 	case err == nil:
-		return f.jobResponse(200, r)
+		return f.terminated(j)
 	case errors.Is(err, node.ErrRunning):
 		return conflict(r, "the job was sent to an executor, is not stopped there, and its result still comes")
 	case errors.Is(err, node.ErrUnknown) && !r.State.final():
@@ -84,6 +86,58 @@
 	return problem(500, "INTERNAL", "", err.Error())
 }
 
+// terminateWaiting ends a job that waits in the queue and is no member of an array, once its end is on record. It
+// reports false if the job does not wait. If nothing was recorded, the job goes on waiting.
+func (f *Front) terminateWaiting(j *job) (response http1.Response, waited bool) {
+	j.controlMu.Lock()
+	defer j.controlMu.Unlock()
+	now := time.Now()
+	f.mu.Lock()
+	wasHeld, waits := f.queue.IsHeld(j.ref.ID), f.queue.Hold(j.ref.ID, now)
+	f.mu.Unlock()
+	if !waits {
+		return http1.Response{}, false
+	}
+	terminate := func(r *Record) {
+		r.Finished = now
+		r.terminate()
+	}
+	err := f.commitRecord(j, terminate)
+	if err != nil && !jobstore.IsUnknownOutcome(err) {
+		if !wasHeld {
+			f.mu.Lock()
+			f.queue.Release(j.ref.ID, time.Now())
+			f.mu.Unlock()
+			f.wake()
+		}
+		return f.recordingError(j, "the end could not be recorded", err), true
+	}
+	f.dequeue(j, now)
+	j.end(terminate, now)
+	if err != nil {
+		return writeError(j.ref.ID, "the end could not be recorded", err), true
+	}
+	return f.terminatedResponse(j), true
+}
+
+// terminated records the end of a job that was terminated, and returns the response. The job has ended at this node, so
+// the response never promises that the call had no effect.
+func (f *Front) terminated(j *job) http1.Response {
+	if err := f.recordEnd(j); err != nil {
+		return outcomeUnknown(j.record().ID, "the job has ended here, and that is not on record yet: "+err.Error())
+	}
+	return f.terminatedResponse(j)
+}
+
+// terminatedResponse returns the response for a job whose end by its client is on record.
+func (f *Front) terminatedResponse(j *job) http1.Response {
+	r := j.record()
+	if r.mayHaveRun() {
+		return conflict(r, "an attempt may have run; the job is not repeated")
+	}
+	return f.jobResponse(200, r)
+}
+
 // dequeue removes a job from the queue, and reports whether it was there.
 func (f *Front) dequeue(j *job, now time.Time) bool {
 	f.mu.Lock()
@@ -111,7 +165,7 @@
 	j := f.memberWithoutTurn(a, ref)
 	f.mu.Unlock()
 	j.end(func(x *Record) { *x = r }, now)
-	return f.jobResponse(200, r)
+	return f.terminated(j)
 }
 
 // memberWithoutTurn creates the job of a member that ends without a turn in this incarnation. f.mu is held.
--- a/internal/batch/fleet.go
+++ b/internal/batch/fleet.go
@@ -62,18 +62,22 @@
 // is stopped, forward makes the call again at the new owner once the ownership changes. Any late effect of the first
 // call is fenced.
 func (f *Front) forward(ctx context.Context, m *http1.Message, p []string) (http1.Response, bool) {
-	if f.router == nil || len(p) < 2 || p[0] != "jobs" && p[0] != "arrays" || m.Get(leaseholder.ForwardedByHeader) != "" {
-		return http1.Response{}, false
-	}
-	part, ok := partitionOf(p[1])
+	part, ok := f.partitionOfCall(p)
 	if !ok {
 		return http1.Response{}, false
 	}
+	forwarded := m.Get(leaseholder.ForwardedByHeader) != ""
 	// The partitions of this node's earlier incarnations may still be adopted.
-	if !f.awaitLoaded(ctx) && ctx.Err() != nil {
+	if !forwarded && !f.awaitLoaded(ctx) && ctx.Err() != nil {
 		return notLoaded(ctx), true
 	}
 	for {
+		if !f.awaitLease(ctx, part) {
+			return tryLater("this node has lost its lease, and does not know whether another has the job by now"), true
+		}
+		if forwarded {
+			return http1.Response{}, false
+		}
 		addr, ours, known := f.router.Locate(part)
 		switch {
 		case ours || !known || addr == "" && m.Method == "GET": // nothing is stored for an unknown partition
@@ -98,6 +102,42 @@
 	}
 }
 
+// partitionOfCall returns the partition of the job or array that a call is about. It returns false for other calls, and
+// for a node that shares no records.
+func (f *Front) partitionOfCall(path []string) (string, bool) {
+	if f.router == nil || len(path) < 2 || path[0] != "jobs" && path[0] != "arrays" {
+		return "", false
+	}
+	return partitionOf(path[1])
+}
+
+// isCurrent reports whether this node may answer for a partition from its memory. It may not if it takes the partition
+// for its own and has no valid lease: another node may have taken it over.
+func (f *Front) isCurrent(partition string) bool {
+	_, ours, _ := f.router.Locate(partition)
+	return !ours || f.router.HoldsLease()
+}
+
+// awaitLease waits for at most the time of a lease until isCurrent holds for a partition: this node renews its lease, or
+// learns that another node owns the partition. It returns false if neither happens.
+func (f *Front) awaitLease(ctx context.Context, partition string) bool {
+	if f.isCurrent(partition) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.lim.LeaseTTL)
+	defer cancel()
+	ticker := time.NewTicker(f.lim.LeaseTTL / 50)
+	defer ticker.Stop()
+	for !f.isCurrent(partition) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // forwardError returns the response to a call that was forwarded and got no response. The other node may have carried it
 // out, unless it only reads or was not sent.
 func forwardError(method, id, addr string, err error) http1.Response {
--- a/internal/batch/fleet_test.go
+++ b/internal/batch/fleet_test.go
@@ -29,6 +29,8 @@
 
 func (s *sharedStore) Ready() bool { return true }
 
+func (s *sharedStore) HoldsLease() bool { return true }
+
 func (s *sharedStore) Locate(string) (string, bool, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/batch/monitor.go
+++ b/internal/batch/monitor.go
@@ -336,13 +336,25 @@
 // jobRoute dispatches the calls that clients of a session may make. An empty session means the default session, whose
 // clients see all jobs by ID.
 func (f *Front) jobRoute(ctx context.Context, m *http1.Message, session string, p []string) http1.Response {
+	for {
+		if r, ok := f.forward(ctx, m, p); ok {
+			return r
+		}
+		r := f.ownJobRoute(ctx, m, session, p)
+		// A read may have been answered from memory after the lease was over, for instance because this process was stopped
+		// meanwhile. Writes are committed under the epoch of the partition.
+		if partition, ok := f.partitionOfCall(p); !ok || m.Method != "GET" || ctx.Err() != nil || f.isCurrent(partition) {
+			return r
+		}
+	}
+}
+
+// ownJobRoute dispatches the calls of jobRoute that this node handles itself.
+func (f *Front) ownJobRoute(ctx context.Context, m *http1.Message, session string, p []string) http1.Response {
 	in := session
 	if in == "" {
 		in = defaultSession
 	}
-	if r, ok := f.forward(ctx, m, p); ok {
-		return r
-	}
 	// Until the jobs of earlier incarnations are taken up, their records would say that they have ended.
 	if f.router == nil && !f.awaitLoaded(ctx) {
 		return notLoaded(ctx)
--- a/internal/batch/recording.go
+++ b/internal/batch/recording.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 
+	"golang.org/x/sync/errgroup"
+
 	"gatetack/internal/failpoint"
 	"gatetack/internal/jobstore"
 	"gatetack/internal/leaseholder"
@@ -114,6 +116,26 @@
 	if f.store == nil {
 		return nil
 	}
+	write := func(all ...jobstore.Change) error { return f.store.Write(ctx, all...) }
+	return writeRecordWith(write, j, change, more...)
+}
+
+// recordEnd records the end of a job of which a client is told, and repeats the write while its outcome is unknown.
+func (f *Front) recordEnd(j *job) error { return writeRecordWith(f.commit, j, nil) }
+
+// recordEnds records the ends of several jobs, like recordEnd.
+func (f *Front) recordEnds(jobs []*job) error {
+	var g errgroup.Group
+	g.SetLimit(maxConcurrentWrites)
+	for _, j := range jobs {
+		g.Go(func() error { return f.recordEnd(j) })
+	}
+	return g.Wait()
+}
+
+// writeRecordWith does what writeRecord does, with a function that writes to the store.
+func writeRecordWith(write func(...jobstore.Change) error, j *job, change func(*Record) error,
+	more ...jobstore.Change) error {
 	j.recordMu.Lock()
 	defer j.recordMu.Unlock()
 	r := j.record()
@@ -127,7 +149,7 @@
 		defer j.array.memberWrites.begin()()
 		all = append(all, j.array.changes()...)
 	}
-	return f.store.Write(ctx, all...)
+	return write(all...)
 }
 
 // commitRecord changes the state of a job that has not ended, after it is on record. The job is unchanged if the write
--- a/internal/leaseholder/routing.go
+++ b/internal/leaseholder/routing.go
@@ -35,6 +35,14 @@
 	return "", false, true
 }
 
+// HoldsLease reports whether this node's lease is valid on its own clock, which runs on while the process is stopped.
+// Without it another node may own the partitions that this node takes for its own.
+func (h *Holder) HoldsLease() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.manager.HoldsLease(h.bootTime())
+}
+
 // Forward forwards a client's call to another node. A forwarded call is not forwarded again.
 func (h *Holder) Forward(ctx context.Context, addr string, call *http1.Message) (*http1.Message, error) {
 	fields := []http1.Field{{Name: ForwardedByHeader, Value: h.node}}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -467,3 +467,49 @@
 		t.Errorf("the record of the send is still stored: %s", sentRecords)
 	}
 }
+
+// Review case 10: a node is silent until another one has taken its jobs over, and is sent deletes of them meanwhile. What it
+// answers once it is back is what the new owner says: it confirms no delete of a job that has run or will run.
+func TestSilentNodeConfirmsNoDelete(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 50*time.Millisecond)
+	lead := f.leader()
+	silent, other := f[(lead+1)%3], f[lead]
+	const outage = 8 * time.Second
+	payloads, ids := []string{"in the outage", "after the outage"}, []string{}
+	for i, in := range []time.Duration{6 * time.Second, outage + 5*time.Second} {
+		ids = append(ids, silent.submitUntilAccepted(t, fmt.Sprintf(`{"jobCategory":"tile-charge","accountingId":"maavaade","payload":%q,"startTime":%q}`,
+			payloads[i], time.Now().Add(in).UTC().Format(time.RFC3339Nano))))
+	}
+	silent.signal(syscall.SIGSTOP)
+	back := time.After(outage)
+	other.until("the first job has run elsewhere", func() bool {
+		_, v := other.drmaa("GET", "/jobs/"+ids[0], "")
+		return v.Get("jobState").String() == "DONE"
+	})
+	statuses := make([]chan int, len(ids))
+	for i, id := range ids {
+		statuses[i] = make(chan int, 1)
+		go func() {
+			m, err := testenv.CallFor(silent.batch, 30*time.Second, "DELETE", "/drmaa2/v1/jobs/"+id, nil)
+			if err != nil {
+				statuses[i] <- 0
+				return
+			}
+			statuses[i] <- m.Status
+		}()
+	}
+	<-back
+	silent.signal(syscall.SIGCONT)
+	if status := <-statuses[0]; status == 200 {
+		t.Error("the delete of a job that has run was confirmed")
+	}
+	second := <-statuses[1]
+	time.Sleep(6 * time.Second) // past the start time of the second job
+	if n := f.starts(payloads[1]); second == 200 && n > 0 {
+		t.Errorf("the delete was confirmed, and the job was started %d times", n)
+	}
+	if n := f.starts(payloads[0]); n != 1 {
+		t.Errorf("the first job was started %d times", n)
+	}
+}
