A callback of an unknown attempt is answered 204 only if it counts or concerns no job

Cause: it was looked up in a replica that had applied nothing, and resolved after the answer if at all.

--- a/cmd/gatetack/callbacks.go
+++ b/cmd/gatetack/callbacks.go
@@ -19,6 +19,8 @@
 	maxID     int                         // length of an ID in a callback
 	relay     *callbackrelay.Relay        // nil: the node has no second process
 	batch     atomic.Pointer[batch.Front] // nil until the batch front is open
+
+	awaitsBatch bool // the node shares records of batch jobs, which its batch front reads
 }
 
 // Callback delivers the body of one callback.
@@ -30,8 +32,8 @@
 	if err := r.executors.HandleCallback(message); !errors.Is(err, executor.ErrUnknownAttempt) {
 		return err
 	}
-	if front := r.batch.Load(); front != nil {
-		front.LateCallback(body)
+	if err := r.lateCallback(body); err != nil {
+		return &platform.CallbackRejectedError{Err: err}
 	}
 	if r.relay == nil {
 		return nil
@@ -42,6 +44,21 @@
 	return nil
 }
 
+// errBatchNotOpen is returned for a callback that may belong to a batch job while the batch front is being opened.
+var errBatchNotOpen = errors.New("callback: the batch front is not open yet")
+
+// lateCallback passes a callback of an unknown attempt to the batch front, whose records may name the attempt.
+func (r *callbackRouter) lateCallback(body []byte) error {
+	front := r.batch.Load()
+	switch {
+	case front != nil:
+		return front.LateCallback(body)
+	case r.awaitsBatch:
+		return errBatchNotOpen
+	}
+	return nil
+}
+
 // deliverStored delivers a callback that the other process stored. It reports whether the callback needs no other
 // process: it belongs to an attempt of this one, or is invalid.
 func (r *callbackRouter) deliverStored(body []byte) bool {
--- a/cmd/gatetack/callbacks_test.go
+++ b/cmd/gatetack/callbacks_test.go
@@ -48,3 +48,13 @@
 		t.Errorf("callback with a usable directory and no other process: %v", err)
 	}
 }
+
+// A callback of an unknown attempt is rejected while the batch front, whose records may name it, is being opened.
+func TestUnknownCallbackIsRejectedBeforeTheBatchFrontIsOpen(t *testing.T) {
+	executors := executor.New(t.Context(), &errgroup.Group{}, testenv.Limits, node.Names{}, nil, nil, testenv.DiscardLog)
+	router := &callbackRouter{executors: executors, maxID: testenv.Limits.IDBytes, awaitsBatch: true}
+	err := router.Callback([]byte(`{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"done","result":"tile"}`))
+	if _, ok := errors.AsType[*platform.CallbackRejectedError](err); !ok || !errors.Is(err, errBatchNotOpen) {
+		t.Errorf("got error %v, want a CallbackRejectedError", err)
+	}
+}
--- a/cmd/gatetack/process_fronts.go
+++ b/cmd/gatetack/process_fronts.go
@@ -39,7 +39,8 @@
 	if err != nil {
 		return err
 	}
-	p.callbacks = &callbackRouter{executors: p.executors, maxID: cfg.Limits.IDBytes}
+	p.callbacks = &callbackRouter{executors: p.executors, maxID: cfg.Limits.IDBytes,
+		awaitsBatch: p.jobRecords != nil && p.file.Batch.Listen != ""}
 	p.clients = http1.NewServer(
 		cfg.Limits, platform.New(p.core, p.callbacks, cfg.Limits, p.log), p.core.SlowPeers(), p.log)
 	if cfg.PassedSocket >= 0 {
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -21,38 +21,51 @@
 	Local(kind, key string) ([]byte, bool)
 }
 
+// LateCallbackError reports a callback that may resolve a job and could not be handled in time. The executor should
+// repeat it.
+type LateCallbackError struct{ Reason string }
+
+func (e *LateCallbackError) Error() string { return "late callback: " + e.Reason }
+
 // LateCallback handles a callback of an attempt that no process of this node knows: one of an earlier incarnation, or
 // of a lost node whose address this one took over. If its job is UNDETERMINED, the callback resolves the job, at
-// whichever node owns it. LateCallback does not block.
-func (f *Front) LateCallback(body []byte) {
+// whichever node owns it. It returns nil once the resolution is on record, or if the callback concerns no stored job. It
+// waits for the store for at most the time of a lease; a write in progress may take longer.
+func (f *Front) LateCallback(body []byte) error {
 	s, ok := f.store.(localReader)
 	v := gjson.ParseBytes(body)
 	trace, state := v.Get("id").String(), v.Get("state").String()
 	if !ok || trace == "" || state != "done" && state != "failed" && state != "returned" {
-		return
+		return nil
 	}
-	id, ok := s.Local(kindSent, trace)
-	if !ok {
-		return
+	if _, known := s.Local(kindSent, trace); !known && f.isRecovered() {
+		return nil
 	}
 	select {
 	case f.lateCallbacks <- struct{}{}:
+		defer func() { <-f.lateCallbacks }()
 	default:
-		return // too many late callbacks are in progress: the job stays UNDETERMINED
+		return &LateCallbackError{"too many of them are in progress"}
 	}
-	go func() {
-		defer func() { <-f.lateCallbacks }()
-		// The partition may have no owner yet, or one that has not adopted it.
-		ctx, cancel := context.WithTimeout(context.Background(), 4*f.lim.LeaseTTL)
-		defer cancel()
-		for !f.deliverLateCallback(ctx, string(id), body) {
-			select {
-			case <-time.After(f.lim.StoreElectionTimeout):
-			case <-ctx.Done():
-				return
-			}
+	ctx, cancel := context.WithTimeout(f.settling, f.lim.LeaseTTL)
+	defer cancel()
+	for {
+		id, known := s.Local(kindSent, trace)
+		if known && f.deliverLateCallback(ctx, string(id), body) || !known && f.isRecovered() {
+			return nil
+		}
+		select {
+		case <-time.After(f.lim.StoreElectionTimeout / 10):
+		case <-ctx.Done():
+			return &LateCallbackError{"the store does not say yet to which job it belongs, or the job has no owner yet"}
 		}
-	}()
+	}
+}
+
+// isRecovered reports whether this node's replica has the records that earlier incarnations left: it holds its lease,
+// and their partitions were adopted. Before, an attempt that is not in the replica may be on record all the same.
+func (f *Front) isRecovered() bool {
+	return f.router == nil || f.router.Ready() && f.router.HoldsLease()
 }
 
 // deliverLateCallback delivers a late callback to the job's owner, and reports whether the callback needs no retry.
