A batch job's result fits its record or is refused, and no write is repeated without an end

Cause: six bytes for each < > & in the record, which the store then rejects; the write was repeated for good. Now records have no such escapes, a result that does not fit ends the job as FAILED with the sizes, and a rejected write is given up.

--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -72,7 +72,7 @@
 
 // changes returns the writes that store an array.
 func (r *arrayRecord) changes() []jobstore.Change {
-	v, _ := json.Marshal(r)
+	v := encodeStored(r)
 	key, ended := recordKey(r.ID), r.finished()
 	out := []jobstore.Change{{Kind: kindArray, Key: key, Value: v, Keep: !ended}}
 	if ended && r.Class != nil {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -236,8 +238,7 @@
 		r.State, r.Annotation = Failed, a.Reason
 		switch a.End {
 		case node.Served:
-			zero, text := 0, string(a.Result)
-			r.State, r.SubState, r.ExitStatus, r.Result, r.Size = Done, "", &zero, &text, len(text)
+			r.done(string(a.Result), j.f.lim.StoreBodyBytes)
 		case node.Rejected:
 			if r.mayHaveRun() && j.in.AcceptedClass.Rules.RetrySafety != dispatch.Idempotent {
 				r.SubState, r.Annotation = subFailed, mayHaveRunAnnotation
@@ -314,9 +315,37 @@
 }
 
 // json returns the stored form of a record.
-func (r *Record) json() []byte {
-	b, _ := json.Marshal(r)
-	return b
+func (r *Record) json() []byte { return encodeStored(r) }
+
+// encodeStored returns the stored form of a record, which must be of strings, numbers and times. The characters that
+// matter in HTML are not escaped: a payload of markup would take up to six times its size.
+func encodeStored(record any) []byte {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	_ = encoder.Encode(record) // cannot fail for such a record
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n"))
+}
+
+// maxEncodedByte is the maximum size of the JSON of one byte of a string.
+const maxEncodedByte = 6
+
+// recordOverhead is more than a record takes beside its template and its result, in bytes.
+const recordOverhead = 8 << 10
+
+// done ends the job with a result. A result with which the record would exceed a size does not count: it could not be
+// kept, and the job would be told as DONE until the next restart only.
+func (r *Record) done(result string, maxBytes int) {
+	zero := 0
+	r.State, r.SubState, r.ExitStatus, r.Result, r.Size = Done, "", &zero, &result, len(result)
+	if maxEncodedByte*len(result)+len(r.Template)+recordOverhead <= maxBytes {
+		return
+	}
+	if size := len(r.json()); size > maxBytes {
+		r.State, r.SubState, r.ExitStatus, r.Result, r.Size = Failed, subFailed, nil, nil, 0
+		r.Annotation = fmt.Sprintf("it has run, and its result can not be kept: its record would take %d bytes, %d at most",
+			size, maxBytes)
+	}
 }
 
 // parseRecord parses the stored form of a record.
--- a/internal/batch/late.go
+++ b/internal/batch/late.go
@@ -116,13 +116,13 @@
 	case r.State != Undetermined:
 		return tryLater("the job has not been taken up yet")
 	}
+	r.Annotation, r.Finished = "told by its box after the node that sent it had ended", time.Now()
 	result := v.Get("result")
 	switch state := v.Get("state").String(); {
 	case state != "done" && r.mayHaveRun(): // it says nothing of the other attempts
 		return http1.Response{Status: 204}
 	case state == "done" && result.Type == gjson.String:
-		zero, text := 0, result.Str
-		r.State, r.ExitStatus, r.Result = Done, &zero, &text
+		r.done(result.Str, f.lim.StoreBodyBytes)
 	case state == "failed":
 		r.State, r.SubState = Failed, subFailed
 	case state == "returned":
@@ -130,7 +130,6 @@
 	default:
 		return http1.Response{Status: 204}
 	}
-	r.Annotation, r.Finished = "told by its box after the node that sent it had ended", time.Now()
 	if err := f.recordResolution(ctx, &r); err != nil {
 		return tryLater(err.Error())
 	}
--- a/internal/batch/recording.go
+++ b/internal/batch/recording.go
@@ -103,6 +103,11 @@
 		f.unsaved.Add(-1)
 		return err == nil
 	}
+	if _, rejected := errors.AsType[*jobstore.RejectedError](err); rejected {
+		f.log.Error("job state not recorded, the store rejects it", "job", r.ID, "err", err)
+		f.unsaved.Add(-1)
+		return false
+	}
 	f.log.Warn("job state not recorded", "job", r.ID, "err", err)
 	if j.isLost() || errors.Is(err, leaseholder.ErrNotOwner) && f.ownedElsewhere(r.ID) || !f.unrecorded.add(j) {
 		f.unsaved.Add(-1)
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -53,6 +53,12 @@
 	return unknown
 }
 
+// RejectedError reports a write that the store can never accept, for instance of a value that is too large. Nothing was
+// written, and a repetition fails as well.
+type RejectedError struct{ Reason string }
+
+func (e *RejectedError) Error() string { return "records: rejected: " + e.Reason }
+
 // Errors of Write that guarantee that nothing was written.
 var (
 	ErrExists = errors.New("records: key already exists")
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -42,7 +42,7 @@
 	case strings.HasPrefix(r.Err, kv.FullPrefix):
 		return fmt.Errorf("%w: %s", jobstore.ErrFull, r.Err)
 	}
-	return fmt.Errorf("store: %s", r.Err)
+	return &jobstore.RejectedError{Reason: r.Err}
 }
 
 // Ops converts changes to operations of a transaction.
