--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -50,8 +50,15 @@
 		if err := x.reconcile(ctx, f); err != nil {
 			return 0, err
 		}
-		if !x.finished() && !a.readTemplate(x) {
-			delete(a.arrays, id)
+		if x.finished() {
+			continue
+		}
+		if bad := a.readTemplate(x); bad != nil {
+			f.log.Warn("recorded array not run: its template is no longer valid", "array", id, "field", bad.field,
+				"reason", bad.text)
+			if err := x.endUnsent(ctx, f, bad); err != nil {
+				return 0, err
+			}
 		}
 	}
 	for i := range a.open {
@@ -106,16 +113,15 @@
 	return a.arrays[r.Array]
 }
 
-// readTemplate parses the template of an array whose members are still to run, and reports whether it is valid.
-func (a *adoption) readTemplate(x *adoptedArray) bool {
+// readTemplate parses the template of an array whose members are still to run, and returns why it is invalid.
+func (a *adoption) readTemplate(x *adoptedArray) *argumentError {
 	t, bad := a.front.readAccepted(x.r.Template, x.r.Submitted, x.r.Category, x.r.Class)
 	if bad != nil {
-		a.front.log.Warn("recorded array can not be adopted: invalid template", "array", x.r.ID, "field", bad.field, "why", bad.text)
-		return false
+		return bad
 	}
 	t.job.Method, t.job.IdempotencyKey = "POST", newTraceID()+newTraceID()
 	x.t = *t
-	return true
+	return nil
 }
 
 // settle decides and records what becomes of a job that had not ended.
@@ -123,14 +129,19 @@
 	x := a.findArray(r)
 	switch {
 	case r.State.final():
+	case r.unsent() && x != nil && x.r.UnsentReason != "":
+		r.endUnsent(x.r.UnsentReason, a.now)
 	case r.unsent() && x != nil && x.r.Terminated:
 		r.State, r.SubState, r.Annotation, r.Finished = Failed, subTerminated, terminatedUnsent, a.now
 	case r.unsent() && x != nil:
 		x.requeued = append(x.requeued, *r.Index) // another restart finds its record
 		return nil
 	case r.unsent() && !r.HandedOver && r.Array == "":
-		a.queueJob(r)
-		return nil
+		bad := a.queueJob(r)
+		if bad == nil {
+			return nil
+		}
+		r.endUnsent(unsentReason(bad), a.now)
 	default:
 		*r = afterRestart(*r, earlierIncarnation)
 		if r.State == Undetermined {
@@ -150,11 +161,12 @@
 	return a.front.store.Write(ctx, changes...)
 }
 
-// queueJob collects a job that was never handed to the core, so that enqueue puts it in the queue.
-func (a *adoption) queueJob(r *Record) {
+// queueJob collects a job that was never handed to the core, so that enqueue puts it in the queue. It returns why the
+// job's template is no longer valid.
+func (a *adoption) queueJob(r *Record) *argumentError {
 	t, bad := a.front.readAccepted(r.Template, r.Submitted, r.Category, r.Class)
 	if bad != nil {
-		return
+		return bad
 	}
 	j := &job{f: a.front, queue: true, ref: jobqueue.JobRef{ID: r.ID}, in: t.job, deadline: r.Deadline, hash: t.hash,
 		changed: make(chan struct{}), ready: closedChan, r: *r}
@@ -163,6 +175,21 @@
 		j.in.IdempotencyKey = newTraceID() + newTraceID()
 	}
 	a.waiting = append(a.waiting, j)
+	return nil
+}
+
+// unsentReason returns the annotation of jobs that are not run, because their template has become invalid: what it names
+// is no longer in the settings.
+func unsentReason(bad *argumentError) string {
+	return "not run, since its template is no longer valid: " + bad.field + ": " + bad.text
+}
+
+// endUnsent ends a job that is not run. If an attempt of an earlier hand-over may have run, the record says so.
+func (r *Record) endUnsent(reason string, now time.Time) {
+	r.State, r.SubState, r.Annotation, r.Finished = Failed, subUnsent, reason, now
+	if r.mayHaveRun() {
+		r.SubState = subFailed
+	}
 }
 
 // enqueue puts the collected jobs and arrays in the queue and returns their number.
--- a/internal/batch/array.go
+++ b/internal/batch/array.go
@@ -16,27 +16,29 @@
 // arrayRecord is the stored state of a job array (DRMAAv2, section 8.2): its index range and how many of its members
 // are done or failed. A member becomes a job of its own when its turn comes; until then the array represents it.
 type arrayRecord struct {
-	ID          string          `json:"jobArrayId"`
-	Session     string          `json:"sessionName"`
-	Name        string          `json:"jobName,omitempty"`
-	Category    string          `json:"jobCategory"`
-	Account     string          `json:"accountingId,omitempty"`
-	Begin       int             `json:"beginIndex"`
-	End         int             `json:"endIndex"`
-	Step        int             `json:"step"`
-	MaxParallel int             `json:"maxParallel,omitempty"`
-	Priority    int             `json:"priority,omitempty"`
-	Submitted   time.Time       `json:"submissionTime"`
-	Start       time.Time       `json:"startTime,omitzero"`
-	Deadline    time.Time       `json:"deadlineTime,omitzero"`
-	Held        bool            `json:"held"`
-	Jobs        int             `json:"jobs"`
-	Next        int             `json:"nextIndex"` // members with lower indices had their turn
-	Terminated  bool            `json:"terminated,omitempty"`
-	Done        int             `json:"done"`
-	Failed      int             `json:"failed"`
-	Template    json.RawMessage `json:"template,omitempty"`
-	Class       *storedClass    `json:"-"` // under which it was accepted; stored as a record of its own
+	ID          string    `json:"jobArrayId"`
+	Session     string    `json:"sessionName"`
+	Name        string    `json:"jobName,omitempty"`
+	Category    string    `json:"jobCategory"`
+	Account     string    `json:"accountingId,omitempty"`
+	Begin       int       `json:"beginIndex"`
+	End         int       `json:"endIndex"`
+	Step        int       `json:"step"`
+	MaxParallel int       `json:"maxParallel,omitempty"`
+	Priority    int       `json:"priority,omitempty"`
+	Submitted   time.Time `json:"submissionTime"`
+	Start       time.Time `json:"startTime,omitzero"`
+	Deadline    time.Time `json:"deadlineTime,omitzero"`
+	Held        bool      `json:"held"`
+	Jobs        int       `json:"jobs"`
+	Next        int       `json:"nextIndex"` // members with lower indices had their turn
+	Terminated  bool      `json:"terminated,omitempty"`
+	// UnsentReason says why the members that had no turn are not run, if that is not by a call of a client.
+	UnsentReason string          `json:"unsentReason,omitempty"`
+	Done         int             `json:"done"`
+	Failed       int             `json:"failed"`
+	Template     json.RawMessage `json:"template,omitempty"`
+	Class        *storedClass    `json:"-"` // under which it was accepted; stored as a record of its own
 }
 
 type array struct {
@@ -272,6 +274,8 @@
 	}
 	r := a.memberRecord(&x, n.index)
 	switch {
+	case x.UnsentReason != "":
+		r.State, r.SubState, r.Annotation = Failed, subUnsent, x.UnsentReason
 	case x.Terminated:
 		r.State, r.SubState = Failed, subTerminated
 	case x.Held:
--- a/internal/batch/reconcile.go
+++ b/internal/batch/reconcile.go
@@ -31,8 +31,7 @@
 	if err := f.forEachStoredMember(ctx, &x.r, x.r.Next, func(r *Record) { x.skipped = append(x.skipped, *r.Index) }); err != nil {
 		return err
 	}
-	r := &x.r
-	turns := min((r.Next-r.Begin)/r.Step, r.Jobs) + len(x.skipped)
+	r, turns := &x.r, x.turns()
 	ended, cut := turns-len(x.open), 0
 	if r.Terminated {
 		cut = r.Jobs - turns
@@ -49,6 +48,21 @@
 	return f.store.Write(ctx, x.changes()...)
 }
 
+// turns returns the number of members that had their turn.
+func (x *adoptedArray) turns() int {
+	return min((x.r.Next-x.r.Begin)/x.r.Step, x.r.Jobs) + len(x.skipped)
+}
+
+// endUnsent ends the members that are yet to have their turn, and records why they are not run. Its other members that
+// were not sent end with their own records.
+func (x *adoptedArray) endUnsent(ctx context.Context, f *Front, bad *argumentError) error {
+	if !x.r.Terminated {
+		x.r.Failed += x.r.Jobs - x.turns()
+	}
+	x.r.Terminated, x.r.UnsentReason = true, unsentReason(bad)
+	return f.store.Write(ctx, x.changes()...)
+}
+
 // recount counts how the members that had their turn ended, and adds those that were terminated before it. Records of
 // some members may have been evicted, oldest first; for those the array's own counts are used.
 func (x *adoptedArray) recount(ctx context.Context, f *Front, ended, cut int) error {
