--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -231,12 +231,12 @@
 
 // jobEnded counts the end of a job and keeps the job for later queries. The oldest ended jobs beyond the limits are
 // evicted.
-func (f *Front) jobEnded(j *job, now time.Time) {
+func (f *Front) jobEnded(j *job, now time.Time) bool {
 	r := j.record()
 	f.mu.Lock()
 	if f.jobs[r.ID] != j {
 		f.mu.Unlock()
-		return // it was dropped: the partition's new owner counts its end
+		return false
 	}
 	f.bytes += r.Size
 	if j.queue {
@@ -267,8 +267,7 @@
 		f.order = append(f.order[:i], f.order[i+1:]...)
 	}
 	f.mu.Unlock()
-	f.recordLater(j)
-	f.wake()
+	return true
 }
 
 // forget removes an ended job from the maps. The caller removes it from f.order.
--- a/internal/batch/control.go
+++ b/internal/batch/control.go
@@ -113,10 +113,12 @@
 		return f.recordingError(j, "the end could not be recorded", err), true
 	}
 	f.dequeue(j, now)
-	j.end(terminate, now)
 	if err != nil {
+		j.end(terminate, now) // is written until the outcome is known
 		return writeError(j.ref.ID, "the end could not be recorded", err), true
 	}
+	j.ended(now)
+	f.wake()
 	return f.terminatedResponse(j), true
 }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -304,14 +304,23 @@
 	was(box, r.State == Done)
 }
 
-// end ends the job.
+// end ends the job, and queues its end to be recorded.
 func (j *job) end(change func(*Record), now time.Time) {
 	j.update(func(r *Record) {
 		r.Finished = now
 		change(r)
 	})
+	if j.ended(now) {
+		j.f.recordLater(j)
+	}
+	j.f.wake()
+}
+
+// ended releases what a job holds whose record says that it has ended. It reports false if the job was dropped: the
+// partition's new owner counts its end.
+func (j *job) ended(now time.Time) bool {
 	j.setPlacement(nil)
-	j.f.jobEnded(j, now)
+	return j.f.jobEnded(j, now)
 }
 
 // json returns the stored form of a record.
