--- a/internal/inventory/share.go
+++ b/internal/inventory/share.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"gatetack/internal/kv"
@@ -112,12 +111,20 @@
 // writer brings the proposals of a node into the store, in its own goroutine: a store without a leader must not delay
 // changes of the file, such as a drain.
 type writer struct {
-	store      Store
-	node       string
-	backoff    time.Duration
-	onCaughtUp func()
-	log        *slog.Logger
-	caughtUp   atomic.Bool // this member's state has been up to date once in this process
+	store    Store
+	node     string
+	backoff  time.Duration
+	caughtUp chan struct{} // closed once this member's state has been up to date in this process
+	log      *slog.Logger
+}
+
+func (w *writer) hasCaughtUp() bool {
+	select {
+	case <-w.caughtUp:
+		return true
+	default:
+		return false
+	}
 }
 
 // run writes proposals until the context ends.
@@ -158,8 +165,8 @@
 	if err := w.store.CatchUp(ctx); err != nil {
 		return err
 	}
-	if !w.caughtUp.Swap(true) {
-		w.onCaughtUp()
+	if !w.hasCaughtUp() {
+		close(w.caughtUp)
 	}
 	now := readStored(w.store.View(), w.node)
 	ops, conflicts, err := p.plan(now, w.node, time.Now().UnixMilli())
--- a/internal/inventory/source.go
+++ b/internal/inventory/source.go
@@ -49,8 +49,9 @@
 	cfg      Config
 	sink     Sink
 	log      *slog.Logger
-	writer   *writer // nil without a store
-	requests chan struct{}
+	writer   *writer       // nil without a store
+	requests chan struct{} // requests to deliver the list
+	caughtUp chan struct{} // closed by the writer once this member has caught up with the store
 
 	// The fields below belong to the goroutine that follows the file and the store.
 	data      []byte // contents of the file at the last check
@@ -68,14 +69,15 @@
 
 // Open reads the file once and returns an error if it is invalid, so that a node does not start with an invalid file.
 func Open(cfg Config, sink Sink) (*Source, error) {
-	s := &Source{cfg: cfg, sink: sink, log: cfg.Log, requests: make(chan struct{}, 1), startedAt: time.Now()}
+	s := &Source{cfg: cfg, sink: sink, log: cfg.Log, requests: make(chan struct{}, 1),
+		caughtUp: make(chan struct{}), startedAt: time.Now()}
 	if _, err := s.readFile(); err != nil {
 		return nil, fmt.Errorf("inventory %s: %w", cfg.Path, err)
 	}
 	s.first = s.file
 	if cfg.Store != nil {
 		s.writer = &writer{store: cfg.Store, node: cfg.Node, backoff: cfg.Limits.StoreElectionTimeout,
-			onCaughtUp: s.Fetch, log: cfg.Log}
+			caughtUp: s.caughtUp, log: cfg.Log}
 		s.stored = readStored(cfg.Store.Recovered(), cfg.Node)
 		s.basedOn = s.stored.serial
 	}
@@ -147,10 +149,13 @@
 func (s *Source) follow(ctx context.Context, out chan proposal) {
 	tick := time.NewTicker(s.cfg.Limits.InventoryCheckInterval)
 	defer tick.Stop()
+	caughtUp := s.caughtUp
 	for {
 		select {
 		case <-s.requests:
 			s.requested = true
+		case <-caughtUp:
+			caughtUp = nil
 		case <-tick.C:
 		case <-ctx.Done():
 			return
@@ -174,7 +179,7 @@
 // ready reports whether the list may be delivered. A node that has not caught up with the store may not know of a drain
 // and waits for as long as discovery may take to answer.
 func (s *Source) ready() bool {
-	return s.writer == nil || s.writer.caughtUp.Load() || time.Since(s.startedAt) >= s.cfg.Limits.ListCallTimeout
+	return s.writer == nil || s.writer.hasCaughtUp() || time.Since(s.startedAt) >= s.cfg.Limits.ListCallTimeout
 }
 
 // refresh checks the file and the store. It reports whether the list has changed.
@@ -194,7 +199,7 @@
 // last check. The state only counts once it was up to date: after a restart it may be older than what this node has
 // acted on.
 func (s *Source) followStore() bool {
-	if !s.writer.caughtUp.Load() {
+	if !s.writer.hasCaughtUp() {
 		return false
 	}
 	view := s.cfg.Store.View()
