The end of a drain counts right after the drain in the same file; a wrong premise of a test

The record of a node's file now has the serial number in which it was merged. TestDrainAndItsEndInOneFile fails without it.

--- a/internal/inventory/merge.go
+++ b/internal/inventory/merge.go
@@ -57,6 +57,7 @@
 	previous []row  // contents whose changes the shared inventory includes
 	current  []row  // contents now
 	basedOn  uint64 // serial number of the shared inventory that the node had when the file changed
+	mergedIn uint64 // serial number of the shared inventory with the previous change of this file, 0 if unknown
 }
 
 // conflict is a part of a fileChange that does not take effect.
@@ -75,11 +76,11 @@
 // it neither ends a drain nor restores a removed executor of which its operator could not know.
 func merge(list sharedList, change fileChange) (sharedList, []conflict) {
 	m := &merger{
-		before:  list.rows,
-		serial:  list.serial + 1,
-		basedOn: change.basedOn,
-		rows:    slices.Clone(list.rows),
-		index:   map[string]int{},
+		before: list.rows,
+		change: change,
+		serial: list.serial + 1,
+		rows:   slices.Clone(list.rows),
+		index:  map[string]int{},
 	}
 	for i, r := range m.rows {
 		m.index[r.Name] = i
@@ -109,8 +110,8 @@
 // merger is the state of one merge.
 type merger struct {
 	before    []sharedRow
+	change    fileChange
 	serial    uint64 // of the result
-	basedOn   uint64
 	rows      []sharedRow
 	index     map[string]int // positions in rows before removals, by name
 	changed   bool
@@ -168,7 +169,7 @@
 func (m *merger) endsUnknownDrain(i int, previous, current row) bool {
 	shared := m.rows[i]
 	return previous.Status != current.Status && current.Status == statusReady &&
-		shared.Status == statusDraining && shared.changedIn > m.basedOn
+		shared.Status == statusDraining && shared.changedIn > m.change.basedOn && shared.changedIn != m.change.mergedIn
 }
 
 func setIfChanged[T comparable](field *T, previous, current T) {
--- a/internal/inventory/merge_test.go
+++ b/internal/inventory/merge_test.go
@@ -189,13 +189,14 @@
 	if back, err := decodeList(got); err != nil || fmt.Sprint(back) != fmt.Sprint(list) {
 		t.Errorf("decoded %v, %v", back, err)
 	}
-	const wantFile = `[["s-1","127.0.0.1:9001","tallinn","type-a","1","ready"],` +
-		`["s-2","127.0.0.1:9002","tartu","type-b","2","draining"]]`
-	file, err := encodeFile(rowsOf(entries))
+	const wantFile = `{"mergedIn":7,"rows":[["s-1","127.0.0.1:9001","tallinn","type-a","1","ready"],` +
+		`["s-2","127.0.0.1:9002","tartu","type-b","2","draining"]]}`
+	contents := mergedFile{rows: rowsOf(entries), mergedIn: 7}
+	file, err := contents.encode()
 	if err != nil || string(file) != wantFile {
 		t.Errorf("got encoding %s, %v\nwant %s", file, err, wantFile)
 	}
-	if back, err := decodeFile(file); err != nil || fmt.Sprint(back) != fmt.Sprint(rowsOf(entries)) {
+	if back, err := decodeFile(file); err != nil || fmt.Sprint(back) != fmt.Sprint(contents) {
 		t.Errorf("decoded %v, %v", back, err)
 	}
 }
--- a/internal/inventory/share.go
+++ b/internal/inventory/share.go
@@ -26,7 +26,7 @@
 // stored is what a state of the store holds for one node.
 type stored struct {
 	accepted
-	file        []row // contents of the node's file that are merged, if hasFile is set
+	file        mergedFile // of the node, if hasFile is set
 	hasFile     bool
 	fileVersion uint64
 }
@@ -39,8 +39,8 @@
 		return out
 	}
 	out.fileVersion = entry.Version
-	rows, err := decodeFile(entry.Value)
-	out.file, out.hasFile = rows, err == nil
+	file, err := decodeFile(entry.Value)
+	out.file, out.hasFile = file, err == nil
 	return out
 }
 
@@ -68,20 +68,24 @@
 // change returns the change of the file according to the store. Without a record of the node's file the contents at the
 // start of the process are not a change: nothing shows that they are newer than the shared inventory.
 func (p proposal) change(s stored) fileChange {
-	previous := p.first
+	change := fileChange{previous: p.first, current: p.file, basedOn: p.basedOn}
 	if s.hasFile {
-		previous = s.file
+		change.previous, change.mergedIn = s.file.rows, s.file.mergedIn
 	}
-	return fileChange{previous: previous, current: p.file, basedOn: p.basedOn}
+	return change
 }
 
 // plan returns the operations that bring a proposal into the store, none if the store includes it, and the parts of the
 // change that do not take effect. Each operation is conditional on the version that was read.
 func (p proposal) plan(s stored, node string, nowMs int64) (ops []kv.Op, conflicts []conflict, err error) {
 	next, write := withSerial(listOf(p.inForce), sharedList{}), true
+	file := mergedFile{rows: p.file, mergedIn: next.serial}
 	if s.exists {
 		next, conflicts = merge(s.sharedList, p.change(s))
 		write = next.serial != s.serial || s.stale
+		if file.mergedIn = s.file.mergedIn; next.serial != s.serial {
+			file.mergedIn = next.serial
+		}
 	}
 	inventory := kv.Op{Verb: kv.Check, Table: storeTable, Key: storeKey, Cond: true, If: s.version}
 	if write {
@@ -92,13 +96,13 @@
 			return nil, nil, err
 		}
 	}
-	recorded := s.hasFile && slices.Equal(s.file, p.file)
+	recorded := s.hasFile && slices.Equal(s.file.rows, p.file)
 	if recorded && !write {
 		return nil, nil, nil
 	}
 	ops = append(ops, inventory)
 	if !recorded {
-		value, err := encodeFile(p.file)
+		value, err := file.encode()
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/inventory/share_test.go
+++ b/internal/inventory/share_test.go
@@ -214,7 +214,7 @@
 		}
 		entries, err := Parse(n.path, data, names, testenv.Limits)
 		s := readStored(n.member.View(), n.name)
-		return err == nil && s.hasFile && fmt.Sprint(s.file) == fmt.Sprint(rowsOf(entries))
+		return err == nil && s.hasFile && fmt.Sprint(s.file.rows) == fmt.Sprint(rowsOf(entries))
 	})
 }
 
@@ -294,10 +294,13 @@
 		x.until("a:draining b:ready c:ready")
 		x.never("b:draining")
 	}
+	n[0].write("# again\n" + drainingA + rowB)
+	n[1].write(drainingA + rowB)
+	n[2].write(rowC + drainingA + rowB)
 	for _, x := range n {
-		x.write(drainingA + rowB)
+		x.untilMerged()
+		x.until("a:draining b:ready c:ready")
 	}
-	n[1].until("a:draining b:ready c:ready")
 	if !strings.Contains(before, `"draining"`) {
 		t.Errorf("the drain was not shared: %s", before)
 	}
@@ -415,3 +418,16 @@
 	l.put(t, legacy(time.Now().Add(time.Minute).UnixMilli(), statusReady))
 	n.until("a:ready b:ready")
 }
+
+// A drain and its end come one right after the other in one node's file: the end counts, also if the node has not read
+// its own drain from the store in between.
+func TestDrainAndItsEndInOneFile(t *testing.T) {
+	_, n := newFleet(t)
+	for range 20 {
+		n[1].write(drainingA + rowB)
+		n[1].untilMerged()
+		n[1].write(rowA + rowB)
+		n[1].untilMerged()
+		n[2].until("a:ready b:ready")
+	}
+}
--- a/internal/inventory/stored.go
+++ b/internal/inventory/stored.go
@@ -125,31 +125,43 @@
 	return list
 }
 
-// encodeFile returns the encoding of the contents of a node's file in the store. It is stored data and must not change.
-func encodeFile(rows []row) ([]byte, error) {
-	fields := make([][]string, 0, len(rows))
-	for _, r := range rows {
-		fields = append(fields, []string{r.Name, r.Address, r.Zone, r.Kind, strconv.Itoa(r.Group), r.Status})
+// mergedFile is the contents of a node's file that are merged into the shared inventory.
+type mergedFile struct {
+	rows     []row
+	mergedIn uint64 // serial number of the inventory with the latest change of the file, 0 if it had none
+}
+
+// storedFile is the encoding of a mergedFile in the store. Its keys are stored data and must not change.
+type storedFile struct {
+	MergedIn uint64     `json:"mergedIn"`
+	Rows     [][]string `json:"rows"` // name, address, zone, type, group, status
+}
+
+// encode returns the encoding of the contents in the store.
+func (f mergedFile) encode() ([]byte, error) {
+	stored := storedFile{MergedIn: f.mergedIn, Rows: make([][]string, 0, len(f.rows))}
+	for _, r := range f.rows {
+		stored.Rows = append(stored.Rows, []string{r.Name, r.Address, r.Zone, r.Kind, strconv.Itoa(r.Group), r.Status})
 	}
-	return json.Marshal(fields)
+	return json.Marshal(stored)
 }
 
 // decodeFile decodes the contents of a node's file.
-func decodeFile(value []byte) ([]row, error) {
-	var all [][]string
-	if err := json.Unmarshal(value, &all); err != nil {
-		return nil, errors.Join(errInvalidValue, err)
+func decodeFile(value []byte) (mergedFile, error) {
+	var stored storedFile
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return mergedFile{}, errors.Join(errInvalidValue, err)
 	}
-	rows := make([]row, 0, len(all))
-	for _, fields := range all {
+	out := mergedFile{mergedIn: stored.MergedIn, rows: make([]row, 0, len(stored.Rows))}
+	for _, fields := range stored.Rows {
 		if len(fields) != len(columns) {
-			return nil, errInvalidValue
+			return mergedFile{}, errInvalidValue
 		}
 		group, err := strconv.ParseUint(fields[4], 10, groupBits)
 		if err != nil {
-			return nil, errors.Join(errInvalidValue, err)
+			return mergedFile{}, errors.Join(errInvalidValue, err)
 		}
-		rows = append(rows, row{fields[0], fields[1], fields[2], fields[3], int(group), fields[5]})
+		out.rows = append(out.rows, row{fields[0], fields[1], fields[2], fields[3], int(group), fields[5]})
 	}
-	return rows, nil
+	return out, nil
 }
